--- /dev/null
+++ b/agent/src/main/java/org/hyssophitch/agent/AgentSettings.java
@@ -0,0 +1,52 @@
+package org.hyssophitch.agent;
+
+import java.util.List;
+
+import org.hyssophitch.wire.yaml.YamlMapping;
+
+/**
+ * Settings of one agent process. Immutable.
+ *
+ * @param host name of the entry host
+ * @param zone availability zone of the entry host
+ * @param agent address for other agents and the local proxy, {@code ip:port}
+ * @param http address for callers' questions and operators, {@code ip:port}
+ * @param proxy address of the local proxy for callers, {@code ip:port}
+ * @param platform address of the platform, {@code ip:port}
+ * @param seeds addresses of other agents to contact before the host list is known
+ * @param objectApiCallsPerSecond this host's share of the object API's rate
+ * @param timelineEvents number of events kept for the time line
+ */
+public record AgentSettings(
+        String host,
+        String zone,
+        String agent,
+        String http,
+        String proxy,
+        String platform,
+        List<String> seeds,
+        double objectApiCallsPerSecond,
+        int timelineEvents) {
+
+    private static final String ADDRESS = "[0-9a-fA-F.:]+:\\d{1,5}";
+    private static final String ADDRESS_HELP = "an address of the form ip:port";
+    private static final String NAME = "[a-z0-9][a-z0-9-]{0,62}";
+    private static final String NAME_HELP = "a name of lower-case letters, digits and hyphens";
+    private static final double DEFAULT_CALLS_PER_SECOND = 5;
+    private static final int DEFAULT_EVENTS = 2_000;
+    private static final int MAX_EVENTS = 100_000;
+
+    /** Takes the settings out of a settings file. */
+    public static AgentSettings from(YamlMapping m) {
+        return new AgentSettings(
+                m.text("host", NAME, NAME_HELP),
+                m.text("zone", NAME, NAME_HELP),
+                m.text("agent", ADDRESS, ADDRESS_HELP),
+                m.text("http", ADDRESS, ADDRESS_HELP),
+                m.text("proxy", ADDRESS, ADDRESS_HELP),
+                m.text("platform", ADDRESS, ADDRESS_HELP),
+                m.texts("seeds"),
+                m.decimal("object-api-calls-per-second", 0.1, 1_000, DEFAULT_CALLS_PER_SECOND),
+                m.integer("timeline-events", 100, MAX_EVENTS, DEFAULT_EVENTS));
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/hyssophitch/agent/Prober.java
@@ -0,0 +1,73 @@
+package org.hyssophitch.agent;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Consumer;
+
+import okhttp3.ConnectionPool;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.wire.duty.DutyThread;
+import org.hyssophitch.wire.duty.WallClock;
+import org.hyssophitch.wire.report.LoadHeaders;
+
+/**
+ * The duty that asks backend servers for their load. Thread-safe; runs from {@link #start} until {@link #close}. A
+ * probe is sent only on the engine's order, which has taken it out of the budget.
+ */
+final class Prober implements AutoCloseable {
+
+    private static final int RING_CAPACITY = 256;
+    private static final long TICK_MICROS = 1_000_000;
+    private static final Duration TIMEOUT = Duration.ofMillis(300);
+    private static final int IDLE_CONNECTIONS = 4;
+
+    private final OkHttpClient client = new OkHttpClient.Builder()
+            .callTimeout(TIMEOUT)
+            .retryOnConnectionFailure(false)
+            .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, 1, TimeUnit.SECONDS))
+            .build();
+    private final Consumer<LoadReport> sink;
+    private final DutyThread<BackendServer> duty;
+    private final LongAdder sent = new LongAdder();
+
+    Prober(Consumer<LoadReport> sink) {
+        this.sink = sink;
+        this.duty = new DutyThread<>("agent-probes", RING_CAPACITY, TICK_MICROS, this::probe, () -> {});
+    }
+
+    void start() {
+        duty.start();
+    }
+
+    void request(BackendServer server) {
+        duty.offer(server);
+    }
+
+    long sent() {
+        return sent.sum();
+    }
+
+    @Override
+    public void close() {
+        duty.close();
+    }
+
+    private void probe(BackendServer server) {
+        Request request = new Request.Builder()
+                .url("http://" + server.host() + ":" + server.port() + "/load")
+                .build();
+        sent.increment();
+        try (Response response = client.newCall(request).execute()) {
+            LoadHeaders.parse(server.name(), response::header, WallClock.nowMicros())
+                    .ifPresent(sink);
+        } catch (IOException e) {
+            // An unanswered probe tells nothing that attempts don't tell better; the budget has paid for it.
+        }
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/hyssophitch/agent/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The agent daemon: a thin shell around the agent engine of the core.
+ */
+package org.hyssophitch.agent;
--- /dev/null
+++ b/cli/src/main/java/org/hyssophitch/cli/ApplyCommand.java
@@ -0,0 +1,62 @@
+package org.hyssophitch.cli;
+
+import java.nio.file.Path;
+import java.util.Optional;
+
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.help.Examples;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.document.ApplyResult;
+import org.hyssophitch.document.DocumentReader;
+import org.hyssophitch.wire.platform.ConfigurationRecords.ConfigurationRecord;
+import org.hyssophitch.wire.platform.PlatformResult;
+import org.hyssophitch.wire.yaml.YamlResult;
+
+/** Writes a document on the condition that no other was accepted meanwhile. */
+@Command(name = "apply", description = "checks a document and puts it into force")
+@Examples(
+        examples = {"hyssophitch apply document.yaml", "hyssophitch apply --expect 41 document.yaml"},
+        descriptions = {
+            "writes on top of the version that is accepted now",
+            "refuses with exit code 3 unless version 41 is still the accepted one"
+        })
+public final class ApplyCommand implements ClientCommand {
+
+    @AirlineModule
+    private ClientContext context = new ClientContext();
+
+    @Option(name = "--expect", title = "version", description = "version that the document was made from")
+    private long expected = -1;
+
+    @Option(name = "--author", title = "name", description = "who writes; default: the user's name")
+    private String author = System.getProperty("user.name");
+
+    @Arguments(title = "file", description = "document to apply")
+    @Required
+    private String file;
+
+    @Override
+    public ExitCode execute() {
+        Optional<String> text = DocumentFile.text(file);
+        if (text.isEmpty()) {
+            return DocumentFile.notFound(Path.of(file));
+        }
+        if (DocumentReader.read(text.get()) instanceof YamlResult.Invalid<Configuration> i) {
+            return DocumentFile.printFaults(context, file, i.faults());
+        }
+        long version = expected >= 0 ? expected : acceptedVersion();
+        ApplyResult result = context.documents().apply(text.get(), author, version);
+        return DocumentFile.printResult(context, file, result);
+    }
+
+    private long acceptedVersion() {
+        return switch (context.documents().read()) {
+            case PlatformResult.Found<ConfigurationRecord> f -> f.version();
+            default -> 0;
+        };
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/hyssophitch/cli/ClientSettings.java
@@ -0,0 +1,20 @@
+package org.hyssophitch.cli;
+
+import java.util.List;
+
+import org.hyssophitch.wire.yaml.YamlMapping;
+
+/**
+ * Settings of the command-line client. Immutable.
+ *
+ * @param platform address of the platform, {@code ip:port}
+ * @param agents addresses at which agents answer questions, {@code ip:port}
+ */
+public record ClientSettings(String platform, List<String> agents) {
+
+    /** Takes the settings out of a settings file. */
+    public static ClientSettings from(YamlMapping m) {
+        return new ClientSettings(
+                m.text("platform", "[0-9a-fA-F.:]+:\\d{1,5}", "an address of the form ip:port"), m.texts("agents"));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/hyssophitch/cli/DiffCommand.java
@@ -0,0 +1,112 @@
+package org.hyssophitch.cli;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.help.Examples;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.Service;
+import org.hyssophitch.document.DocumentReader;
+import org.hyssophitch.document.DocumentWriter;
+import org.hyssophitch.wire.platform.ConfigurationRecords.ConfigurationRecord;
+import org.hyssophitch.wire.platform.PlatformResult;
+import org.hyssophitch.wire.yaml.YamlResult;
+
+/** Shows what a document would change. */
+@Command(name = "diff", description = "shows what a document would change in the accepted one")
+@Examples(
+        examples = "hyssophitch diff document.yaml",
+        descriptions = "lists the lines that differ, service by service, defaults written out")
+public final class DiffCommand implements ClientCommand {
+
+    /** One difference: the accepted value and the document's, where one may be missing. */
+    record Difference(String service, List<String> removed, List<String> added) {}
+
+    @AirlineModule
+    private ClientContext context = new ClientContext();
+
+    @Arguments(title = "file", description = "document to compare")
+    @Required
+    private String file;
+
+    @Override
+    public ExitCode execute() {
+        Optional<String> text = DocumentFile.text(file);
+        if (text.isEmpty()) {
+            return DocumentFile.notFound(Path.of(file));
+        }
+        return switch (DocumentReader.read(text.get())) {
+            case YamlResult.Invalid<Configuration> i -> DocumentFile.printFaults(context, file, i.faults());
+            case YamlResult.Valid<Configuration> v -> compare(v.value());
+        };
+    }
+
+    private ExitCode compare(Configuration candidate) {
+        return switch (context.documents().read()) {
+            case PlatformResult.Found<ConfigurationRecord> f -> print(f.value().configuration(), candidate);
+            case PlatformResult.Absent<ConfigurationRecord> a -> print(Configuration.NONE, candidate);
+            default -> {
+                System.err.println("the platform gives no answer");
+                yield ExitCode.UNREACHABLE;
+            }
+        };
+    }
+
+    private ExitCode print(Configuration accepted, Configuration candidate) {
+        List<Difference> differences = new ArrayList<>();
+        difference("", header(accepted), header(candidate)).ifPresent(differences::add);
+        names(accepted, candidate).forEach(n -> difference(n, lines(accepted, n), lines(candidate, n))
+                .ifPresent(differences::add));
+        String text = differences.stream().map(DiffCommand::describe).collect(Collectors.joining("\n"));
+        context.print(differences, differences.isEmpty() ? "no difference" : text);
+        return ExitCode.OK;
+    }
+
+    private static Set<String> names(Configuration a, Configuration b) {
+        Set<String> names = new TreeSet<>();
+        a.services().forEach(s -> names.add(s.name()));
+        b.services().forEach(s -> names.add(s.name()));
+        return names;
+    }
+
+    private static Optional<Difference> difference(String service, List<String> before, List<String> after) {
+        List<String> removed = before.stream().filter(l -> !after.contains(l)).toList();
+        List<String> added = after.stream().filter(l -> !before.contains(l)).toList();
+        boolean isSame = removed.isEmpty() && added.isEmpty();
+        return isSame ? Optional.empty() : Optional.of(new Difference(service, removed, added));
+    }
+
+    private static List<String> header(Configuration c) {
+        return DocumentWriter.write(c.withServices(List.of())).lines().toList();
+    }
+
+    /** Returns a service's rules line by line, and each backend server as one line. */
+    private static List<String> lines(Configuration c, String name) {
+        List<String> lines = new ArrayList<>();
+        c.service(name).ifPresent(s -> {
+            Service rules = s.withServers(List.of());
+            DocumentWriter.write(c.withServices(List.of(rules)))
+                    .lines()
+                    .filter(l -> !header(c).contains(l))
+                    .forEach(lines::add);
+            s.servers().forEach(b -> lines.add("  " + b));
+        });
+        return lines;
+    }
+
+    private static String describe(Difference d) {
+        String removed = d.removed().stream().map(l -> "- " + l + "\n").collect(Collectors.joining());
+        String added = d.added().stream().map(l -> "+ " + l + "\n").collect(Collectors.joining());
+        String title = d.service().isEmpty() ? "document" : "service " + d.service();
+        return title + ":\n" + removed + added;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/hyssophitch/cli/DocumentFile.java
@@ -0,0 +1,75 @@
+package org.hyssophitch.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+import org.hyssophitch.document.ApplyResult;
+import org.hyssophitch.wire.yaml.Fault;
+
+/** Reading of documents and printing of what became of them, for several commands. Stateless. */
+final class DocumentFile {
+
+    /** Output for a document that was refused because of its faults. */
+    record Faults(boolean valid, List<Fault> faults) {}
+
+    /** Output for an accepted document. */
+    record Accepted(long version, String revisionId) {}
+
+    /** Output for a document that was refused because another was accepted meanwhile. */
+    record Conflict(String error, long currentVersion, String currentRevisionId, String currentAuthor) {}
+
+    /** Output for a write without an answer. */
+    record Unknown(String error, String cause, String revisionId) {}
+
+    private DocumentFile() {}
+
+    static Optional<String> text(String file) {
+        try {
+            return Optional.of(Files.readString(Path.of(file)));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    static ExitCode notFound(Path file) {
+        System.err.println(file + " can't be read");
+        return ExitCode.NOT_FOUND;
+    }
+
+    static ExitCode printFaults(ClientContext context, String file, List<Fault> faults) {
+        if (context.isJson()) {
+            context.printJson(new Faults(false, faults));
+        } else {
+            faults.forEach(f -> System.out.println(file + ": " + f.describe()));
+        }
+        return ExitCode.INVALID;
+    }
+
+    static ExitCode printResult(ClientContext context, String file, ApplyResult result) {
+        return switch (result) {
+            case ApplyResult.Invalid i -> printFaults(context, file, i.faults());
+            case ApplyResult.Accepted a -> {
+                context.print(new Accepted(a.version(), a.revisionId()), "accepted as version " + a.version());
+                yield ExitCode.OK;
+            }
+            case ApplyResult.Conflict c -> {
+                long version = c.current().configuration().version();
+                String author = c.current().author();
+                context.print(
+                        new Conflict(
+                                "conflict", version, c.current().configuration().revisionId(), author),
+                        "refused: version " + version + " by " + author + " was accepted meanwhile; see 'diff'");
+                yield ExitCode.CONFLICT;
+            }
+            case ApplyResult.Unknown u -> {
+                context.print(
+                        new Unknown("unknown", u.cause(), u.revisionId()),
+                        "no answer (" + u.cause() + "); look with 'get' for revision " + u.revisionId());
+                yield ExitCode.UNREACHABLE;
+            }
+        };
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/hyssophitch/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' command-line client.
+ */
+package org.hyssophitch.cli;
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/admission/CallQueue.java
@@ -0,0 +1,70 @@
+package org.hyssophitch.core.admission;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * Bounded queue of the calls of one service, ordered by deadline. Not thread-safe; owned by the call engine.
+ */
+public final class CallQueue {
+
+    /**
+     * One waiting call.
+     *
+     * @param callId identity of the call within the entry host
+     * @param deadlineMicros time by which the caller needs its answer
+     */
+    public record Waiting(long callId, long deadlineMicros) {}
+
+    private final TreeSet<Waiting> waiting =
+            new TreeSet<>(Comparator.comparingLong(Waiting::deadlineMicros).thenComparingLong(Waiting::callId));
+    private final int capacity;
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param capacity largest number of waiting calls
+     */
+    public CallQueue(int capacity) {
+        this.capacity = capacity;
+    }
+
+    /** Returns a queue of another capacity with the same waiting calls, or this instance when nothing changes. */
+    public CallQueue withCapacity(int value) {
+        if (value == capacity) {
+            return this;
+        }
+        CallQueue changed = new CallQueue(value);
+        changed.waiting.addAll(waiting);
+        return changed;
+    }
+
+    /** Adds a call unless the queue is full, and returns whether it did. */
+    public boolean offer(Waiting call) {
+        return waiting.size() < capacity && waiting.add(call);
+    }
+
+    /** Removes and returns the call with the earliest deadline. */
+    public Optional<Waiting> poll() {
+        return Optional.ofNullable(waiting.pollFirst());
+    }
+
+    /** Removes a call, and returns whether it was waiting. */
+    public boolean remove(Waiting call) {
+        return waiting.remove(call);
+    }
+
+    /** Removes and returns every call whose deadline has passed. */
+    public List<Waiting> removeExpired(long nowMicros) {
+        List<Waiting> expired =
+                waiting.stream().takeWhile(w -> w.deadlineMicros() <= nowMicros).toList();
+        expired.forEach(waiting::remove);
+        return expired;
+    }
+
+    public int size() {
+        return waiting.size();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
@@ -0,0 +1,163 @@
+package org.hyssophitch.core.call;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.hyssophitch.core.admission.CallQueue.Waiting;
+import org.hyssophitch.core.configuration.Criticality;
+import org.hyssophitch.core.routing.ServerState;
+
+/**
+ * One call from its arrival to its final answer. Not thread-safe; owned by the call engine.
+ */
+final class ActiveCall {
+
+    /**
+     * One attempt in flight.
+     *
+     * @param number number of the attempt, from 1
+     * @param server where it was sent
+     * @param startedMicros when it was sent
+     * @param queueFactor estimated wait at the server in units of its service time
+     */
+    record Attempt(int number, ServerState server, long startedMicros, double queueFactor) {}
+
+    private static final int MAX_ATTEMPTS = 64;
+
+    private final CallRequest request;
+    private final ServiceState service;
+    private final long arrivedMicros;
+    private final Map<Integer, Attempt> attempts = new LinkedHashMap<>();
+    private final Set<String> tried = new HashSet<>();
+    private int attemptsStarted;
+    private int relaying;
+    private int status;
+    private boolean mayHaveRun;
+    private boolean isCallerGone;
+    private boolean isSuspectRunning;
+    private Reason lastLoss = Reason.CONNECTION_LOST;
+
+    ActiveCall(CallRequest request, ServiceState service, long arrivedMicros) {
+        this.request = request;
+        this.service = service;
+        this.arrivedMicros = arrivedMicros;
+    }
+
+    CallRequest request() {
+        return request;
+    }
+
+    ServiceState service() {
+        return service;
+    }
+
+    long callId() {
+        return request.callId();
+    }
+
+    long arrivedMicros() {
+        return arrivedMicros;
+    }
+
+    Waiting waiting() {
+        return new Waiting(callId(), request.deadlineMicros());
+    }
+
+    int attemptsStarted() {
+        return attemptsStarted;
+    }
+
+    Collection<Attempt> attempts() {
+        return attempts.values();
+    }
+
+    Collection<String> tried() {
+        return tried;
+    }
+
+    Attempt attempt(int number) {
+        return attempts.get(number);
+    }
+
+    Attempt start(ServerState server, long nowMicros, double queueFactor) {
+        attemptsStarted++;
+        Attempt a = new Attempt(attemptsStarted, server, nowMicros, queueFactor);
+        attempts.put(a.number(), a);
+        tried.add(server.name());
+        server.onStart(key(a.number()), nowMicros);
+        return a;
+    }
+
+    Attempt end(int number) {
+        return attempts.remove(number);
+    }
+
+    /** Returns the key of one attempt, unique within the entry host. */
+    long key(int attempt) {
+        return callId() * MAX_ATTEMPTS + attempt;
+    }
+
+    boolean isBulk() {
+        return service.service().criticality() == Criticality.BULK;
+    }
+
+    boolean isRelaying() {
+        return relaying > 0;
+    }
+
+    int relaying() {
+        return relaying;
+    }
+
+    void setRelaying(int attempt) {
+        relaying = attempt;
+    }
+
+    int status() {
+        return status;
+    }
+
+    void setStatus(int value) {
+        status = value;
+    }
+
+    boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    /** Notes that an attempt was lost: the request may have run. */
+    void onLoss(Reason reason) {
+        mayHaveRun = true;
+        lastLoss = reason;
+    }
+
+    Reason lastLoss() {
+        return lastLoss;
+    }
+
+    boolean isCallerGone() {
+        return isCallerGone;
+    }
+
+    void setCallerGone() {
+        isCallerGone = true;
+    }
+
+    boolean isSuspectRunning() {
+        return isSuspectRunning;
+    }
+
+    void setSuspectRunning(boolean value) {
+        isSuspectRunning = value;
+    }
+
+    /** Returns whether the rules allow one more attempt, budgets aside. */
+    boolean mayTryAgain() {
+        boolean isSafe = request.idempotent() || !mayHaveRun && attempts.isEmpty();
+        int most = Math.min(MAX_ATTEMPTS - 1, service.service().retry().maxAttempts());
+        return isSafe && request.mayRetry() && request.replayable() && attemptsStarted < most && !isRelaying();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
@@ -0,0 +1,184 @@
+package org.hyssophitch.core.call;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.hyssophitch.core.call.AttemptResult.LostCause;
+import org.hyssophitch.core.health.SuspectRegister.Suspicion;
+import org.hyssophitch.core.health.SuspectRegister.Verdict;
+import org.hyssophitch.core.routing.ServerState;
+import org.hyssophitch.core.timeline.EventBody;
+
+/**
+ * Draws conclusions from answers and ended attempts: server health, limits, suspicion, retries. Not thread-safe.
+ */
+final class AttemptObserver {
+
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final EngineState state;
+    private final CallFinisher finisher;
+    private final AttemptStarter starter;
+
+    AttemptObserver(EngineState state, CallFinisher finisher, AttemptStarter starter) {
+        this.state = state;
+        this.finisher = finisher;
+        this.starter = starter;
+    }
+
+    /** Handles the beginning of an answer: relays it, or tries again in place of a server error. */
+    void onAnswerStarted(CallEvent.AnswerStarted e) {
+        ActiveCall call = state.calls().get(e.callId());
+        ActiveCall.Attempt a = call == null ? null : call.attempt(e.attempt());
+        if (a == null || call.isRelaying()) {
+            return;
+        }
+        boolean isServerError = e.status() >= FIRST_SERVER_ERROR;
+        noteAnswer(call, a, isServerError, e.nowMicros());
+        if (isServerError && retryAfterServerError(call, a, e.nowMicros())) {
+            return;
+        }
+        call.setRelaying(a.number());
+        call.setStatus(e.status());
+        finisher.cancelAttempts(call, a.number(), e.nowMicros());
+        state.emit(new CallAction.RelayAnswer(call.callId(), a.number()));
+        starter.startWaiting(call.service(), e.nowMicros());
+    }
+
+    /** Handles the end of an attempt. */
+    void onAttemptEnded(CallEvent.AttemptEnded e) {
+        ActiveCall call = state.calls().get(e.callId());
+        ActiveCall.Attempt a = call == null ? null : call.attempt(e.attempt());
+        if (a == null) {
+            return;
+        }
+        if (e.result() instanceof AttemptResult.Lost l && l.cause() == LostCause.CONNECTION_LOST) {
+            noteCrash(a.server(), e.nowMicros());
+        }
+        long elapsed = finisher.release(call, a, e.nowMicros());
+        state.record(
+                e.nowMicros(),
+                call,
+                new EventBody.AttemptEnded(
+                        a.number(), a.server().name(), e.result().label(), elapsed));
+        switch (e.result()) {
+            case AttemptResult.Completed c -> finisher.complete(call, call.status(), e.nowMicros());
+            case AttemptResult.NotRun n -> onNotRun(call, a, n, e.nowMicros());
+            case AttemptResult.Lost l -> onLost(call, a, l, e.nowMicros());
+        }
+        starter.startWaiting(call.service(), e.nowMicros());
+    }
+
+    private void noteAnswer(ActiveCall call, ActiveCall.Attempt a, boolean isServerError, long nowMicros) {
+        ServerState server = a.server();
+        double elapsed = nowMicros - a.startedMicros();
+        if (isServerError) {
+            noteFailure(call, server, nowMicros);
+            return;
+        }
+        call.service().latency().add(elapsed);
+        server.addServiceSample(elapsed / (1 + a.queueFactor()));
+        server.limit().onAnswer(server.inFlight(), nowMicros);
+        server.setLastAnswerMicros(nowMicros);
+        if (server.health().onSuccess()) {
+            recordHealth(server, "ADMITTED", nowMicros);
+        }
+        if (state.suspects().clear(call.request().fingerprint())) {
+            call.setSuspectRunning(false);
+            recordVerdict(call, Verdict.CLEAR, 0, nowMicros);
+        }
+    }
+
+    private boolean retryAfterServerError(ActiveCall call, ActiveCall.Attempt a, long nowMicros) {
+        boolean mayRetry = call.request().idempotent() && call.mayTryAgain();
+        boolean hasOther =
+                call.service().untried(call.tried()).stream().anyMatch(s -> s != a.server() && s.isEligible(nowMicros));
+        if (!mayRetry || !hasOther || !call.service().retries().trySpend()) {
+            return false;
+        }
+        call.onLoss(Reason.ANSWER_BROKEN);
+        finisher.cancelAttempts(call, 0, nowMicros);
+        starter.startOrQueue(call, AttemptStarter.Cause.RETRY, nowMicros);
+        return true;
+    }
+
+    private void onNotRun(ActiveCall call, ActiveCall.Attempt a, AttemptResult.NotRun result, long nowMicros) {
+        switch (result.cause()) {
+            case CONNECT_FAILED -> noteFailure(call, a.server(), nowMicros);
+            case SHED -> a.server().limit().onShed(a.server().inFlight() + 1, nowMicros);
+            case DRAINING -> a.server().health().onCancelled();
+            default -> throw new IllegalStateException("no such cause: " + result.cause());
+        }
+        Reason giveUp = call.mayHaveRun() ? call.lastLoss() : Reason.ATTEMPTS_REFUSED;
+        retryOrAnswer(call, giveUp, nowMicros);
+    }
+
+    private void onLost(ActiveCall call, ActiveCall.Attempt a, AttemptResult.Lost result, long nowMicros) {
+        Reason reason = result.cause() == LostCause.ANSWER_BROKEN ? Reason.ANSWER_BROKEN : Reason.CONNECTION_LOST;
+        call.onLoss(reason);
+        boolean isServerSilent = a.server().lastAnswerMicros() < a.startedMicros();
+        if (result.cause() != LostCause.STALLED || isServerSilent) {
+            noteFailure(call, a.server(), nowMicros);
+        } else {
+            a.server().health().onCancelled();
+        }
+        if (call.relaying() == a.number()) {
+            finisher.breakAnswer(call, reason, nowMicros);
+            return;
+        }
+        retryOrAnswer(call, reason, nowMicros);
+    }
+
+    private void retryOrAnswer(ActiveCall call, Reason giveUp, long nowMicros) {
+        if (!call.attempts().isEmpty()) {
+            return;
+        }
+        if (state.suspects().verdict(call.request().fingerprint(), nowMicros) == Verdict.CONVICTED) {
+            recordVerdict(
+                    call,
+                    Verdict.CONVICTED,
+                    state.suspects().score(call.request().fingerprint()),
+                    nowMicros);
+            finisher.answer(call, giveUp, nowMicros);
+            return;
+        }
+        if (call.mayTryAgain() && call.service().retries().trySpend()) {
+            starter.startOrQueue(call, AttemptStarter.Cause.RETRY, nowMicros);
+        } else {
+            finisher.answer(call, giveUp, nowMicros);
+        }
+    }
+
+    private void noteFailure(ActiveCall call, ServerState server, long nowMicros) {
+        boolean mayEject = call.service().mayEject(server, nowMicros);
+        if (server.health().onFailure(mayEject, nowMicros)) {
+            recordHealth(server, "EJECTED", nowMicros);
+        }
+    }
+
+    private void noteCrash(ServerState server, long nowMicros) {
+        Set<String> inFlight = state.calls().values().stream()
+                .filter(c -> c.attempts().stream().anyMatch(a -> a.server() == server))
+                .map(c -> c.request().fingerprint())
+                .collect(Collectors.toSet());
+        List<Suspicion> found = state.suspects().onCrash(server.name(), inFlight, nowMicros);
+        if (!found.isEmpty()) {
+            state.emit(new CallAction.ShareSuspicions(found));
+        }
+        found.forEach(s -> state.recorder()
+                .record(
+                        nowMicros,
+                        "",
+                        new EventBody.RequestSuspected(s.fingerprint(), Verdict.SUSPECT.name(), s.score())));
+    }
+
+    private void recordHealth(ServerState server, String health, long nowMicros) {
+        state.recorder().record(nowMicros, "", new EventBody.ServerHealthChanged(server.name(), health));
+    }
+
+    private void recordVerdict(ActiveCall call, Verdict verdict, double score, long nowMicros) {
+        state.record(
+                nowMicros, call, new EventBody.RequestSuspected(call.request().fingerprint(), verdict.name(), score));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
@@ -0,0 +1,178 @@
+package org.hyssophitch.core.call;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.hyssophitch.core.admission.CallQueue.Waiting;
+import org.hyssophitch.core.health.SuspectRegister.Verdict;
+import org.hyssophitch.core.routing.Choice;
+import org.hyssophitch.core.routing.ServerState;
+import org.hyssophitch.core.timeline.EventBody;
+
+/**
+ * Starts attempts: chooses a backend server, hedges late ones and lets waiting calls go on. Not thread-safe.
+ */
+final class AttemptStarter {
+
+    /** Why an attempt is started, as shown on the time line. */
+    enum Cause {
+        FIRST,
+        RETRY,
+        HEDGE
+    }
+
+    private static final long MICROS_PER_MILLI = 1_000;
+
+    private final EngineState state;
+    private final CallFinisher finisher;
+
+    AttemptStarter(EngineState state, CallFinisher finisher) {
+        this.state = state;
+        this.finisher = finisher;
+    }
+
+    /** Starts an attempt when a server has room; returns whether it did. */
+    boolean tryStart(ActiveCall call, Cause cause, long nowMicros) {
+        if (call.isBulk() && state.bulkInFlight() >= state.settings().maxBulkInFlight()) {
+            return false;
+        }
+        List<ServerState> candidates = call.service().untried(call.tried());
+        Optional<Choice> choice = state.selector()
+                .choose(
+                        call.service().policy(),
+                        candidates,
+                        nowMicros,
+                        state.recorder().isDetailed());
+        if (choice.isEmpty() || !claimSuspectRun(call, nowMicros)) {
+            return false;
+        }
+        start(call, cause, choice.get(), nowMicros);
+        return true;
+    }
+
+    /** Starts an attempt, or lets the call wait, or gives up on it at once. */
+    void startOrQueue(ActiveCall call, Cause cause, long nowMicros) {
+        ServiceState service = call.service();
+        if (!service.hasServer()) {
+            finisher.answer(call, notRunReason(call, Reason.NO_SERVER), nowMicros);
+            return;
+        }
+        boolean mustWaitInLine = cause == Cause.FIRST && service.queue().size() > 0;
+        if (!mustWaitInLine && tryStart(call, cause, nowMicros)) {
+            return;
+        }
+        enqueue(call, nowMicros);
+    }
+
+    /** Starts attempts of waiting calls while servers have room. */
+    void startWaiting(ServiceState service, long nowMicros) {
+        boolean isProgress = true;
+        while (isProgress && service.queue().size() > 0) {
+            isProgress = startFirstWaiting(service, nowMicros);
+        }
+    }
+
+    /** Starts a second attempt of a late call when rules and budget allow it. */
+    void hedge(ActiveCall call, int lateAttempt, long nowMicros) {
+        boolean isLate = call.attempt(lateAttempt) != null && call.attempts().size() == 1;
+        boolean isAllowed = isLate && call.mayTryAgain() && call.request().idempotent();
+        if (!isAllowed || verdict(call, nowMicros) != Verdict.CLEAR) {
+            return;
+        }
+        if (call.service().hedges().trySpend()) {
+            tryStart(call, Cause.HEDGE, nowMicros);
+        }
+    }
+
+    private boolean startFirstWaiting(ServiceState service, long nowMicros) {
+        Optional<Waiting> first = service.queue().poll();
+        ActiveCall call = first.map(w -> state.calls().get(w.callId())).orElse(null);
+        if (call == null) {
+            return first.isPresent();
+        }
+        Cause cause = call.attemptsStarted() == 0 ? Cause.FIRST : Cause.RETRY;
+        if (tryStart(call, cause, nowMicros)) {
+            return true;
+        }
+        service.queue().offer(first.get());
+        return false;
+    }
+
+    private void enqueue(ActiveCall call, long nowMicros) {
+        ServiceState service = call.service();
+        if (nowMicros + service.estimatedWaitMicros() > call.request().deadlineMicros()) {
+            finisher.answer(call, notRunReason(call, Reason.DEADLINE_TOO_SHORT), nowMicros);
+        } else if (service.queue().offer(call.waiting())) {
+            state.record(
+                    nowMicros,
+                    call,
+                    new EventBody.CallQueued(
+                            service.service().name(), service.queue().size()));
+        } else {
+            finisher.answer(call, notRunReason(call, Reason.QUEUE_FULL), nowMicros);
+        }
+    }
+
+    private static Reason notRunReason(ActiveCall call, Reason reason) {
+        return call.mayHaveRun() ? call.lastLoss() : reason;
+    }
+
+    private void start(ActiveCall call, Cause cause, Choice choice, long nowMicros) {
+        ServerState server = choice.server();
+        int present = server.inFlight() + Math.max(0, server.othersAtReport());
+        int slots = Math.max(1, server.server().slots());
+        double queueFactor = Math.max(0.0, present + 1 - slots) / slots;
+        ActiveCall.Attempt a = call.start(server, nowMicros, queueFactor);
+        if (call.isBulk()) {
+            state.addBulkInFlight(1);
+        }
+        state.record(
+                nowMicros,
+                call,
+                new EventBody.ServerChosen(
+                        call.request().service(), a.number(), cause.name(), server.name(), choice.candidates()));
+        emitStart(call, a);
+        scheduleHedge(call, a, nowMicros);
+    }
+
+    private void emitStart(ActiveCall call, ActiveCall.Attempt a) {
+        boolean mayRetryBelow = call.request().mayRetry() && a.number() == 1;
+        state.emit(new CallAction.StartAttempt(
+                call.callId(),
+                a.number(),
+                a.server().server(),
+                call.request().deadlineMicros(),
+                call.service().service().queue().stallMillis(),
+                mayRetryBelow));
+    }
+
+    private void scheduleHedge(ActiveCall call, ActiveCall.Attempt a, long nowMicros) {
+        boolean isHedged = call.service().service().retry().hedgeRatio() > 0
+                && call.request().idempotent();
+        if (!isHedged || a.number() > 1) {
+            return;
+        }
+        int fixedMillis = call.service().service().retry().hedgeAfterMillis();
+        long after = fixedMillis > 0
+                ? fixedMillis * MICROS_PER_MILLI
+                : call.service().latency().lateMicros();
+        state.timers()
+                .add(new EngineState.Timer(nowMicros + after, call.callId(), a.number(), EngineState.TimerKind.HEDGE));
+    }
+
+    private Verdict verdict(ActiveCall call, long nowMicros) {
+        return state.suspects().verdict(call.request().fingerprint(), nowMicros);
+    }
+
+    private boolean claimSuspectRun(ActiveCall call, long nowMicros) {
+        if (verdict(call, nowMicros) == Verdict.CLEAR) {
+            return true;
+        }
+        if (call.isSuspectRunning()) {
+            return call.attempts().isEmpty();
+        }
+        boolean isClaimed = state.suspects().tryStart(call.request().fingerprint());
+        call.setSuspectRunning(isClaimed);
+        return isClaimed;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -0,0 +1,283 @@
+package org.hyssophitch.core.call;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.hyssophitch.core.atmostonce.Ticket;
+import org.hyssophitch.core.atmostonce.TicketDecision;
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.Service;
+import org.hyssophitch.core.health.SuspectRegister.Verdict;
+import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.core.routing.ServerSelector;
+import org.hyssophitch.core.routing.ServerState;
+import org.hyssophitch.core.timeline.EventBody;
+import org.hyssophitch.core.timeline.EventRecorder;
+
+/**
+ * Carries calls from arrival to final answer: a state machine from {@link CallEvent} to {@link CallAction}.
+ *
+ * <p>Not thread-safe; one thread owns an engine for as long as its process lives. The engine does no I/O, knows no
+ * clock, and draws randomness from the seeded source that it is given only, so that a run can be repeated.
+ */
+public final class CallEngine {
+
+    private static final long MICROS_PER_MILLI = 1_000;
+
+    private final EngineState state;
+    private final CallFinisher finisher;
+    private final AttemptStarter starter;
+    private final AttemptObserver observer;
+
+    /**
+     * Creates an engine without a configuration.
+     *
+     * @param settings settings of this entry host
+     * @param random seeded source of randomness
+     * @param recorder sink for the time line
+     */
+    public CallEngine(EngineSettings settings, RandomGenerator random, EventRecorder recorder) {
+        state = new EngineState(settings, new ServerSelector(random), recorder);
+        finisher = new CallFinisher(state);
+        starter = new AttemptStarter(state, finisher);
+        observer = new AttemptObserver(state, finisher, starter);
+    }
+
+    /**
+     * Handles one event.
+     *
+     * @return the actions to carry out, in order
+     */
+    public List<CallAction> handle(CallEvent event) {
+        switch (event) {
+            case CallEvent.CallArrived e -> onArrival(e.request(), e.nowMicros());
+            case CallEvent.AnswerStarted e -> observer.onAnswerStarted(e);
+            case CallEvent.AttemptEnded e -> observer.onAttemptEnded(e);
+            case CallEvent.CallerGone e -> onCallerGone(e.callId(), e.nowMicros());
+            case CallEvent.ConfigurationAccepted e -> onConfiguration(e.configuration(), e.nowMicros());
+            case CallEvent.ReportsReceived e -> onReports(e.reports(), e.nowMicros());
+            case CallEvent.LeavingChanged e -> onLeaving(e.servers(), e.source(), e.nowMicros());
+            case CallEvent.SuspicionsReceived e -> e.suspicions().forEach(state.suspects()::merge);
+            case CallEvent.IssuersChanged e -> state.setIssuers(e.issuers());
+            case CallEvent.TimePassed e -> onTime(e.nowMicros());
+        }
+        return state.takeActions();
+    }
+
+    /** Issues a ticket for one non-idempotent request. */
+    public Ticket issueTicket() {
+        return state.tickets().issue();
+    }
+
+    /** Returns the time in microseconds at which the next timer is due, or {@link Long#MAX_VALUE}. */
+    public long nextTimerMicros() {
+        EngineState.Timer next = state.timers().peek();
+        return next == null ? Long.MAX_VALUE : next.atMicros();
+    }
+
+    /** Returns the configuration in force. */
+    public Configuration configuration() {
+        return state.configuration();
+    }
+
+    /** Returns the number of calls without a final answer. */
+    public int activeCalls() {
+        return state.calls().size();
+    }
+
+    /** Returns the state of every known backend server, for reports and tests. */
+    public Map<String, ServerState> servers() {
+        return Map.copyOf(state.servers());
+    }
+
+    private void onArrival(CallRequest request, long nowMicros) {
+        ServiceState service = state.services().get(request.service());
+        if (service == null) {
+            boolean isEmpty = state.configuration().version() == 0;
+            refuse(request, isEmpty ? Reason.NO_CONFIGURATION : Reason.UNKNOWN_SERVICE, "");
+            return;
+        }
+        ActiveCall call = new ActiveCall(withDeadline(request, service.service(), nowMicros), service, nowMicros);
+        state.record(
+                nowMicros,
+                call,
+                new EventBody.CallArrived(
+                        request.service(), request.idempotent(), call.request().deadlineMicros(), request.depth()));
+        if (state.suspects().verdict(request.fingerprint(), nowMicros) == Verdict.CONVICTED) {
+            refuse(request, Reason.REQUEST_CONVICTED, "");
+        } else if (request.ticket().isEmpty() || admitTicket(request)) {
+            admit(call, nowMicros);
+        }
+    }
+
+    private void admit(ActiveCall call, long nowMicros) {
+        state.calls().put(call.callId(), call);
+        call.service().retries().earn();
+        call.service().hedges().earn();
+        long deadline = call.request().deadlineMicros();
+        state.timers().add(new EngineState.Timer(deadline, call.callId(), 0, EngineState.TimerKind.DEADLINE));
+        starter.startOrQueue(call, AttemptStarter.Cause.FIRST, nowMicros);
+    }
+
+    private boolean admitTicket(CallRequest request) {
+        TicketDecision decision = state.tickets().admit(request.ticket().orElseThrow(), state.issuers());
+        switch (decision) {
+            case TicketDecision.Run d -> {
+                return true;
+            }
+            case TicketDecision.Elsewhere d -> refuse(request, Reason.TICKET_ISSUED_ELSEWHERE, d.host());
+            case TicketDecision.IssuerGone d -> refuse(request, Reason.TICKET_ISSUER_GONE, "");
+            case TicketDecision.NeverIssued d -> refuse(request, Reason.TICKET_NEVER_ISSUED, "");
+            case TicketDecision.Expired d -> refuse(request, Reason.TICKET_EXPIRED, "");
+            case TicketDecision.Running d -> refuse(request, Reason.TICKET_RUNNING, "");
+            case TicketDecision.AlreadyRun d -> refuse(request, Reason.ALREADY_RUN, Integer.toString(d.status()));
+            case TicketDecision.MayHaveRun d -> refuse(request, Reason.TICKET_MAY_HAVE_RUN, "");
+        }
+        return false;
+    }
+
+    private void refuse(CallRequest request, Reason reason, String detail) {
+        long retryAfter = CallFinisher.retryAfterMillis(state.services().get(request.service()), reason);
+        state.emit(new CallAction.AnswerCaller(request.callId(), reason, retryAfter, detail));
+    }
+
+    private static CallRequest withDeadline(CallRequest request, Service service, long nowMicros) {
+        return request.deadlineMicros() == CallRequest.NO_DEADLINE
+                ? request.withDeadlineMicros(nowMicros + service.queue().defaultDeadlineMillis() * MICROS_PER_MILLI)
+                : request;
+    }
+
+    /** A ticketed request goes on without its caller, so that a repetition learns how it ended. */
+    private void onCallerGone(long callId, long nowMicros) {
+        ActiveCall call = state.calls().get(callId);
+        if (call == null) {
+            return;
+        }
+        call.setCallerGone();
+        boolean isSent = call.attemptsStarted() > 0;
+        if (!isSent) {
+            finisher.answer(call, Reason.CALLER_GONE_WAITING, nowMicros);
+        } else if (call.request().ticket().isEmpty()) {
+            finisher.answer(call, Reason.CALLER_GONE, nowMicros);
+            starter.startWaiting(call.service(), nowMicros);
+        }
+    }
+
+    private void onConfiguration(Configuration accepted, long nowMicros) {
+        if (!accepted.isNewerThan(state.configuration())) {
+            state.recorder()
+                    .record(
+                            nowMicros,
+                            "",
+                            new EventBody.ConfigurationRefused(
+                                    accepted.version(), state.configuration().version()));
+            return;
+        }
+        state.setConfiguration(accepted);
+        Set<String> names = new HashSet<>();
+        Set<String> servers = new HashSet<>();
+        accepted.services().forEach(s -> {
+            names.add(s.name());
+            s.servers().forEach(b -> servers.add(b.name()));
+            defineService(s, accepted.maxEntryHosts());
+        });
+        dropServices(names, nowMicros);
+        state.servers().keySet().retainAll(servers);
+        state.recorder()
+                .record(nowMicros, "", new EventBody.ConfigurationInForce(accepted.version(), accepted.revisionId()));
+        state.services().values().forEach(s -> starter.startWaiting(s, nowMicros));
+    }
+
+    private void defineService(Service service, int maxEntryHosts) {
+        List<ServerState> servers = new ArrayList<>();
+        service.servers().forEach(b -> servers.add(defineServer(b, maxEntryHosts)));
+        ServiceState known = state.services().get(service.name());
+        if (known == null) {
+            state.services()
+                    .put(
+                            service.name(),
+                            new ServiceState(service, servers, state.settings().zone()));
+        } else {
+            known.redefine(service, servers, state.settings().zone());
+        }
+    }
+
+    private ServerState defineServer(BackendServer server, int maxEntryHosts) {
+        int share = server.connectionShare(maxEntryHosts);
+        ServerState known = state.servers().computeIfAbsent(server.name(), n -> new ServerState(server, share));
+        known.redefine(server, share);
+        return known;
+    }
+
+    /** Removes services; their waiting calls are answered at once, their running ones finish. */
+    private void dropServices(Set<String> kept, long nowMicros) {
+        List<ServiceState> dropped = state.services().values().stream()
+                .filter(s -> !kept.contains(s.service().name()))
+                .toList();
+        dropped.forEach(s -> {
+            state.services().remove(s.service().name());
+            state.calls().values().stream()
+                    .filter(c -> c.service() == s && c.attempts().isEmpty())
+                    .toList()
+                    .forEach(
+                            c -> finisher.answer(c, c.mayHaveRun() ? c.lastLoss() : Reason.UNKNOWN_SERVICE, nowMicros));
+        });
+    }
+
+    private void onReports(List<LoadReport> reports, long nowMicros) {
+        reports.forEach(r -> {
+            ServerState server = state.servers().get(r.server());
+            if (server != null) {
+                boolean wasLeaving = server.isLeaving();
+                server.onReport(r);
+                recordLeaving(server, wasLeaving, "report", nowMicros);
+            }
+        });
+    }
+
+    private void onLeaving(Set<String> leaving, String source, long nowMicros) {
+        state.servers().values().forEach(s -> {
+            boolean wasLeaving = s.isLeaving();
+            s.setLeaving(leaving.contains(s.name()));
+            recordLeaving(s, wasLeaving, source, nowMicros);
+        });
+        state.services().values().forEach(s -> starter.startWaiting(s, nowMicros));
+    }
+
+    private void recordLeaving(ServerState server, boolean wasLeaving, String source, long nowMicros) {
+        if (!wasLeaving && server.isLeaving()) {
+            state.recorder().record(nowMicros, "", new EventBody.ServerLeaving(server.name(), source));
+        }
+    }
+
+    private void onTime(long nowMicros) {
+        while (nextTimerMicros() <= nowMicros) {
+            fire(state.timers().poll(), nowMicros);
+        }
+        state.services().values().forEach(s -> starter.startWaiting(s, nowMicros));
+    }
+
+    private void fire(EngineState.Timer timer, long nowMicros) {
+        ActiveCall call = state.calls().get(timer.callId());
+        if (call == null || call.isRelaying()) {
+            return;
+        }
+        switch (timer.kind()) {
+            case HEDGE -> starter.hedge(call, timer.attempt(), nowMicros);
+            case DEADLINE -> onDeadline(call, nowMicros);
+            default -> throw new IllegalStateException("no such timer: " + timer.kind());
+        }
+    }
+
+    private void onDeadline(ActiveCall call, long nowMicros) {
+        boolean isUnsent = call.attempts().isEmpty() && !call.mayHaveRun();
+        Reason reason = isUnsent ? Reason.DEADLINE_PASSED_WAITING : Reason.DEADLINE_PASSED;
+        finisher.answer(call, reason, nowMicros);
+        starter.startWaiting(call.service(), nowMicros);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
@@ -0,0 +1,46 @@
+package org.hyssophitch.core.call;
+
+import java.util.List;
+import java.util.Set;
+
+import org.hyssophitch.core.atmostonce.IssuerView;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.health.SuspectRegister.Suspicion;
+import org.hyssophitch.core.load.LoadReport;
+
+/** Input of the call engine. Every event is immutable and carries its time in microseconds. */
+public sealed interface CallEvent {
+
+    /** Returns the time of the event in microseconds. */
+    long nowMicros();
+
+    /** A caller's request arrived. */
+    record CallArrived(long nowMicros, CallRequest request) implements CallEvent {}
+
+    /** A backend server's answer began: status and headers are there, the body follows. */
+    record AnswerStarted(long nowMicros, long callId, int attempt, int status) implements CallEvent {}
+
+    /** An attempt ended. */
+    record AttemptEnded(long nowMicros, long callId, int attempt, AttemptResult result) implements CallEvent {}
+
+    /** The caller closed its connection. */
+    record CallerGone(long nowMicros, long callId) implements CallEvent {}
+
+    /** A newer configuration came into force. */
+    record ConfigurationAccepted(long nowMicros, Configuration configuration) implements CallEvent {}
+
+    /** Load reports arrived, by answers' headers or from the agent. */
+    record ReportsReceived(long nowMicros, List<LoadReport> reports) implements CallEvent {}
+
+    /** The set of leaving backend servers changed, as the platform or other entry hosts tell it. */
+    record LeavingChanged(long nowMicros, Set<String> servers, String source) implements CallEvent {}
+
+    /** Other entry hosts shared suspicions. */
+    record SuspicionsReceived(long nowMicros, List<Suspicion> suspicions) implements CallEvent {}
+
+    /** Membership changed: which processes that issue tickets are live. */
+    record IssuersChanged(long nowMicros, IssuerView issuers) implements CallEvent {}
+
+    /** Time passed; timers that are due fire. */
+    record TimePassed(long nowMicros) implements CallEvent {}
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/call/EngineState.java
@@ -0,0 +1,126 @@
+package org.hyssophitch.core.call;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+
+import org.hyssophitch.core.atmostonce.IssuerView;
+import org.hyssophitch.core.atmostonce.TicketRegister;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.health.SuspectRegister;
+import org.hyssophitch.core.routing.ServerSelector;
+import org.hyssophitch.core.routing.ServerState;
+import org.hyssophitch.core.timeline.EventBody;
+import org.hyssophitch.core.timeline.EventRecorder;
+
+/**
+ * State that the parts of the call engine share. Not thread-safe; owned by one {@link CallEngine}.
+ */
+final class EngineState {
+
+    enum TimerKind {
+        DEADLINE,
+        HEDGE
+    }
+
+    record Timer(long atMicros, long callId, int attempt, TimerKind kind) {}
+
+    private final EngineSettings settings;
+    private final ServerSelector selector;
+    private final EventRecorder recorder;
+    private final TicketRegister tickets;
+    private final SuspectRegister suspects = new SuspectRegister();
+    private final Map<String, ServiceState> services = new HashMap<>();
+    private final Map<String, ServerState> servers = new HashMap<>();
+    private final Map<Long, ActiveCall> calls = new HashMap<>();
+    private final PriorityQueue<Timer> timers =
+            new PriorityQueue<>(Comparator.comparingLong(Timer::atMicros).thenComparingLong(Timer::callId));
+    private Configuration configuration = Configuration.NONE;
+    private IssuerView issuers = host -> IssuerView.GONE;
+    private int bulkInFlight;
+    private List<CallAction> actions = new ArrayList<>();
+
+    EngineState(EngineSettings settings, ServerSelector selector, EventRecorder recorder) {
+        this.settings = settings;
+        this.selector = selector;
+        this.recorder = recorder;
+        this.tickets = new TicketRegister(settings.host(), settings.incarnation());
+    }
+
+    EngineSettings settings() {
+        return settings;
+    }
+
+    ServerSelector selector() {
+        return selector;
+    }
+
+    EventRecorder recorder() {
+        return recorder;
+    }
+
+    TicketRegister tickets() {
+        return tickets;
+    }
+
+    SuspectRegister suspects() {
+        return suspects;
+    }
+
+    Map<String, ServiceState> services() {
+        return services;
+    }
+
+    Map<String, ServerState> servers() {
+        return servers;
+    }
+
+    Map<Long, ActiveCall> calls() {
+        return calls;
+    }
+
+    PriorityQueue<Timer> timers() {
+        return timers;
+    }
+
+    Configuration configuration() {
+        return configuration;
+    }
+
+    void setConfiguration(Configuration value) {
+        configuration = value;
+    }
+
+    IssuerView issuers() {
+        return issuers;
+    }
+
+    void setIssuers(IssuerView value) {
+        issuers = value;
+    }
+
+    int bulkInFlight() {
+        return bulkInFlight;
+    }
+
+    void addBulkInFlight(int change) {
+        bulkInFlight += change;
+    }
+
+    void emit(CallAction action) {
+        actions.add(action);
+    }
+
+    List<CallAction> takeActions() {
+        List<CallAction> taken = actions;
+        actions = new ArrayList<>();
+        return taken;
+    }
+
+    void record(long nowMicros, ActiveCall call, EventBody body) {
+        recorder.record(nowMicros, call.request().requestId(), body);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/call/Reason.java
@@ -0,0 +1,55 @@
+package org.hyssophitch.core.call;
+
+import java.util.Locale;
+
+/** Why a call got its final answer. Each reason belongs to one outcome and one HTTP status. */
+public enum Reason {
+    ANSWERED(Outcome.COMPLETED, 200),
+    ALREADY_RUN(Outcome.COMPLETED, 409),
+
+    UNKNOWN_SERVICE(Outcome.NOT_RUN, 404),
+    BAD_REQUEST(Outcome.NOT_RUN, 400),
+    NO_CONFIGURATION(Outcome.NOT_RUN, 503),
+    QUEUE_FULL(Outcome.NOT_RUN, 503),
+    DEADLINE_TOO_SHORT(Outcome.NOT_RUN, 503),
+    DEADLINE_PASSED_WAITING(Outcome.NOT_RUN, 504),
+    NO_SERVER(Outcome.NOT_RUN, 503),
+    ATTEMPTS_REFUSED(Outcome.NOT_RUN, 503),
+    TICKET_REQUIRED(Outcome.NOT_RUN, 428),
+    TICKET_ISSUED_ELSEWHERE(Outcome.NOT_RUN, 307),
+    TICKET_NEVER_ISSUED(Outcome.NOT_RUN, 400),
+    REQUEST_CONVICTED(Outcome.NOT_RUN, 422),
+    CALLER_GONE_WAITING(Outcome.NOT_RUN, 499),
+    ENGINE_BUSY(Outcome.NOT_RUN, 503),
+
+    DEADLINE_PASSED(Outcome.UNKNOWN, 504),
+    CONNECTION_LOST(Outcome.UNKNOWN, 502),
+    ANSWER_BROKEN(Outcome.UNKNOWN, 502),
+    TICKET_RUNNING(Outcome.UNKNOWN, 409),
+    TICKET_MAY_HAVE_RUN(Outcome.UNKNOWN, 409),
+    TICKET_EXPIRED(Outcome.UNKNOWN, 410),
+    TICKET_ISSUER_GONE(Outcome.UNKNOWN, 410),
+    CALLER_GONE(Outcome.UNKNOWN, 499);
+
+    private final Outcome outcome;
+    private final int status;
+
+    Reason(Outcome outcome, int status) {
+        this.outcome = outcome;
+        this.status = status;
+    }
+
+    public Outcome outcome() {
+        return outcome;
+    }
+
+    /** Returns the HTTP status of an answer that the system itself makes for this reason. */
+    public int status() {
+        return status;
+    }
+
+    /** Returns the value of the reason header. */
+    public String wireName() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/configuration/Configuration.java
@@ -0,0 +1,67 @@
+package org.hyssophitch.core.configuration;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * One accepted configuration: everything that an operator can change about the system's behaviour. Immutable.
+ *
+ * @param version version that the object API gave the document; larger is newer
+ * @param revisionId unique identity of the write, by which a writer recognises its own write after a lost answer
+ * @param maxEntryHosts largest number of entry hosts that may run at the same time, replacements included
+ * @param measuring budget for measuring load
+ * @param addresses rule for the address answers to callers
+ * @param services the services, in the order of the document
+ */
+public record Configuration(
+        long version,
+        String revisionId,
+        int maxEntryHosts,
+        MeasuringBudget measuring,
+        AddressRule addresses,
+        List<Service> services) {
+
+    /** Configuration of a process that has not learnt one yet; it holds no services. */
+    public static final Configuration NONE =
+            new Configuration(0, "", 1, MeasuringBudget.DEFAULT, AddressRule.DEFAULT, List.of());
+
+    public Configuration {
+        Objects.requireNonNull(revisionId, "revisionId");
+        services = List.copyOf(services);
+    }
+
+    /** Returns this configuration with the version given, or this instance when nothing changes. */
+    public Configuration withVersion(long value) {
+        return value == version
+                ? this
+                : new Configuration(value, revisionId, maxEntryHosts, measuring, addresses, services);
+    }
+
+    /** Returns this configuration with other services, or this instance when nothing changes. */
+    public Configuration withServices(List<Service> value) {
+        return value.equals(services)
+                ? this
+                : new Configuration(version, revisionId, maxEntryHosts, measuring, addresses, value);
+    }
+
+    /** Returns whether this configuration replaces the other. */
+    public boolean isNewerThan(Configuration other) {
+        return version > other.version;
+    }
+
+    /** Finds a service by name. */
+    public Optional<Service> service(String name) {
+        return services.stream().filter(s -> s.name().equals(name)).findFirst();
+    }
+
+    /** Returns all backend servers by name. */
+    public Map<String, BackendServer> serversByName() {
+        return services.stream()
+                .flatMap(s -> s.servers().stream())
+                .collect(Collectors.toMap(BackendServer::name, Function.identity()));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/configuration/Service.java
@@ -0,0 +1,159 @@
+package org.hyssophitch.core.configuration;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * One service: its backend servers and the rules for spreading, queueing and retrying its calls.
+ *
+ * <p>Immutable; built by {@link Builder}.
+ */
+public final class Service {
+
+    private final String name;
+    private final Criticality criticality;
+    private final RoutingKind routing;
+    private final int sampleSize;
+    private final RetryRule retry;
+    private final QueueRule queue;
+    private final List<BackendServer> servers;
+
+    private Service(Builder b) {
+        name = Objects.requireNonNull(b.name, "name");
+        criticality = b.criticality;
+        routing = b.routing;
+        sampleSize = b.sampleSize;
+        retry = b.retry;
+        queue = b.queue;
+        servers = List.copyOf(b.servers);
+    }
+
+    /** Starts a builder for the service of the given name. */
+    public static Builder builder(String name) {
+        return new Builder(name);
+    }
+
+    /** Returns this service with another routing policy, or this instance when nothing changes. */
+    public Service withRouting(RoutingKind value) {
+        return value == routing ? this : toBuilder().routing(value).build();
+    }
+
+    /** Returns this service with other retry bounds, or this instance when nothing changes. */
+    public Service withRetry(RetryRule value) {
+        return value.equals(retry) ? this : toBuilder().retry(value).build();
+    }
+
+    /** Returns this service with other backend servers, or this instance when nothing changes. */
+    public Service withServers(List<BackendServer> value) {
+        return value.equals(servers) ? this : toBuilder().servers(value).build();
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public Criticality criticality() {
+        return criticality;
+    }
+
+    public RoutingKind routing() {
+        return routing;
+    }
+
+    /** Returns the number of candidates that a sampling policy looks at per choice. */
+    public int sampleSize() {
+        return sampleSize;
+    }
+
+    public RetryRule retry() {
+        return retry;
+    }
+
+    public QueueRule queue() {
+        return queue;
+    }
+
+    public List<BackendServer> servers() {
+        return servers;
+    }
+
+    /** Returns a builder that starts from this service's values. */
+    public Builder toBuilder() {
+        return new Builder(name)
+                .criticality(criticality)
+                .routing(routing)
+                .sampleSize(sampleSize)
+                .retry(retry)
+                .queue(queue)
+                .servers(servers);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Service s
+                && name.equals(s.name)
+                && criticality == s.criticality
+                && routing == s.routing
+                && sampleSize == s.sampleSize
+                && retry.equals(s.retry)
+                && queue.equals(s.queue)
+                && servers.equals(s.servers);
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hash(name, criticality, routing, sampleSize, retry, queue, servers);
+    }
+
+    /** Builder of {@link Service}; not thread-safe. */
+    public static final class Builder {
+        private static final int DEFAULT_SAMPLE_SIZE = 32;
+
+        private final String name;
+        private Criticality criticality = Criticality.CRITICAL;
+        private RoutingKind routing = RoutingKind.ESTIMATED_DELAY;
+        private int sampleSize = DEFAULT_SAMPLE_SIZE;
+        private RetryRule retry = RetryRule.DEFAULT;
+        private QueueRule queue = QueueRule.DEFAULT;
+        private List<BackendServer> servers = List.of();
+
+        private Builder(String name) {
+            this.name = name;
+        }
+
+        public Builder criticality(Criticality value) {
+            criticality = value;
+            return this;
+        }
+
+        public Builder routing(RoutingKind value) {
+            routing = value;
+            return this;
+        }
+
+        public Builder sampleSize(int value) {
+            sampleSize = value;
+            return this;
+        }
+
+        public Builder retry(RetryRule value) {
+            retry = value;
+            return this;
+        }
+
+        public Builder queue(QueueRule value) {
+            queue = value;
+            return this;
+        }
+
+        public Builder servers(List<BackendServer> value) {
+            servers = value;
+            return this;
+        }
+
+        /** Builds the service. */
+        public Service build() {
+            return new Service(this);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
@@ -0,0 +1,367 @@
+package org.hyssophitch.core.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.hyssophitch.core.address.AddressAdvisor;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.health.SuspectRegister.Suspicion;
+import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.core.load.ProbePlanner;
+import org.hyssophitch.core.load.Rendezvous;
+import org.hyssophitch.core.membership.Heartbeat;
+import org.hyssophitch.core.membership.Member;
+import org.hyssophitch.core.membership.MemberState;
+import org.hyssophitch.core.membership.MembershipEngine;
+import org.hyssophitch.core.spread.ConfigurationChange;
+import org.hyssophitch.core.spread.ConfigurationHistory;
+import org.hyssophitch.core.timeline.EventBody;
+import org.hyssophitch.core.timeline.EventRecorder;
+
+/**
+ * Decides what the agent of one entry host does: a state machine from {@link AgentEvent} to {@link AgentAction}.
+ *
+ * <p>Not thread-safe; one thread owns an engine for as long as its process lives. The engine does no I/O and knows no
+ * clock.
+ */
+public final class AgentEngine {
+
+    /** Number of entry hosts that wait for changes of the configuration at the object API. */
+    public static final int WATCHERS = 3;
+
+    /** Members to which news is passed on at once. */
+    private static final int FANOUT = 3;
+
+    private static final int MEMBERS_PER_MESSAGE = 3;
+    private static final int LOADS_PER_MESSAGE = 12;
+    private static final int NOTICES_PER_MESSAGE = 4;
+    private static final int NEWS_REPETITIONS = 8;
+    private static final int MAX_KNOWN_SUSPICIONS = 10_000;
+    private static final long UPDATE_PERIOD_MICROS = 50_000;
+    private static final long CONTACT_PERIOD_MICROS = 1_000_000;
+    private static final long FETCH_RETRY_MICROS = 500_000;
+    private static final String REPORT_SOURCE = "report";
+    private static final String PLATFORM_SOURCE = "platform";
+
+    private final RandomGenerator random;
+    private final EventRecorder recorder;
+    private final MembershipEngine membership;
+    private final ConfigurationHistory history = new ConfigurationHistory();
+    private final ProbePlanner planner;
+    private final AddressAdvisor addresses;
+    private final LoadBoard loads = new LoadBoard();
+    private final LeavingBoard leaving = new LeavingBoard();
+    private final NewsBuffer<Member> memberNews = new NewsBuffer<>(NEWS_REPETITIONS);
+    private final NewsBuffer<LeavingNotice> leavingNews = new NewsBuffer<>(NEWS_REPETITIONS);
+    private final NewsBuffer<Suspicion> suspicionNews = new NewsBuffer<>(NEWS_REPETITIONS);
+    private final List<Suspicion> suspicionsForProxy = new ArrayList<>();
+    private final RecentKeys knownSuspicions = new RecentKeys(MAX_KNOWN_SUSPICIONS);
+    private List<AgentAction> actions = new ArrayList<>();
+    private long nowMicros;
+    private boolean hasUrgentNews;
+    private boolean isProxyStale = true;
+    private boolean isStopping;
+    private long nextUpdateMicros;
+    private long proxyVersion = -1;
+    private long nextFetchMicros;
+    private long nextContactMicros;
+    private List<ListedHost> listed = List.of();
+
+    /**
+     * Creates the engine of a starting agent.
+     *
+     * @param self this host's first statement on itself
+     * @param random seeded source of randomness
+     * @param recorder sink for the time line
+     * @param nowMicros current time in microseconds
+     */
+    public AgentEngine(Member self, RandomGenerator random, EventRecorder recorder, long nowMicros) {
+        this.random = random;
+        this.recorder = recorder;
+        this.nowMicros = nowMicros;
+        this.membership = new MembershipEngine(self, random, this::onMemberChange);
+        this.planner = new ProbePlanner(self.host(), nowMicros);
+        this.addresses = new AddressAdvisor(random);
+    }
+
+    /**
+     * Handles one event.
+     *
+     * @return the actions to carry out, in order
+     */
+    public List<AgentAction> handle(AgentEvent event) {
+        nowMicros = event.nowMicros();
+        switch (event) {
+            case AgentEvent.TimePassed e -> onTime();
+            case AgentEvent.MessageReceived e -> onMessage(e.message());
+            case AgentEvent.ProxyReported e -> onProxyStatus(e.status());
+            case AgentEvent.ProxyLost e -> onProxyLost();
+            case AgentEvent.ConfigurationRead e -> accept(e.configuration());
+            case AgentEvent.ChangeReceived e -> onChange(e.change());
+            case AgentEvent.FetchFailed e -> nextFetchMicros = nowMicros;
+            case AgentEvent.HostListRead e -> onHostList(e.hosts());
+            case AgentEvent.ProbeAnswered e -> addReport(e.report(), true);
+            case AgentEvent.StopRequested e -> stop();
+            case AgentEvent.Left e -> membership.stateSelf(membership.self().withState(MemberState.LEFT));
+        }
+        if (hasUrgentNews) {
+            hasUrgentNews = false;
+            spreadNews();
+        }
+        List<AgentAction> taken = actions;
+        actions = new ArrayList<>();
+        return taken;
+    }
+
+    /** Returns the entry hosts that a caller of the given availability zone should use, the best first. */
+    public List<Member> advise(String zone) {
+        return addresses.advise(membership.members(), zone, configuration().addresses());
+    }
+
+    /** Returns the configuration in force. */
+    public Configuration configuration() {
+        return history.inForce();
+    }
+
+    /** Returns what changed in the configuration since a version, for another agent. */
+    public ConfigurationChange changeSince(long version) {
+        return history.changeSince(version);
+    }
+
+    /** Returns all known members, this host included. */
+    public List<Member> members() {
+        return List.copyOf(membership.members());
+    }
+
+    /** Returns the names of the leaving backend servers. */
+    public Set<String> leavingServers() {
+        return leaving.leaving();
+    }
+
+    /** Returns whether this host is one of the few that wait for changes at the object API. */
+    public boolean isWatcher() {
+        List<String> live = membership.live().stream().map(Member::host).toList();
+        return Rendezvous.owners("configuration-watch", live, WATCHERS)
+                .contains(membership.self().host());
+    }
+
+    private void onTime() {
+        membership.onTime(nowMicros).forEach(this::sendHeartbeat);
+        planner.due(membership.live(), nowMicros).forEach(s -> actions.add(new AgentAction.Probe(s)));
+        fetchIfBehind();
+        contactListedHosts();
+        boolean isUpdateDue = nowMicros >= nextUpdateMicros;
+        if (isUpdateDue) {
+            nextUpdateMicros = nowMicros + UPDATE_PERIOD_MICROS;
+            updateProxy();
+        }
+    }
+
+    private void onMessage(AgentMessage m) {
+        membership.merge(m.sender(), nowMicros);
+        membership.refresh(m.sender());
+        m.members().forEach(member -> membership.merge(member, nowMicros));
+        m.loads().forEach(l -> addReport(l.received(nowMicros), false));
+        m.leaving().forEach(this::addLeaving);
+        m.suspicions().forEach(s -> addSuspicion(s, true));
+        m.heartbeat().ifPresent(h -> membership
+                .onHeartbeat(h, m.sender().agentAddress(), nowMicros)
+                .forEach(this::sendHeartbeat));
+        fetchIfBehind();
+    }
+
+    private void onProxyStatus(ProxyStatus status) {
+        Member self = membership.self();
+        boolean isAccepting = status.isAccepting() && !isStopping;
+        boolean isNews = status.incarnation() != self.proxyIncarnation() || isAccepting != self.isAccepting();
+        Member changed = self.withProxy(status.incarnation(), isAccepting, status.callsInFlight());
+        if (isNews) {
+            membership.stateSelf(changed);
+            isProxyStale = true;
+        } else {
+            membership.stateSelfQuietly(changed);
+        }
+        if (status.configurationVersion() != proxyVersion
+                || status.configurationVersion() < configuration().version()) {
+            proxyVersion = status.configurationVersion();
+            pushConfiguration();
+        }
+        status.loads().forEach(l -> addReport(l.received(nowMicros), false));
+        status.suspicions().forEach(s -> addSuspicion(s, false));
+    }
+
+    private void onProxyLost() {
+        proxyVersion = -1;
+        Member self = membership.self();
+        membership.stateSelf(self.withProxy(0, false, 0));
+    }
+
+    private void stop() {
+        isStopping = true;
+        Member self = membership.self();
+        membership.stateSelf(self.withProxy(self.proxyIncarnation(), false, self.callsInFlight()));
+    }
+
+    private void onMemberChange(Member m) {
+        memberNews.add(m.host(), m);
+        hasUrgentNews = true;
+        isProxyStale = true;
+        recorder.record(
+                nowMicros,
+                "",
+                new EventBody.MemberChanged(m.host(), m.incarnation(), m.state().name()));
+    }
+
+    private void onHostList(List<ListedHost> hosts) {
+        listed = hosts;
+        hosts.forEach(this::onListedHost);
+    }
+
+    /** A host that knows no other tries those of the host list again. */
+    private void contactListedHosts() {
+        boolean isAlone = membership.live().size() == 1;
+        if (isAlone && nowMicros >= nextContactMicros) {
+            nextContactMicros = nowMicros + CONTACT_PERIOD_MICROS;
+            listed.forEach(this::onListedHost);
+        }
+    }
+
+    private void onListedHost(ListedHost h) {
+        boolean isEntryHost = !h.agentAddress().isEmpty();
+        if (isEntryHost) {
+            if (membership.member(h.name()).isEmpty()) {
+                sendHeartbeat(new Heartbeat(Heartbeat.Kind.PING, 0, h.name(), h.agentAddress(), ""));
+            }
+            return;
+        }
+        if (h.isLeaving() != leaving.isLeaving(h.name(), PLATFORM_SOURCE)) {
+            addLeaving(new LeavingNotice(h.name(), h.isLeaving(), nowMicros, PLATFORM_SOURCE));
+        }
+    }
+
+    private void accept(Configuration candidate) {
+        long inForce = configuration().version();
+        if (!history.accept(candidate)) {
+            if (candidate.version() < inForce) {
+                recorder.record(nowMicros, "", new EventBody.ConfigurationRefused(candidate.version(), inForce));
+            }
+            return;
+        }
+        recorder.record(nowMicros, "", new EventBody.ConfigurationInForce(candidate.version(), candidate.revisionId()));
+        planner.onConfiguration(candidate, nowMicros);
+        Set<String> servers = candidate.serversByName().keySet();
+        loads.retain(servers);
+        leaving.retain(servers);
+        membership.stateSelf(membership.self().withConfigurationVersion(candidate.version()));
+        pushConfiguration();
+    }
+
+    private void onChange(ConfigurationChange change) {
+        Optional<Configuration> result = history.apply(change);
+        nextFetchMicros = nowMicros;
+        result.ifPresent(this::accept);
+    }
+
+    private void fetchIfBehind() {
+        long own = configuration().version();
+        if (nowMicros < nextFetchMicros) {
+            return;
+        }
+        List<Member> ahead = membership.live().stream()
+                .filter(m -> m.configurationVersion() > own)
+                .toList();
+        if (!ahead.isEmpty()) {
+            Member source = ahead.get(random.nextInt(ahead.size()));
+            nextFetchMicros = nowMicros + FETCH_RETRY_MICROS;
+            actions.add(new AgentAction.FetchConfiguration(source.agentAddress(), own));
+        }
+    }
+
+    private void addReport(LoadReport r, boolean isProbe) {
+        planner.onReport(r);
+        boolean isNew = loads.add(r);
+        if (isNew && r.draining() != leaving.isLeaving(r.server(), REPORT_SOURCE)) {
+            addLeaving(new LeavingNotice(r.server(), r.draining(), r.takenMicros(), REPORT_SOURCE));
+        }
+    }
+
+    private void addLeaving(LeavingNotice n) {
+        if (leaving.add(n)) {
+            leavingNews.add(n.server() + '|' + n.source(), n);
+            hasUrgentNews = true;
+            isProxyStale = true;
+            recorder.record(
+                    nowMicros, "", new EventBody.ServerLeaving(n.server(), n.source() + (n.isLeaving() ? "" : ":no")));
+        }
+    }
+
+    private void addSuspicion(Suspicion s, boolean isForProxy) {
+        String key = s.fingerprint() + '|' + s.server() + '|' + s.crashMicros();
+        if (!knownSuspicions.add(key)) {
+            return;
+        }
+        suspicionNews.add(key, s);
+        hasUrgentNews = true;
+        if (isForProxy) {
+            suspicionsForProxy.add(s);
+            isProxyStale = true;
+        }
+    }
+
+    private void updateProxy() {
+        List<ReportedLoad> changed = loads.takeChanged(nowMicros);
+        if (proxyVersion < 0 || !isProxyStale && changed.isEmpty()) {
+            return;
+        }
+        ProxyUpdate update = new ProxyUpdate(members(), leaving.leaving(), changed, List.copyOf(suspicionsForProxy));
+        suspicionsForProxy.clear();
+        isProxyStale = false;
+        actions.add(new AgentAction.PushUpdate(update));
+    }
+
+    private void pushConfiguration() {
+        if (proxyVersion >= 0 && configuration().version() > proxyVersion) {
+            proxyVersion = configuration().version();
+            actions.add(new AgentAction.PushConfiguration(configuration()));
+        }
+    }
+
+    private void spreadNews() {
+        List<Member> live = new ArrayList<>(membership.live());
+        live.removeIf(m -> m.host().equals(membership.self().host()));
+        int count = Math.min(FANOUT, live.size());
+        random.ints(0, Math.max(1, live.size()))
+                .distinct()
+                .limit(count)
+                .mapToObj(live::get)
+                .forEach(m -> send(m.agentAddress(), Optional.empty()));
+    }
+
+    private void sendHeartbeat(Heartbeat h) {
+        send(h.to(), Optional.of(h));
+    }
+
+    private void send(String address, Optional<Heartbeat> heartbeat) {
+        AgentMessage m = new AgentMessage(
+                membership.self(),
+                heartbeat,
+                withReminder(memberNews.take(MEMBERS_PER_MESSAGE), members()),
+                loads.freshest(LOADS_PER_MESSAGE, nowMicros),
+                withReminder(leavingNews.take(NOTICES_PER_MESSAGE), leaving.all()),
+                suspicionNews.take(NOTICES_PER_MESSAGE));
+        actions.add(new AgentAction.Send(address, m));
+    }
+
+    /** Adds one random known item, so that every host learns everything in time although news is repeated seldom. */
+    private <T> List<T> withReminder(List<T> news, List<T> known) {
+        if (known.isEmpty()) {
+            return news;
+        }
+        List<T> extended = new ArrayList<>(news);
+        extended.add(known.get(random.nextInt(known.size())));
+        return extended;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/control/LeavingBoard.java
@@ -0,0 +1,59 @@
+package org.hyssophitch.core.control;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+/**
+ * The latest statement on each backend server's leaving, per source. Not thread-safe; owned by the agent engine.
+ *
+ * <p>A server counts as leaving while any source says so: a lagging host list doesn't overrule the server's own word.
+ */
+final class LeavingBoard {
+
+    private final Map<String, LeavingNotice> notices = new TreeMap<>();
+
+    /** Takes a statement; returns whether it changes what its source said. */
+    boolean add(LeavingNotice n) {
+        LeavingNotice known = notices.get(key(n));
+        boolean isOlder = known != null && known.statedMicros() >= n.statedMicros();
+        boolean isFirstDenial = known == null && !n.isLeaving();
+        if (isOlder || isFirstDenial) {
+            return false;
+        }
+        notices.put(key(n), n);
+        return known == null || known.isLeaving() != n.isLeaving();
+    }
+
+    /** Returns whether a source's latest statement says that the server is leaving. */
+    boolean isLeaving(String server, String source) {
+        LeavingNotice known = notices.get(server + '|' + source);
+        return known != null && known.isLeaving();
+    }
+
+    /** Returns the names of all leaving servers. */
+    Set<String> leaving() {
+        return notices.values().stream()
+                .filter(LeavingNotice::isLeaving)
+                .map(LeavingNotice::server)
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    /** Returns every statement, for a newcomer. */
+    List<LeavingNotice> all() {
+        return List.copyOf(notices.values());
+    }
+
+    /** Forgets servers that the configuration doesn't name any more. */
+    void retain(Collection<String> servers) {
+        notices.values().removeIf(n -> !servers.contains(n.server()));
+    }
+
+    private static String key(LeavingNotice n) {
+        return n.server() + '|' + n.source();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/control/LoadBoard.java
@@ -0,0 +1,61 @@
+package org.hyssophitch.core.control;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.hyssophitch.core.load.LoadReport;
+
+/**
+ * The latest load report of each backend server that this agent knows. Not thread-safe; owned by the agent engine.
+ */
+final class LoadBoard {
+
+    /** Age in microseconds from which on a report is not passed on. */
+    private static final long STALE_MICROS = 2_000_000;
+
+    private final Map<String, LoadReport> reports = new HashMap<>();
+    private final Set<String> changed = new HashSet<>();
+
+    /** Takes a report; returns whether it is newer than the one known. */
+    boolean add(LoadReport r) {
+        LoadReport known = reports.get(r.server());
+        if (known != null && known.takenMicros() >= r.takenMicros()) {
+            return false;
+        }
+        reports.put(r.server(), r);
+        changed.add(r.server());
+        return true;
+    }
+
+    /** Returns the freshest reports for a datagram. */
+    List<ReportedLoad> freshest(int most, long nowMicros) {
+        return reports.values().stream()
+                .filter(r -> r.ageMicros(nowMicros) < STALE_MICROS)
+                .sorted(Comparator.comparingLong(LoadReport::takenMicros).reversed())
+                .limit(most)
+                .map(r -> ReportedLoad.of(r, nowMicros))
+                .toList();
+    }
+
+    /** Returns the reports that changed since the last call, for the local proxy. */
+    List<ReportedLoad> takeChanged(long nowMicros) {
+        List<ReportedLoad> taken = changed.stream()
+                .sorted()
+                .map(reports::get)
+                .map(r -> ReportedLoad.of(r, nowMicros))
+                .toList();
+        changed.clear();
+        return taken;
+    }
+
+    /** Forgets servers that the configuration doesn't name any more. */
+    void retain(Collection<String> servers) {
+        reports.keySet().retainAll(servers);
+        changed.retainAll(servers);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/load/LoadReport.java
@@ -0,0 +1,17 @@
+package org.hyssophitch.core.load;
+
+/**
+ * What one backend server said about its load, by an answer's header or by a probe. Immutable.
+ *
+ * @param server backend server
+ * @param inFlight requests at the server, running and waiting together
+ * @param takenMicros time at which the server took the figure, as known to the receiver, in microseconds
+ * @param draining whether the server says that it is leaving
+ */
+public record LoadReport(String server, int inFlight, long takenMicros, boolean draining) {
+
+    /** Returns the report's age in microseconds; never negative. */
+    public long ageMicros(long nowMicros) {
+        return Math.max(0, nowMicros - takenMicros);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/load/Rendezvous.java
@@ -0,0 +1,39 @@
+package org.hyssophitch.core.load;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.zip.CRC32C;
+
+/** Rendezvous hashing: every host computes the same owners of a key from the same hosts, without agreement. */
+public final class Rendezvous {
+
+    private Rendezvous() {}
+
+    /**
+     * Returns the owners of a key.
+     *
+     * @param key what is owned
+     * @param hosts names of the hosts to choose from
+     * @param count number of owners wanted
+     */
+    public static List<String> owners(String key, Collection<String> hosts, int count) {
+        return hosts.stream()
+                .sorted(Comparator.comparingLong((String h) -> weight(key, h)).thenComparing(h -> h))
+                .limit(count)
+                .toList();
+    }
+
+    /** Returns whether a host is the one owner of a key. */
+    public static boolean isOwner(String key, Collection<String> hosts, String host) {
+        return owners(key, hosts, 1).contains(host);
+    }
+
+    private static long weight(String key, String host) {
+        CRC32C crc = new CRC32C();
+        crc.update((key + '|' + host).getBytes(StandardCharsets.UTF_8));
+        return new SplittableRandom(crc.getValue()).nextLong();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Membership of entry hosts by heartbeats, suspicion and refutation.
+ */
+package org.hyssophitch.core.membership;
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
@@ -0,0 +1,152 @@
+package org.hyssophitch.core.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.hyssophitch.core.admission.AdaptiveLimit;
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.health.OutlierDetector;
+import org.hyssophitch.core.load.LoadReport;
+
+/**
+ * What this entry host knows of one backend server. Not thread-safe; owned by the call engine.
+ */
+public final class ServerState {
+
+    /** Weight of a new latency sample in the moving average. */
+    private static final double LATENCY_WEIGHT = 0.1;
+
+    private BackendServer server;
+    private AdaptiveLimit limit;
+    private int connectionShare;
+    private final OutlierDetector health = new OutlierDetector();
+    private final Map<Long, Long> startedMicros = new HashMap<>();
+    private LoadReport report;
+    private int ownAtReport;
+    private double serviceMicros;
+    private boolean isLeaving;
+    private long lastAnswerMicros;
+
+    /**
+     * Creates the state of a server that nothing is known of.
+     *
+     * @param server the server
+     * @param connectionShare connections that this entry host may open to it
+     */
+    public ServerState(BackendServer server, int connectionShare) {
+        this.server = server;
+        this.connectionShare = connectionShare;
+        this.limit = new AdaptiveLimit(connectionShare);
+    }
+
+    /** Takes over a changed definition of the same server. */
+    public void redefine(BackendServer newServer, int newConnectionShare) {
+        server = newServer;
+        if (newConnectionShare != connectionShare) {
+            connectionShare = newConnectionShare;
+            limit = new AdaptiveLimit(newConnectionShare);
+        }
+    }
+
+    public BackendServer server() {
+        return server;
+    }
+
+    public String name() {
+        return server.name();
+    }
+
+    public OutlierDetector health() {
+        return health;
+    }
+
+    public AdaptiveLimit limit() {
+        return limit;
+    }
+
+    public int inFlight() {
+        return startedMicros.size();
+    }
+
+    /** Returns whether the server gets no new work: by its own word, the platform's or the operator's. */
+    public boolean isLeaving() {
+        return isLeaving || server.draining() || report != null && report.draining();
+    }
+
+    /** Sets whether a source other than the configuration says that the server is leaving. */
+    public void setLeaving(boolean value) {
+        isLeaving = value;
+    }
+
+    public Optional<LoadReport> report() {
+        return Optional.ofNullable(report);
+    }
+
+    /** Returns the smoothed time in microseconds that the server needs for one request; 0 when unknown. */
+    public double serviceMicros() {
+        return serviceMicros;
+    }
+
+    /** Returns when the server last began an answer without error, in microseconds; 0 when it never did. */
+    public long lastAnswerMicros() {
+        return lastAnswerMicros;
+    }
+
+    public void setLastAnswerMicros(long value) {
+        lastAnswerMicros = value;
+    }
+
+    /** Takes a load report unless a newer one is known. */
+    public void onReport(LoadReport newReport) {
+        if (report == null || newReport.takenMicros() > report.takenMicros()) {
+            report = newReport;
+            ownAtReport = inFlight();
+        }
+    }
+
+    /** Notes that an attempt starts. */
+    public void onStart(long attemptKey, long nowMicros) {
+        startedMicros.put(attemptKey, nowMicros);
+        health.onAttempt();
+    }
+
+    /** Notes that an attempt is over, however it ended; returns the time in microseconds that it took. */
+    public long onEnd(long attemptKey, long nowMicros) {
+        Long started = startedMicros.remove(attemptKey);
+        return started == null ? 0 : nowMicros - started;
+    }
+
+    /** Adds a sample of the service time, the estimated wait at the server taken out. */
+    public void addServiceSample(double micros) {
+        serviceMicros = serviceMicros == 0 ? micros : serviceMicros + LATENCY_WEIGHT * (micros - serviceMicros);
+    }
+
+    /** Returns how long the oldest attempt in flight has been running, in microseconds; 0 without one. */
+    public long oldestElapsedMicros(long nowMicros) {
+        long oldest =
+                startedMicros.values().stream().mapToLong(Long::longValue).min().orElse(nowMicros);
+        return nowMicros - oldest;
+    }
+
+    /** Returns the attempts of other entry hosts at the server according to the latest report; -1 without one. */
+    public int othersAtReport() {
+        return report == null ? -1 : Math.max(0, report.inFlight() - ownAtReport);
+    }
+
+    /** Returns whether an attempt may be sent now. */
+    public boolean isEligible(long nowMicros) {
+        return !isLeaving() && inFlight() < limit.current() && health.isAvailable(nowMicros);
+    }
+
+    /** Returns why no attempt may be sent now, in a word for the time line. */
+    public String refusal(long nowMicros) {
+        if (isLeaving()) {
+            return "leaving";
+        }
+        if (!health.isAvailable(nowMicros)) {
+            return "ejected";
+        }
+        return inFlight() >= limit.current() ? "at-limit" : "eligible";
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/spread/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Spreading of accepted configurations among entry hosts; only newer versions are taken.
+ */
+package org.hyssophitch.core.spread;
--- /dev/null
+++ b/document/src/main/java/org/hyssophitch/document/DocumentReader.java
@@ -0,0 +1,153 @@
+package org.hyssophitch.document;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.hyssophitch.core.configuration.AddressRule;
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.Criticality;
+import org.hyssophitch.core.configuration.MeasuringBudget;
+import org.hyssophitch.core.configuration.QueueRule;
+import org.hyssophitch.core.configuration.RetryRule;
+import org.hyssophitch.core.configuration.RoutingKind;
+import org.hyssophitch.core.configuration.Service;
+import org.hyssophitch.wire.yaml.Fault;
+import org.hyssophitch.wire.yaml.YamlMapping;
+import org.hyssophitch.wire.yaml.YamlReader;
+import org.hyssophitch.wire.yaml.YamlResult;
+
+/**
+ * Reads and checks a configuration document: types, ranges, unknown keys, and what can't hold together. Not
+ * thread-safe; one instance reads one document.
+ *
+ * <p>The JSON Schema {@code configuration.schema.json} describes the same types and ranges for editors.
+ */
+public final class DocumentReader {
+
+    private static final String NAME = "[a-z0-9][a-z0-9-]{0,62}";
+    private static final String NAME_HELP = "a name of lower-case letters, digits and hyphens, at most 63";
+    private static final String ADDRESS = "\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}";
+    private static final int MAX_PORT = 65_535;
+    private static final int DAY_MILLIS = 86_400_000;
+    private static final int MAX_ENTRY_HOSTS = 10_000;
+    private static final int DEFAULT_ENTRY_HOSTS = 17;
+    private static final int MAX_PROBES = 1_000_000;
+    private static final int MAX_CONNECTIONS = 100_000;
+
+    private final Map<String, String> firstUses = new HashMap<>();
+    private int maxEntryHosts = DEFAULT_ENTRY_HOSTS;
+
+    private DocumentReader() {}
+
+    /** Reads a document; its configuration has neither version nor revision id yet. */
+    public static YamlResult<Configuration> read(String text) {
+        return YamlReader.read(text, new DocumentReader()::configuration);
+    }
+
+    private Configuration configuration(YamlMapping m) {
+        maxEntryHosts = m.integer("max-entry-hosts", 1, MAX_ENTRY_HOSTS, DEFAULT_ENTRY_HOSTS);
+        MeasuringBudget measuring =
+                m.mapping("measuring", DocumentReader::measuring).orElse(MeasuringBudget.DEFAULT);
+        AddressRule addresses =
+                m.mapping("addresses", DocumentReader::addresses).orElse(AddressRule.DEFAULT);
+        List<Service> services = m.list("services", this::service);
+        if (services.isEmpty()) {
+            m.report(Fault.Kind.MISSING_KEY, "services", "nothing", "a list of at least one service");
+        }
+        return new Configuration(0, "", maxEntryHosts, measuring, addresses, services);
+    }
+
+    private static MeasuringBudget measuring(YamlMapping m) {
+        MeasuringBudget d = MeasuringBudget.DEFAULT;
+        return new MeasuringBudget(
+                m.decimal("probes-per-second-per-server", 0, MAX_PROBES, d.probesPerSecondPerServer()),
+                m.decimal("probes-per-second-total", 0, MAX_PROBES, d.probesPerSecondTotal()),
+                m.integer("bytes-per-second-total", 0, Integer.MAX_VALUE, d.bytesPerSecondTotal()));
+    }
+
+    private static AddressRule addresses(YamlMapping m) {
+        AddressRule d = AddressRule.DEFAULT;
+        return new AddressRule(
+                m.integer("per-answer", 1, 16, d.addressesPerAnswer()),
+                m.integer("keep-seconds", 1, 3_600, d.keepSeconds()));
+    }
+
+    private Service service(YamlMapping m) {
+        String name = m.text("name", NAME, NAME_HELP);
+        checkUnique(m, "name", "service", name);
+        List<BackendServer> servers = m.list("servers", this::server);
+        if (servers.isEmpty()) {
+            m.report(Fault.Kind.MISSING_KEY, "servers", "nothing", "a list of at least one backend server");
+        }
+        return Service.builder(name)
+                .criticality(m.choice("criticality", Criticality.class, Criticality.CRITICAL))
+                .routing(m.choice("routing", RoutingKind.class, RoutingKind.ESTIMATED_DELAY))
+                .sampleSize(m.integer("sample-size", 1, 1_000, 32))
+                .retry(m.mapping("retry", DocumentReader::retry).orElse(RetryRule.DEFAULT))
+                .queue(m.mapping("queue", DocumentReader::queue).orElse(QueueRule.DEFAULT))
+                .servers(servers)
+                .build();
+    }
+
+    private static RetryRule retry(YamlMapping m) {
+        RetryRule d = RetryRule.DEFAULT;
+        RetryRule rule = new RetryRule(
+                m.integer("max-attempts", 1, 16, d.maxAttempts()),
+                m.decimal("retry-ratio", 0, 1, d.retryRatio()),
+                m.decimal("hedge-ratio", 0, 1, d.hedgeRatio()),
+                m.integer("hedge-after-ms", 0, DAY_MILLIS, d.hedgeAfterMillis()));
+        if (rule.maxAttempts() == 1 && rule.hedgeRatio() > 0) {
+            m.report(
+                    Fault.Kind.CONTRADICTION,
+                    "hedge-ratio",
+                    Double.toString(rule.hedgeRatio()),
+                    "0 while max-attempts is 1");
+        }
+        return rule;
+    }
+
+    private static QueueRule queue(YamlMapping m) {
+        QueueRule d = QueueRule.DEFAULT;
+        return new QueueRule(
+                m.integer("max-queued", 0, 100_000, d.maxQueued()),
+                m.integer("default-deadline-ms", 1, DAY_MILLIS, d.defaultDeadlineMillis()),
+                m.integer("stall-ms", 10, DAY_MILLIS, d.stallMillis()));
+    }
+
+    private BackendServer server(YamlMapping m) {
+        String name = m.text("name", NAME, NAME_HELP);
+        checkUnique(m, "name", "backend server", name);
+        String address = m.text("address", ADDRESS, "an IPv4 address and port of the form ip:port");
+        checkUnique(m, "address", "address", address);
+        int connectionLimit = m.integer("connection-limit", 1, MAX_CONNECTIONS, 220);
+        if (connectionLimit < maxEntryHosts) {
+            m.report(
+                    Fault.Kind.CONTRADICTION,
+                    "connection-limit",
+                    Integer.toString(connectionLimit),
+                    "at least max-entry-hosts, " + maxEntryHosts + ", so that each host gets a connection");
+        }
+        int colon = address.lastIndexOf(':');
+        int port = address.matches(ADDRESS) ? Integer.parseInt(address.substring(colon + 1)) : 0;
+        if (port > MAX_PORT) {
+            m.report(Fault.Kind.OUT_OF_RANGE, "address", address, "a port from 1 to " + MAX_PORT);
+        }
+        return new BackendServer(
+                name,
+                address.substring(0, Math.max(0, colon)),
+                port,
+                m.text("zone", NAME, NAME_HELP),
+                m.integer("slots", 1, 10_000, 3),
+                connectionLimit,
+                m.flag("draining", false));
+    }
+
+    private void checkUnique(YamlMapping m, String key, String kind, String value) {
+        String first = firstUses.putIfAbsent(kind + ' ' + value, m.path(key));
+        if (first != null && !value.isEmpty()) {
+            m.report(Fault.Kind.DUPLICATE, key, value, "a " + kind + " that is not used at " + first);
+        }
+    }
+}
--- /dev/null
+++ b/document/src/main/java/org/hyssophitch/document/DocumentWriter.java
@@ -0,0 +1,91 @@
+package org.hyssophitch.document;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.Service;
+import org.hyssophitch.wire.yaml.YamlMapping;
+import org.yaml.snakeyaml.DumperOptions;
+import org.yaml.snakeyaml.Yaml;
+
+/** Writes a configuration as the document that {@link DocumentReader} reads. Stateless. */
+public final class DocumentWriter {
+
+    private DocumentWriter() {}
+
+    /** Returns the document's text. */
+    public static String write(Configuration c) {
+        DumperOptions options = new DumperOptions();
+        options.setDefaultFlowStyle(DumperOptions.FlowStyle.BLOCK);
+        return new Yaml(options).dump(root(c));
+    }
+
+    private static Map<String, Object> root(Configuration c) {
+        Map<String, Object> root = new LinkedHashMap<>();
+        root.put("max-entry-hosts", c.maxEntryHosts());
+        root.put("measuring", measuring(c));
+        root.put("addresses", addresses(c));
+        root.put("services", c.services().stream().map(DocumentWriter::service).toList());
+        return root;
+    }
+
+    private static Map<String, Object> measuring(Configuration c) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("probes-per-second-per-server", c.measuring().probesPerSecondPerServer());
+        m.put("probes-per-second-total", c.measuring().probesPerSecondTotal());
+        m.put("bytes-per-second-total", c.measuring().bytesPerSecondTotal());
+        return m;
+    }
+
+    private static Map<String, Object> addresses(Configuration c) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("per-answer", c.addresses().addressesPerAnswer());
+        m.put("keep-seconds", c.addresses().keepSeconds());
+        return m;
+    }
+
+    private static Map<String, Object> service(Service s) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("name", s.name());
+        m.put("criticality", YamlMapping.written(s.criticality()));
+        m.put("routing", YamlMapping.written(s.routing()));
+        m.put("sample-size", s.sampleSize());
+        m.put("retry", retry(s));
+        m.put("queue", queue(s));
+        List<Map<String, Object>> servers =
+                s.servers().stream().map(DocumentWriter::server).toList();
+        m.put("servers", servers);
+        return m;
+    }
+
+    private static Map<String, Object> retry(Service s) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("max-attempts", s.retry().maxAttempts());
+        m.put("retry-ratio", s.retry().retryRatio());
+        m.put("hedge-ratio", s.retry().hedgeRatio());
+        m.put("hedge-after-ms", s.retry().hedgeAfterMillis());
+        return m;
+    }
+
+    private static Map<String, Object> queue(Service s) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("max-queued", s.queue().maxQueued());
+        m.put("default-deadline-ms", s.queue().defaultDeadlineMillis());
+        m.put("stall-ms", s.queue().stallMillis());
+        return m;
+    }
+
+    private static Map<String, Object> server(BackendServer b) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("name", b.name());
+        m.put("address", b.host() + ":" + b.port());
+        m.put("zone", b.zone());
+        m.put("slots", b.slots());
+        m.put("connection-limit", b.connectionLimit());
+        m.put("draining", b.draining());
+        return m;
+    }
+}
--- /dev/null
+++ b/document/src/main/java/org/hyssophitch/document/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' configuration document: reading, checking, writing and conditional storing.
+ */
+package org.hyssophitch.document;
--- /dev/null
+++ b/proxy/src/main/java/org/hyssophitch/proxy/CallDecisions.java
@@ -0,0 +1,116 @@
+package org.hyssophitch.proxy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.hyssophitch.core.call.CallAction;
+import org.hyssophitch.core.call.CallEngine;
+import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.health.SuspectRegister.Suspicion;
+import org.hyssophitch.wire.duty.DutyThread;
+import org.hyssophitch.wire.duty.WallClock;
+
+/**
+ * The duty that runs the call engine and hands its actions to the calls. Thread-safe; runs from {@link #start} until
+ * {@link #close}.
+ */
+final class CallDecisions implements AutoCloseable {
+
+    private static final int RING_CAPACITY = 16_384;
+    private static final long TICK_MICROS = 1_000;
+
+    private final CallEngine engine;
+    private final Map<Long, Consumer<CallAction>> calls = new ConcurrentHashMap<>();
+    private final List<Suspicion> suspicions = new ArrayList<>();
+    private final DutyThread<ProxyWork> duty;
+
+    CallDecisions(CallEngine engine) {
+        this.engine = engine;
+        this.duty = new DutyThread<>("proxy-decisions", RING_CAPACITY, TICK_MICROS, this::handle, this::tick);
+    }
+
+    void start() {
+        duty.start();
+    }
+
+    /** Registers the receiver of a call's actions; called on the engine's thread. */
+    void register(long callId, Consumer<CallAction> receiver) {
+        calls.put(callId, receiver);
+    }
+
+    void unregister(long callId) {
+        calls.remove(callId);
+    }
+
+    /** Adds an event; returns false when the ring is full. */
+    boolean offer(CallEvent event) {
+        return duty.offer(new ProxyWork.Event(event));
+    }
+
+    /** Adds an event that must not get lost. */
+    void put(CallEvent event) {
+        duty.put(new ProxyWork.Event(event));
+    }
+
+    /** Asks the engine on its own thread. */
+    <T> CompletableFuture<T> ask(Function<CallEngine, T> question) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        duty.put(new ProxyWork.Query(e -> answer.complete(question.apply(e))));
+        return answer;
+    }
+
+    /** Returns the suspicions to share since the last call. */
+    List<Suspicion> takeSuspicions() {
+        synchronized (suspicions) {
+            List<Suspicion> taken = List.copyOf(suspicions);
+            suspicions.clear();
+            return taken;
+        }
+    }
+
+    @Override
+    public void close() {
+        duty.close();
+    }
+
+    private void handle(ProxyWork work) {
+        switch (work) {
+            case ProxyWork.Event e -> engine.handle(e.event()).forEach(this::dispatch);
+            case ProxyWork.Query q -> q.reader().accept(engine);
+        }
+    }
+
+    private void tick() {
+        long now = WallClock.nowMicros();
+        if (engine.activeCalls() > 0 || engine.nextTimerMicros() <= now) {
+            engine.handle(new CallEvent.TimePassed(now)).forEach(this::dispatch);
+        }
+    }
+
+    private void dispatch(CallAction action) {
+        switch (action) {
+            case CallAction.StartAttempt a -> deliver(a.callId(), a);
+            case CallAction.RelayAnswer a -> deliver(a.callId(), a);
+            case CallAction.CancelAttempt a -> deliver(a.callId(), a);
+            case CallAction.AnswerCaller a -> deliver(a.callId(), a);
+            case CallAction.BreakAnswer a -> deliver(a.callId(), a);
+            case CallAction.ShareSuspicions s -> {
+                synchronized (suspicions) {
+                    suspicions.addAll(s.suspicions());
+                }
+            }
+        }
+    }
+
+    private void deliver(long callId, CallAction action) {
+        Consumer<CallAction> receiver = calls.get(callId);
+        if (receiver != null) {
+            receiver.accept(action);
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/hyssophitch/proxy/ProxyMetrics.java
@@ -0,0 +1,40 @@
+package org.hyssophitch.proxy;
+
+import io.javalin.http.Context;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.hyssophitch.wire.report.CallHeaders;
+
+/** Metrics of one proxy. Thread-safe. */
+final class ProxyMetrics {
+
+    private static final double MICROS_PER_SECOND = 1_000_000.0;
+    private static final double[] BOUNDS_SECONDS = {0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter calls = Counter.builder()
+            .name("hyssophitch_calls_total")
+            .help("calls by outcome and reason")
+            .labelNames("outcome", "reason")
+            .register(registry);
+    private final Histogram duration = Histogram.builder()
+            .name("hyssophitch_call_duration_seconds")
+            .help("time from a call's arrival to the end of its answer")
+            .classicOnly()
+            .classicUpperBounds(BOUNDS_SECONDS)
+            .register(registry);
+
+    PrometheusRegistry registry() {
+        return registry;
+    }
+
+    /** Counts a call that has got its answer. */
+    void onCall(Context context, long elapsedMicros) {
+        String outcome = context.res().getHeader(CallHeaders.OUTCOME);
+        String reason = context.res().getHeader(CallHeaders.REASON);
+        calls.labelValues(outcome == null ? "none" : outcome, reason == null ? "none" : reason)
+                .inc();
+        duration.observe(elapsedMicros / MICROS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hyssophitch/standin/CallRecord.java
@@ -0,0 +1,44 @@
+package org.hyssophitch.standin;
+
+import java.util.List;
+
+/**
+ * What a caller recorded of one request, from its first sending to its end. Immutable.
+ *
+ * @param requestId name of the request
+ * @param service service that was called
+ * @param isIdempotent whether the request may run more than once
+ * @param answers what came back for each sending, in order
+ * @param elapsedMicros time from the first sending to the last answer
+ */
+public record CallRecord(
+        String requestId, String service, boolean isIdempotent, List<Answer> answers, long elapsedMicros) {
+
+    /** What came back for one sending. */
+    public enum Answer {
+        /** The whole right answer. */
+        COMPLETED,
+        /** The system's word that the request ran before; its answer can't be had any more. */
+        ALREADY_RUN,
+        /** An answer that claims to be whole, but is not the right one. */
+        WRONG,
+        /** The system's word that the request was not run. */
+        NOT_RUN,
+        /** The system's word that the request may have run. */
+        UNKNOWN,
+        /** The connection broke before the answer was whole; the caller knows that it has no answer. */
+        BROKEN,
+        /** A backend server's own error. */
+        SERVER_ERROR
+    }
+
+    /** Returns what came back for the last sending. */
+    public Answer last() {
+        return answers.getLast();
+    }
+
+    /** Returns whether nothing but "not run" ever came back. */
+    public boolean isOnlyNotRun() {
+        return answers.stream().allMatch(a -> a == Answer.NOT_RUN);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hyssophitch/standin/Deployment.java
@@ -0,0 +1,142 @@
+package org.hyssophitch.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One of the two deployments that the stand-ins imitate, on loopback addresses of its own. Immutable.
+ */
+public enum Deployment {
+    GLENMORVEN(
+            10,
+            220,
+            List.of("inverness-hall", "fort-william", "stornoway"),
+            List.of(
+                    new ServiceSize("mastwatch", 8, false, 4, 256),
+                    new ServiceSize("crewcall", 6, true, 6, 128),
+                    new ServiceSize("sitearchive", 12, false, 12, 65_536))),
+    LAKESHORE(
+            20,
+            260,
+            List.of("detroit", "cleveland", "milwaukee"),
+            List.of(
+                    new ServiceSize("inventory", 10, false, 4, 256),
+                    new ServiceSize("exchange-desk", 6, true, 6, 128),
+                    new ServiceSize("records", 20, false, 12, 65_536)));
+
+    /** Number of entry hosts. */
+    public static final int ENTRY_HOSTS = 13;
+    /** Largest number of entry hosts, replacements included. */
+    public static final int MAX_ENTRY_HOSTS = 17;
+    /** Slots of each backend server. */
+    public static final int SLOTS = 3;
+
+    private static final int AGENT_PORT = 7_001;
+    private static final int AGENT_HTTP_PORT = 7_002;
+    private static final int PROXY_PORT = 8_080;
+    private static final int SERVER_PORT = 9_000;
+
+    /**
+     * Size of one service.
+     *
+     * @param name name of the service
+     * @param servers number of backend servers
+     * @param isNonIdempotent whether its calls must run at most once
+     * @param workMillis mean time in milliseconds that a request occupies a slot
+     * @param answerBytes size of an answer in bytes
+     */
+    public record ServiceSize(String name, int servers, boolean isNonIdempotent, int workMillis, int answerBytes) {}
+
+    /**
+     * One entry host.
+     *
+     * @param name name
+     * @param zone availability zone
+     * @param agent address for agents
+     * @param http address for questions to the agent
+     * @param proxy address for callers
+     */
+    public record EntryHost(String name, String zone, String agent, String http, String proxy) {}
+
+    /**
+     * One backend server.
+     *
+     * @param name name
+     * @param service its service
+     * @param zone availability zone
+     * @param host IP address
+     * @param port TCP port
+     * @param connectionLimit number of connections that it accepts
+     */
+    public record Server(String name, ServiceSize service, String zone, String host, int port, int connectionLimit) {}
+
+    private final int network;
+    private final int connectionLimit;
+    private final List<String> zones;
+    private final List<ServiceSize> services;
+
+    Deployment(int network, int connectionLimit, List<String> zones, List<ServiceSize> services) {
+        this.network = network;
+        this.connectionLimit = connectionLimit;
+        this.zones = zones;
+        this.services = services;
+    }
+
+    public List<String> zones() {
+        return zones;
+    }
+
+    public List<ServiceSize> services() {
+        return services;
+    }
+
+    /** Returns the address of the platform stand-in. */
+    public String platform() {
+        return ip(3, 1) + ":9400";
+    }
+
+    /** Returns the address at which the backend servers' stand-in takes faults and tells its history. */
+    public String serverControl() {
+        return ip(3, 2) + ":9500";
+    }
+
+    /** Returns the address of the console. */
+    public String console() {
+        return ip(3, 3) + ":8090";
+    }
+
+    /** Returns the entry hosts. */
+    public List<EntryHost> entryHosts() {
+        List<EntryHost> hosts = new ArrayList<>();
+        for (int i = 1; i <= ENTRY_HOSTS; i++) {
+            String ip = ip(1, i);
+            hosts.add(new EntryHost(
+                    String.format("entry-%02d", i),
+                    zone(i),
+                    ip + ":" + AGENT_PORT,
+                    ip + ":" + AGENT_HTTP_PORT,
+                    ip + ":" + PROXY_PORT));
+        }
+        return hosts;
+    }
+
+    /** Returns the backend servers of all services. */
+    public List<Server> servers() {
+        List<Server> servers = new ArrayList<>();
+        for (ServiceSize s : services) {
+            for (int i = 1; i <= s.servers(); i++) {
+                int number = servers.size() + 1;
+                servers.add(new Server(s.name() + "-" + i, s, zone(i), ip(2, number), SERVER_PORT, connectionLimit));
+            }
+        }
+        return servers;
+    }
+
+    private String zone(int number) {
+        return zones.get((number - 1) % zones.size());
+    }
+
+    private String ip(int group, int number) {
+        return "127." + network + "." + group + "." + number;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hyssophitch/standin/HistoryChecker.java
@@ -0,0 +1,65 @@
+package org.hyssophitch.standin;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/**
+ * Checks a history of concurrent calls against what must always hold. Stateless.
+ */
+public final class HistoryChecker {
+
+    /** Types of violations. */
+    public enum Kind {
+        /** A caller got an answer that is not the whole answer to its own request. */
+        WRONG_ANSWER,
+        /** A non-idempotent request ran more than once. */
+        DOUBLE_RUN,
+        /** A caller was only ever told "not run", but the request ran. */
+        FALSE_NOT_RUN,
+        /** A caller was told that its request completed, but no backend server ran it. */
+        FALSE_COMPLETED
+    }
+
+    /**
+     * One violation. Immutable.
+     *
+     * @param kind type
+     * @param requestId request that it concerns
+     * @param servers backend servers that ran the request
+     */
+    public record Violation(Kind kind, String requestId, List<String> servers) {}
+
+    private HistoryChecker() {}
+
+    /**
+     * Returns every violation in a history.
+     *
+     * @param calls what the callers recorded
+     * @param runs servers that ran each request
+     */
+    public static List<Violation> check(Collection<CallRecord> calls, Map<String, List<String>> runs) {
+        return calls.stream()
+                .flatMap(c -> List.of(Kind.values()).stream()
+                        .filter(k -> isViolated(k, c, runs.getOrDefault(c.requestId(), List.of())))
+                        .map(k -> new Violation(k, c.requestId(), runs.getOrDefault(c.requestId(), List.of()))))
+                .toList();
+    }
+
+    /** Returns the number of violations of one type. */
+    public static long count(List<Violation> violations, Kind kind) {
+        return violations.stream().filter(v -> v.kind() == kind).count();
+    }
+
+    private static boolean isViolated(Kind kind, CallRecord c, List<String> servers) {
+        Predicate<CallRecord.Answer> isCompletion =
+                a -> a == CallRecord.Answer.COMPLETED || a == CallRecord.Answer.ALREADY_RUN;
+        return switch (kind) {
+            case WRONG_ANSWER -> c.answers().contains(CallRecord.Answer.WRONG);
+            case DOUBLE_RUN -> !c.isIdempotent() && servers.size() > 1;
+            case FALSE_NOT_RUN -> c.isOnlyNotRun() && !servers.isEmpty();
+            case FALSE_COMPLETED -> c.answers().stream().anyMatch(isCompletion) && servers.isEmpty();
+        };
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hyssophitch/standin/LoadRun.java
@@ -0,0 +1,243 @@
+package org.hyssophitch.standin;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.Response;
+import org.HdrHistogram.Histogram;
+
+/**
+ * One load run of many callers against a running deployment, and the check of its history. Used once.
+ */
+public final class LoadRun {
+
+    /**
+     * Result of a run, as printed. Immutable.
+     *
+     * @param calls requests of all callers
+     * @param completed requests that got their whole answer, or the word that they had run
+     * @param notRun requests whose last word was "not run"
+     * @param unknown requests that may have run and got no answer
+     * @param wrongAnswers answers that claimed to be whole and were not
+     * @param doubleRuns non-idempotent requests that ran more than once
+     * @param falseNotRun requests only ever told "not run" that ran
+     * @param broken sendings whose connection broke
+     * @param probes probes that the backend servers counted
+     * @param probeBudget probes that the budget allowed
+     * @param p50Millis median of the callers' latency in milliseconds
+     * @param p99Millis 99th percentile of the callers' latency in milliseconds
+     * @param retriedRequest a request that was retried, or empty
+     */
+    public record Result(
+            long calls,
+            long completed,
+            long notRun,
+            long unknown,
+            long wrongAnswers,
+            long doubleRuns,
+            long falseNotRun,
+            long broken,
+            long probes,
+            long probeBudget,
+            double p50Millis,
+            double p99Millis,
+            String retriedRequest) {
+
+        /** Returns whether nothing was wrong, doubled, falsely refused, or over the budget. */
+        public boolean isGood() {
+            return calls > 0 && wrongAnswers == 0 && doubleRuns == 0 && falseNotRun == 0 && probes <= probeBudget;
+        }
+
+        /** Returns the result as one JSON line. */
+        public String json() {
+            return String.format(
+                    "{\"calls\":%d,\"completed\":%d,\"not_run\":%d,\"unknown\":%d,\"wrong_answers\":%d,"
+                            + "\"double_runs\":%d,\"false_not_run\":%d,\"broken\":%d,\"probes\":%d,"
+                            + "\"probe_budget\":%d,\"p50_ms\":%.2f,\"p99_ms\":%.2f,\"retried_request\":\"%s\"}",
+                    calls,
+                    completed,
+                    notRun,
+                    unknown,
+                    wrongAnswers,
+                    doubleRuns,
+                    falseNotRun,
+                    broken,
+                    probes,
+                    probeBudget,
+                    p50Millis,
+                    p99Millis,
+                    retriedRequest);
+        }
+    }
+
+    private static final Pattern RETRIED = Pattern.compile(
+            "\"requestId\":\"([^\"]+)\",\"type\":\"ServerChosen\",\"body\":\\{[^{]*\"cause\":\"RETRY\"");
+    private static final int PROGRESS_SECONDS = 2;
+    private static final long FAULT_MILLIS = 800;
+    private static final double MICROS_PER_MILLI = 1_000;
+    private static final long MAX_LATENCY_MICROS = TimeUnit.MINUTES.toMicros(2);
+
+    private final Deployment deployment;
+    private final OkHttpClient client = CallerStandin.httpClient();
+    private final ConcurrentLinkedQueue<CallRecord> history = new ConcurrentLinkedQueue<>();
+    private final Map<String, LongAdder> failures = new ConcurrentHashMap<>();
+    private final SplittableRandom random;
+    private final boolean hasFaults;
+
+    /**
+     * Creates a run against a deployment.
+     *
+     * @param deployment deployment that runs
+     * @param seed seed of the callers' choices
+     * @param hasFaults whether backend servers get faults meanwhile
+     */
+    public LoadRun(Deployment deployment, long seed, boolean hasFaults) {
+        this.deployment = deployment;
+        this.hasFaults = hasFaults;
+        this.random = new SplittableRandom(seed);
+    }
+
+    /**
+     * Runs callers and checks their history.
+     *
+     * @param callers number of callers at the same time
+     * @param calls number of requests of all callers
+     * @param thinkMicros mean pause of a caller between two requests, in microseconds
+     * @param probeBudgetPerSecond probes that the budget allows per second
+     * @param startMicros when the first agent started, in microseconds since the epoch
+     */
+    public Result run(int callers, int calls, long thinkMicros, double probeBudgetPerSecond, long startMicros)
+            throws IOException, InterruptedException {
+        AtomicInteger left = new AtomicInteger(calls);
+        BooleanSupplier hasMore = () -> left.getAndDecrement() > 0;
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < callers; i++) {
+            CallerStandin caller =
+                    new CallerStandin(deployment, client, random.split(), hasMore, thinkMicros, history, failures);
+            threads.add(Thread.startVirtualThread(caller));
+        }
+        if (hasFaults) {
+            threads.add(Thread.startVirtualThread(this::switchFaults));
+        }
+        awaitAll(threads);
+        long elapsedMicros = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis()) - startMicros;
+        long budget = (long) Math.ceil(probeBudgetPerSecond * elapsedMicros / 1e6);
+        failures.forEach((type, count) -> System.err.println("broken: " + count + " x " + type));
+        return result(probes(), budget);
+    }
+
+    /** One backend server of each service fails fast, slows down or sheds load for a while. */
+    private void switchFaults() {
+        FaultClient faults = new FaultClient(deployment);
+        List<Map<String, String>> kinds =
+                List.of(Map.of("fail-fast", "true"), Map.of("shed", "true"), Map.of("slow", "20"));
+        Map<String, String> none = Map.of("fail-fast", "false", "shed", "false", "slow", "1");
+        try {
+            for (int i = 0; i < kinds.size(); i++) {
+                TimeUnit.MILLISECONDS.sleep(FAULT_MILLIS);
+                String server = deployment.services().get(i).name() + "-1";
+                System.err.println("fault: " + server + " " + kinds.get(i));
+                faults.server(server, kinds.get(i));
+                TimeUnit.MILLISECONDS.sleep(FAULT_MILLIS);
+                faults.server(server, none);
+            }
+        } catch (IOException | InterruptedException e) {
+            System.err.println("faults can't be switched: " + e);
+        }
+    }
+
+    private void awaitAll(List<Thread> threads) throws InterruptedException {
+        long nextProgress = System.nanoTime();
+        for (Thread t : threads) {
+            while (!t.join(Duration.ofMillis(200))) {
+                if (System.nanoTime() > nextProgress) {
+                    nextProgress = System.nanoTime() + TimeUnit.SECONDS.toNanos(PROGRESS_SECONDS);
+                    System.err.println("callers: " + history.size() + " calls done");
+                }
+            }
+        }
+    }
+
+    private Result result(long probes, long budget) throws IOException {
+        Collection<CallRecord> calls = List.copyOf(history);
+        List<HistoryChecker.Violation> violations = HistoryChecker.check(calls, runs());
+        violations.stream().limit(20).forEach(v -> System.err.println("violation: " + v));
+        Histogram latency = new Histogram(MAX_LATENCY_MICROS, 3);
+        calls.forEach(c -> latency.recordValue(Math.min(MAX_LATENCY_MICROS, c.elapsedMicros())));
+        return new Result(
+                calls.size(),
+                count(calls, CallRecord.Answer.COMPLETED) + count(calls, CallRecord.Answer.ALREADY_RUN),
+                count(calls, CallRecord.Answer.NOT_RUN),
+                calls.size()
+                        - count(calls, CallRecord.Answer.COMPLETED)
+                        - count(calls, CallRecord.Answer.ALREADY_RUN)
+                        - count(calls, CallRecord.Answer.NOT_RUN),
+                HistoryChecker.count(violations, HistoryChecker.Kind.WRONG_ANSWER),
+                HistoryChecker.count(violations, HistoryChecker.Kind.DOUBLE_RUN),
+                HistoryChecker.count(violations, HistoryChecker.Kind.FALSE_NOT_RUN),
+                calls.stream()
+                        .flatMap(c -> c.answers().stream())
+                        .filter(a -> a == CallRecord.Answer.BROKEN)
+                        .count(),
+                probes,
+                budget,
+                latency.getValueAtPercentile(50) / MICROS_PER_MILLI,
+                latency.getValueAtPercentile(99) / MICROS_PER_MILLI,
+                retriedRequest());
+    }
+
+    private static long count(Collection<CallRecord> calls, CallRecord.Answer last) {
+        return calls.stream().filter(c -> c.last() == last).count();
+    }
+
+    private long probes() throws IOException {
+        return Long.parseLong(
+                get("http://" + deployment.serverControl() + "/probes").trim());
+    }
+
+    private Map<String, List<String>> runs() throws IOException {
+        return get("http://" + deployment.serverControl() + "/history")
+                .lines()
+                .map(l -> l.split(" "))
+                .filter(p -> p.length > 1)
+                .collect(Collectors.toMap(p -> p[0], p -> Arrays.asList(p).subList(1, p.length)));
+    }
+
+    private String retriedRequest() {
+        return deployment.entryHosts().stream()
+                .flatMap(h -> RETRIED.matcher(timeline(h)).results().map(m -> m.group(1)))
+                .findFirst()
+                .orElse("");
+    }
+
+    private String timeline(Deployment.EntryHost host) {
+        try {
+            return get("http://" + host.proxy() + "/-/timeline");
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private String get(String url) throws IOException {
+        try (Response response =
+                client.newCall(new Request.Builder().url(url).build()).execute()) {
+            return response.body().string();
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hyssophitch/standin/RunHistory.java
@@ -0,0 +1,51 @@
+package org.hyssophitch.standin;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.Collectors;
+
+/** What the backend servers ran: each start of a request, with its server. Thread-safe. */
+public final class RunHistory {
+
+    private final Map<String, List<String>> serversByRequest = new ConcurrentHashMap<>();
+    private final Map<String, Long> lastStartMicros = new ConcurrentHashMap<>();
+    private final LongAdder probes = new LongAdder();
+
+    /** Notes that a server starts to run a request. */
+    public void onStart(String requestId, String server, long nowMicros) {
+        serversByRequest
+                .computeIfAbsent(requestId, r -> new CopyOnWriteArrayList<>())
+                .add(server);
+        lastStartMicros.put(server, nowMicros);
+    }
+
+    /** Notes a probe. */
+    public void onProbe() {
+        probes.increment();
+    }
+
+    /** Returns the number of probes so far. */
+    public long probes() {
+        return probes.sum();
+    }
+
+    /** Returns when a server last started a request, in microseconds; 0 when it never did. */
+    public long lastStartMicros(String server) {
+        return lastStartMicros.getOrDefault(server, 0L);
+    }
+
+    /** Returns the servers that ran each request. */
+    public Map<String, List<String>> runs() {
+        return Map.copyOf(serversByRequest);
+    }
+
+    /** Returns the history as lines of the form {@code request server server ...}. */
+    public String format() {
+        return serversByRequest.entrySet().stream()
+                .map(e -> e.getKey() + ' ' + String.join(" ", e.getValue()))
+                .collect(Collectors.joining("\n"));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hyssophitch/standin/ServerStandin.java
@@ -0,0 +1,248 @@
+package org.hyssophitch.standin;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import org.hyssophitch.wire.duty.WallClock;
+import org.hyssophitch.wire.net.HttpQuery;
+import org.hyssophitch.wire.report.CallHeaders;
+import org.hyssophitch.wire.report.LoadHeaders;
+
+/**
+ * Stand-in for one backend server: a few slots, a bounded queue, a connection limit, and faults. Everything happens on
+ * one event loop, which makes it thread-safe.
+ */
+final class ServerStandin {
+
+    private static final int MAX_QUEUED = 60;
+    private static final int MAX_BODY_BYTES = 50_000_000;
+    private static final String POISON = "/poison";
+    private static final long CRASH_MILLIS = 1_000;
+    private static final long MICROS_PER_MILLI = 1_000;
+    private static final double COLD_FACTOR = 5;
+    private static final long COLD_MICROS = 500_000;
+
+    private record Job(ChannelHandlerContext context, String requestId, int size) {}
+
+    private record LoadFigure(long takenMicros, int inFlight) {}
+
+    private final Deployment.Server plan;
+    private final EventLoop loop;
+    private final RunHistory history;
+    private final SplittableRandom random;
+    private final Deque<Job> queue = new ArrayDeque<>();
+    private final Set<Channel> connections = new HashSet<>();
+    private final Set<Channel> silent = new HashSet<>();
+    private final Set<Channel> running = new HashSet<>();
+    private final Deque<LoadFigure> figures = new ArrayDeque<>();
+    private ServerFaults faults = ServerFaults.NONE;
+    private Channel listener;
+    private long startedMicros;
+
+    ServerStandin(Deployment.Server plan, EventLoop loop, RunHistory history, SplittableRandom random) {
+        this.plan = plan;
+        this.loop = loop;
+        this.history = history;
+        this.random = random;
+    }
+
+    String name() {
+        return plan.name();
+    }
+
+    void open() {
+        ChannelFuture binding = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel c) {
+                        c.pipeline()
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                                .addLast(new Handler());
+                    }
+                })
+                .bind(new InetSocketAddress(plan.host(), plan.port()));
+        listener = binding.channel();
+        if (!loop.inEventLoop()) {
+            binding.syncUninterruptibly();
+        }
+        startedMicros = WallClock.nowMicros();
+    }
+
+    /** Changes faults; {@code silent=true} makes the open connections go silent, {@code crash=true} crashes. */
+    void change(HttpQuery q) {
+        loop.execute(() -> {
+            faults = faults.with(q);
+            if (q.parameter("silent", "false").equals("true")) {
+                silent.addAll(connections);
+            }
+            if (q.parameter("crash", "false").equals("true")) {
+                crash();
+            }
+        });
+    }
+
+    private void onRequest(ChannelHandlerContext context, FullHttpRequest request) {
+        if (silent.contains(context.channel())) {
+            return;
+        }
+        QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+        if (uri.path().equals("/load")) {
+            history.onProbe();
+            answer(context, HttpResponseStatus.OK, new byte[0], false);
+        } else if (faults.isDraining() || faults.isShedding() || queue.size() >= MAX_QUEUED) {
+            answer(context, HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0], true);
+        } else if (faults.isFailingFast()) {
+            answer(context, HttpResponseStatus.INTERNAL_SERVER_ERROR, new byte[0], false);
+        } else {
+            queue.addLast(job(context, request, uri));
+            startWaiting();
+        }
+    }
+
+    private Job job(ChannelHandlerContext context, FullHttpRequest request, QueryStringDecoder uri) {
+        String id = request.headers().get(CallHeaders.REQUEST_ID, "unnamed");
+        int size = uri.parameters().containsKey("size")
+                ? Integer.parseInt(uri.parameters().get("size").get(0))
+                : plan.service().answerBytes();
+        return new Job(context, uri.path().endsWith(POISON) ? POISON : id, size);
+    }
+
+    private void startWaiting() {
+        while (running.size() < Deployment.SLOTS && !queue.isEmpty()) {
+            start(queue.pollFirst());
+        }
+    }
+
+    private void start(Job job) {
+        history.onStart(job.requestId(), plan.name(), WallClock.nowMicros());
+        if (job.requestId().equals(POISON)) {
+            crash();
+            return;
+        }
+        Channel channel = job.context().channel();
+        running.add(channel);
+        loop.schedule(() -> finish(job, channel), workMicros(), TimeUnit.MICROSECONDS);
+    }
+
+    private void finish(Job job, Channel channel) {
+        if (!running.remove(channel)) {
+            return;
+        }
+        if (!silent.contains(channel)) {
+            answer(job.context(), HttpResponseStatus.OK, AnswerContent.of(job.requestId(), job.size()), false);
+        }
+        startWaiting();
+    }
+
+    private long workMicros() {
+        double mean = plan.service().workMillis() * MICROS_PER_MILLI * faults.slowFactor();
+        boolean isCold = WallClock.nowMicros() - startedMicros < COLD_MICROS;
+        return (long) (-Math.log(1 - random.nextDouble()) * mean * (isCold ? COLD_FACTOR : 1));
+    }
+
+    private void answer(ChannelHandlerContext context, HttpResponseStatus status, byte[] body, boolean isNotRun) {
+        boolean isCut = faults.isTruncating() && body.length > 1;
+        byte[] sent = isCut ? Arrays.copyOf(body, body.length / 2) : body;
+        DefaultFullHttpResponse response =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(sent));
+        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        addLoad(response);
+        if (isNotRun) {
+            response.headers().set(CallHeaders.OUTCOME, CallHeaders.NOT_RUN);
+        }
+        context.writeAndFlush(response).addListener(f -> {
+            if (isCut) {
+                context.close();
+            }
+        });
+    }
+
+    private void addLoad(DefaultFullHttpResponse response) {
+        long now = WallClock.nowMicros();
+        figures.addLast(new LoadFigure(now, running.size() + queue.size()));
+        long lag = faults.loadLagMillis() * MICROS_PER_MILLI;
+        while (figures.size() > 1 && figures.getFirst().takenMicros() < now - lag) {
+            figures.removeFirst();
+        }
+        LoadFigure figure = figures.getFirst();
+        int load = faults.falseLoad() >= 0 ? faults.falseLoad() : figure.inFlight();
+        response.headers().setInt(LoadHeaders.IN_FLIGHT, load);
+        if (!faults.isHidingAge()) {
+            response.headers().set(LoadHeaders.AGE_MILLIS, (now - figure.takenMicros()) / MICROS_PER_MILLI);
+        }
+        response.headers().set(LoadHeaders.DRAINING, Boolean.toString(faults.isDraining()));
+    }
+
+    /** Loses every connection and request, and refuses connections until the restart. */
+    private void crash() {
+        queue.clear();
+        running.clear();
+        listener.close();
+        Set.copyOf(connections).forEach(Channel::close);
+        connections.clear();
+        silent.clear();
+        loop.schedule(this::open, CRASH_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            if (connections.size() >= plan.connectionLimit()) {
+                context.close();
+                return;
+            }
+            connections.add(context.channel());
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            onRequest(context, request);
+        }
+
+        /** A closed connection cancels its request. */
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            connections.remove(context.channel());
+            silent.remove(context.channel());
+            queue.removeIf(j -> j.context().channel() == context.channel());
+            if (running.remove(context.channel())) {
+                startWaiting();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hyssophitch/standin/ServersStandin.java
@@ -0,0 +1,77 @@
+package org.hyssophitch.standin;
+
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import org.hyssophitch.wire.net.Addresses;
+import org.hyssophitch.wire.net.EventLoops;
+import org.hyssophitch.wire.net.HttpEndpoint;
+import org.hyssophitch.wire.net.HttpQuery;
+import org.hyssophitch.wire.net.HttpReply;
+
+/**
+ * Stand-in for all backend servers of a deployment, in one process. Thread-safe.
+ *
+ * <p>{@code POST /faults?server=NAME&...} changes the faults of one server, {@code GET /history} tells what ran, {@code
+ * GET /probes} the number of probes, {@code GET /last-start?server=NAME} when a server last started a request.
+ */
+public final class ServersStandin implements AutoCloseable {
+
+    private static final int LOOPS = 2;
+    private static final int OK = 200;
+
+    private final EventLoopGroup group = EventLoops.create(LOOPS);
+    private final RunHistory history = new RunHistory();
+    private final Map<String, ServerStandin> servers = new TreeMap<>();
+    private final HttpEndpoint control;
+
+    /** Opens the servers and their control endpoint. */
+    public ServersStandin(Deployment d, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        d.servers().forEach(s -> {
+            EventLoop loop = (EventLoop) group.next();
+            ServerStandin server = new ServerStandin(s, loop, history, random.split());
+            server.open();
+            servers.put(s.name(), server);
+        });
+        control = new HttpEndpoint(group, Addresses.parse(d.serverControl()), this::handle);
+    }
+
+    /** Returns what ran. */
+    public RunHistory history() {
+        return history;
+    }
+
+    @Override
+    public void close() {
+        control.close();
+        EventLoops.close(group);
+    }
+
+    private CompletionStage<HttpReply> handle(HttpQuery q) {
+        HttpReply reply =
+                switch (q.path()) {
+                    case "/faults" -> change(q);
+                    case "/history" -> HttpReply.text(history.format());
+                    case "/probes" -> HttpReply.text(Long.toString(history.probes()));
+                    case "/last-start" ->
+                        HttpReply.text(Long.toString(history.lastStartMicros(q.parameter("server", ""))));
+                    default -> HttpReply.notFound();
+                };
+        return CompletableFuture.completedFuture(reply);
+    }
+
+    private HttpReply change(HttpQuery q) {
+        ServerStandin server = servers.get(q.parameter("server", ""));
+        if (server == null) {
+            return HttpReply.notFound();
+        }
+        server.change(q);
+        return HttpReply.json(OK, "{\"server\":\"" + server.name() + "\"}");
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hyssophitch/standin/command/ServersCommand.java
@@ -0,0 +1,28 @@
+package org.hyssophitch.standin.command;
+
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import org.hyssophitch.standin.ServersStandin;
+import org.hyssophitch.wire.duty.Lifecycle;
+
+/** Runs the stand-ins for all backend servers until they are stopped. */
+@Command(name = "servers", description = "runs the stand-ins for all backend servers of a deployment")
+public final class ServersCommand implements StandinCommand {
+
+    @AirlineModule
+    private ProfileOption profile = new ProfileOption();
+
+    @Option(name = "--seed", title = "seed", description = "seed of the servers' random service times")
+    private long seed = 1;
+
+    @Override
+    public int execute() {
+        ServersStandin servers = new ServersStandin(profile.deployment(), seed);
+        Lifecycle.stopOnSignal(servers::close);
+        System.err.println(
+                "backend server stand-ins, control at " + profile.deployment().serverControl());
+        Lifecycle.awaitEnd();
+        return 0;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/hyssophitch/standin/command/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Command line of the stand-ins.
+ */
+package org.hyssophitch.standin.command;
--- /dev/null
+++ b/standin/src/main/java/org/hyssophitch/standin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-ins for the systems around hyssophitch: platform, backend servers and callers. Test side only.
+ */
+package org.hyssophitch.standin;
--- /dev/null
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/AgentMessageCodec.java
@@ -0,0 +1,60 @@
+package org.hyssophitch.wire.codec;
+
+import java.util.Optional;
+
+import org.hyssophitch.core.control.AgentMessage;
+import org.hyssophitch.core.membership.Heartbeat;
+import org.hyssophitch.core.timeline.HybridTimestamp;
+import org.hyssophitch.wire.generated.Wire;
+
+/** Maps datagrams between agents. Stateless. */
+public final class AgentMessageCodec {
+
+    private static final Heartbeat.Kind[] KINDS = Heartbeat.Kind.values();
+
+    private AgentMessageCodec() {}
+
+    /** Encodes a datagram with the sender's clock. */
+    public static Wire.AgentDatagram encode(AgentMessage m, HybridTimestamp clock) {
+        Wire.AgentDatagram.Builder b = Wire.AgentDatagram.newBuilder()
+                .setClock(MemberCodec.encode(clock))
+                .setSender(MemberCodec.encode(m.sender()))
+                .addAllMembers(MemberCodec.encodeMembers(m.members()))
+                .addAllLoads(MemberCodec.encodeLoads(m.loads()))
+                .addAllLeaving(MemberCodec.encodeNotices(m.leaving()))
+                .addAllSuspicions(MemberCodec.encodeSuspicions(m.suspicions()));
+        m.heartbeat().ifPresent(h -> b.setHeartbeat(encode(h)));
+        return b.build();
+    }
+
+    /** Decodes a datagram. */
+    public static AgentMessage decode(Wire.AgentDatagram d) {
+        Optional<Heartbeat> heartbeat = d.hasHeartbeat() ? Optional.of(decode(d.getHeartbeat())) : Optional.empty();
+        return new AgentMessage(
+                MemberCodec.decode(d.getSender()),
+                heartbeat,
+                MemberCodec.decodeMembers(d.getMembersList()),
+                MemberCodec.decodeLoads(d.getLoadsList()),
+                MemberCodec.decodeNotices(d.getLeavingList()),
+                MemberCodec.decodeSuspicions(d.getSuspicionsList()));
+    }
+
+    /** Returns the sender's clock. */
+    public static HybridTimestamp clock(Wire.AgentDatagram d) {
+        return MemberCodec.decode(d.getClock());
+    }
+
+    private static Wire.Heartbeat encode(Heartbeat h) {
+        return Wire.Heartbeat.newBuilder()
+                .setKind(h.kind().ordinal())
+                .setSequence(h.sequence())
+                .setTarget(h.target())
+                .setForwardTo(h.forwardTo())
+                .build();
+    }
+
+    private static Heartbeat decode(Wire.Heartbeat h) {
+        Heartbeat.Kind kind = KINDS[Math.floorMod(h.getKind(), KINDS.length)];
+        return new Heartbeat(kind, h.getSequence(), h.getTarget(), "", h.getForwardTo());
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/ConfigurationCodec.java
@@ -0,0 +1,126 @@
+package org.hyssophitch.wire.codec;
+
+import java.util.List;
+
+import org.hyssophitch.core.configuration.AddressRule;
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.Criticality;
+import org.hyssophitch.core.configuration.MeasuringBudget;
+import org.hyssophitch.core.configuration.QueueRule;
+import org.hyssophitch.core.configuration.RetryRule;
+import org.hyssophitch.core.configuration.RoutingKind;
+import org.hyssophitch.core.configuration.Service;
+import org.hyssophitch.core.spread.ConfigurationChange;
+import org.hyssophitch.wire.generated.Wire;
+
+/** Maps configurations and their changes. Stateless. */
+public final class ConfigurationCodec {
+
+    private static final Criticality[] CRITICALITIES = Criticality.values();
+    private static final RoutingKind[] ROUTINGS = RoutingKind.values();
+
+    private ConfigurationCodec() {}
+
+    /** Encodes a whole configuration. */
+    public static Wire.Configuration encode(Configuration c) {
+        return header(c).addAllServices(encodeServices(c.services())).build();
+    }
+
+    /** Decodes a whole configuration. */
+    public static Configuration decode(Wire.Configuration c) {
+        return new Configuration(
+                c.getVersion(),
+                c.getRevisionId(),
+                c.getMaxEntryHosts(),
+                new MeasuringBudget(
+                        c.getProbesPerSecondPerServer(), c.getProbesPerSecondTotal(), c.getBytesPerSecondTotal()),
+                new AddressRule(c.getAddressesPerAnswer(), c.getKeepSeconds()),
+                c.getServicesList().stream().map(ConfigurationCodec::decode).toList());
+    }
+
+    /** Encodes a change. */
+    public static Wire.Configuration encode(ConfigurationChange change) {
+        return header(change.header())
+                .setBaseVersion(change.baseVersion())
+                .addAllServices(encodeServices(change.changed()))
+                .addAllOrder(change.order())
+                .build();
+    }
+
+    /** Decodes a change. */
+    public static ConfigurationChange decodeChange(Wire.Configuration c) {
+        Configuration decoded = decode(c);
+        return new ConfigurationChange(c.getBaseVersion(), decoded, decoded.services(), c.getOrderList());
+    }
+
+    private static Wire.Configuration.Builder header(Configuration c) {
+        return Wire.Configuration.newBuilder()
+                .setVersion(c.version())
+                .setRevisionId(c.revisionId())
+                .setMaxEntryHosts(c.maxEntryHosts())
+                .setProbesPerSecondPerServer(c.measuring().probesPerSecondPerServer())
+                .setProbesPerSecondTotal(c.measuring().probesPerSecondTotal())
+                .setBytesPerSecondTotal(c.measuring().bytesPerSecondTotal())
+                .setAddressesPerAnswer(c.addresses().addressesPerAnswer())
+                .setKeepSeconds(c.addresses().keepSeconds());
+    }
+
+    private static List<Wire.Service> encodeServices(List<Service> services) {
+        return services.stream().map(ConfigurationCodec::encode).toList();
+    }
+
+    private static Wire.Service encode(Service s) {
+        return Wire.Service.newBuilder()
+                .setName(s.name())
+                .setCriticality(s.criticality().ordinal())
+                .setRouting(s.routing().ordinal())
+                .setSampleSize(s.sampleSize())
+                .setMaxAttempts(s.retry().maxAttempts())
+                .setRetryRatio(s.retry().retryRatio())
+                .setHedgeRatio(s.retry().hedgeRatio())
+                .setHedgeAfterMillis(s.retry().hedgeAfterMillis())
+                .setMaxQueued(s.queue().maxQueued())
+                .setDefaultDeadlineMillis(s.queue().defaultDeadlineMillis())
+                .setStallMillis(s.queue().stallMillis())
+                .addAllServers(
+                        s.servers().stream().map(ConfigurationCodec::encode).toList())
+                .build();
+    }
+
+    private static Service decode(Wire.Service s) {
+        return Service.builder(s.getName())
+                .criticality(CRITICALITIES[Math.floorMod(s.getCriticality(), CRITICALITIES.length)])
+                .routing(ROUTINGS[Math.floorMod(s.getRouting(), ROUTINGS.length)])
+                .sampleSize(s.getSampleSize())
+                .retry(new RetryRule(s.getMaxAttempts(), s.getRetryRatio(), s.getHedgeRatio(), s.getHedgeAfterMillis()))
+                .queue(new QueueRule(s.getMaxQueued(), s.getDefaultDeadlineMillis(), s.getStallMillis()))
+                .servers(s.getServersList().stream()
+                        .map(ConfigurationCodec::decode)
+                        .toList())
+                .build();
+    }
+
+    private static Wire.BackendServer encode(BackendServer b) {
+        return Wire.BackendServer.newBuilder()
+                .setName(b.name())
+                .setHost(b.host())
+                .setPort(b.port())
+                .setZone(b.zone())
+                .setSlots(b.slots())
+                .setConnectionLimit(b.connectionLimit())
+                .setDraining(b.draining())
+                .build();
+    }
+
+    private static BackendServer decode(Wire.BackendServer b) {
+        return new BackendServer(
+                b.getName(),
+                b.getHost(),
+                b.getPort(),
+                b.getZone(),
+                b.getSlots(),
+                b.getConnectionLimit(),
+                b.getDraining());
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/FrameCodec.java
@@ -0,0 +1,86 @@
+package org.hyssophitch.wire.codec;
+
+import java.util.Set;
+
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.control.ProxyStatus;
+import org.hyssophitch.core.control.ProxyUpdate;
+import org.hyssophitch.core.spread.ConfigurationChange;
+import org.hyssophitch.core.timeline.HybridTimestamp;
+import org.hyssophitch.wire.generated.Wire;
+
+/** Maps the frames on connections to agents. Stateless. */
+public final class FrameCodec {
+
+    private FrameCodec() {}
+
+    /** Encodes a proxy's status. */
+    public static Wire.Frame encode(ProxyStatus s, HybridTimestamp clock) {
+        Wire.ProxyStatus body = Wire.ProxyStatus.newBuilder()
+                .setIncarnation(s.incarnation())
+                .setAccepting(s.isAccepting())
+                .setCallsInFlight(s.callsInFlight())
+                .setConfigurationVersion(s.configurationVersion())
+                .addAllLoads(MemberCodec.encodeLoads(s.loads()))
+                .addAllSuspicions(MemberCodec.encodeSuspicions(s.suspicions()))
+                .build();
+        return frame(clock).setProxyStatus(body).build();
+    }
+
+    /** Decodes a proxy's status. */
+    public static ProxyStatus decode(Wire.ProxyStatus s) {
+        return new ProxyStatus(
+                s.getIncarnation(),
+                s.getAccepting(),
+                s.getCallsInFlight(),
+                s.getConfigurationVersion(),
+                MemberCodec.decodeLoads(s.getLoadsList()),
+                MemberCodec.decodeSuspicions(s.getSuspicionsList()));
+    }
+
+    /** Encodes an agent's update for its proxy. */
+    public static Wire.Frame encode(ProxyUpdate u, HybridTimestamp clock) {
+        Wire.ProxyUpdate body = Wire.ProxyUpdate.newBuilder()
+                .addAllMembers(MemberCodec.encodeMembers(u.members()))
+                .addAllLeaving(u.leaving())
+                .addAllLoads(MemberCodec.encodeLoads(u.loads()))
+                .addAllSuspicions(MemberCodec.encodeSuspicions(u.suspicions()))
+                .build();
+        return frame(clock).setProxyUpdate(body).build();
+    }
+
+    /** Decodes an agent's update for its proxy. */
+    public static ProxyUpdate decode(Wire.ProxyUpdate u) {
+        return new ProxyUpdate(
+                MemberCodec.decodeMembers(u.getMembersList()),
+                Set.copyOf(u.getLeavingList()),
+                MemberCodec.decodeLoads(u.getLoadsList()),
+                MemberCodec.decodeSuspicions(u.getSuspicionsList()));
+    }
+
+    /** Encodes a configuration for the local proxy. */
+    public static Wire.Frame encode(Configuration c, HybridTimestamp clock) {
+        return frame(clock).setConfiguration(ConfigurationCodec.encode(c)).build();
+    }
+
+    /** Encodes a change for another agent. */
+    public static Wire.Frame encode(ConfigurationChange c, HybridTimestamp clock) {
+        return frame(clock).setConfiguration(ConfigurationCodec.encode(c)).build();
+    }
+
+    /** Encodes the question of what changed since a version. */
+    public static Wire.Frame encodeFetch(long haveVersion, HybridTimestamp clock) {
+        return frame(clock)
+                .setFetch(Wire.FetchConfiguration.newBuilder().setHaveVersion(haveVersion))
+                .build();
+    }
+
+    /** Returns the sender's clock. */
+    public static HybridTimestamp clock(Wire.Frame f) {
+        return MemberCodec.decode(f.getClock());
+    }
+
+    private static Wire.Frame.Builder frame(HybridTimestamp clock) {
+        return Wire.Frame.newBuilder().setClock(MemberCodec.encode(clock));
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/hyssophitch/wire/net/DatagramEndpoint.java
@@ -0,0 +1,92 @@
+package org.hyssophitch.wire.net;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Consumer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import org.hyssophitch.wire.generated.Wire;
+import org.tinylog.Logger;
+
+/**
+ * Sends and receives the datagrams between agents. Thread-safe; open from construction until {@link #close}.
+ */
+public final class DatagramEndpoint implements AutoCloseable {
+
+    private final Channel channel;
+    private final LongAdder bytesSent = new LongAdder();
+    private final LongAdder bytesReceived = new LongAdder();
+
+    /**
+     * Opens the endpoint.
+     *
+     * @param group event loops
+     * @param local address to bind to
+     * @param receiver called on the event loop for each datagram
+     */
+    public DatagramEndpoint(EventLoopGroup group, InetSocketAddress local, Consumer<Wire.AgentDatagram> receiver) {
+        channel = new Bootstrap()
+                .group(group)
+                .channel(NioDatagramChannel.class)
+                .handler(new Receiver(receiver))
+                .bind(local)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /** Sends a datagram; like any datagram it may get lost. */
+    public void send(String address, Wire.AgentDatagram datagram) {
+        byte[] bytes = datagram.toByteArray();
+        bytesSent.add(bytes.length);
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), Addresses.parse(address)));
+    }
+
+    /** Returns the bytes of payload sent so far. */
+    public long bytesSent() {
+        return bytesSent.sum();
+    }
+
+    /** Returns the bytes of payload received so far. */
+    public long bytesReceived() {
+        return bytesReceived.sum();
+    }
+
+    @Override
+    public void close() {
+        channel.close().syncUninterruptibly();
+    }
+
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        private final Consumer<Wire.AgentDatagram> receiver;
+
+        private Receiver(Consumer<Wire.AgentDatagram> receiver) {
+            this.receiver = receiver;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            byte[] bytes = ByteBufUtil.getBytes(packet.content());
+            bytesReceived.add(bytes.length);
+            try {
+                receiver.accept(Wire.AgentDatagram.parseFrom(bytes));
+            } catch (InvalidProtocolBufferException e) {
+                Logger.warn(
+                        "dropped a datagram of {} bytes from {} that can't be parsed", bytes.length, packet.sender());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            Logger.debug("datagram endpoint: {}", cause.toString());
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/hyssophitch/wire/net/FrameChannels.java
@@ -0,0 +1,127 @@
+package org.hyssophitch.wire.net;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import org.hyssophitch.wire.generated.Wire;
+import org.tinylog.Logger;
+
+/**
+ * Connections that carry length-prefixed frames. Stateless; the returned channels are Netty's.
+ */
+public final class FrameChannels {
+
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+
+    private FrameChannels() {}
+
+    /** Receiver of what happens on one connection. Called on the event loop. */
+    public interface Receiver {
+
+        /** A frame arrived. */
+        void onFrame(Channel channel, Wire.Frame frame);
+
+        /** The connection was opened. */
+        default void onOpen(Channel channel) {}
+
+        /** The connection ended. */
+        default void onClose(Channel channel) {}
+    }
+
+    /** Opens a listening socket and returns its channel. */
+    public static Channel listen(EventLoopGroup group, InetSocketAddress local, Receiver receiver) {
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new Pipeline(receiver))
+                .bind(local)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /** Opens a connection; the future ends in the channel or in the failure to connect. */
+    public static CompletableFuture<Channel> connect(
+            EventLoopGroup group, InetSocketAddress remote, Receiver receiver) {
+        CompletableFuture<Channel> result = new CompletableFuture<>();
+        ChannelFuture connecting = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new Pipeline(receiver))
+                .connect(remote);
+        connecting.addListener(f -> {
+            if (f.isSuccess()) {
+                result.complete(connecting.channel());
+            } else {
+                result.completeExceptionally(f.cause());
+            }
+        });
+        return result;
+    }
+
+    private static final class Pipeline extends ChannelInitializer<SocketChannel> {
+        private final Receiver receiver;
+
+        private Pipeline(Receiver receiver) {
+            this.receiver = receiver;
+        }
+
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.pipeline()
+                    .addLast(new ProtobufVarint32FrameDecoder())
+                    .addLast(new ProtobufDecoder(Wire.Frame.getDefaultInstance()))
+                    .addLast(new ProtobufVarint32LengthFieldPrepender())
+                    .addLast(new ProtobufEncoder())
+                    .addLast(new Handler(receiver));
+        }
+    }
+
+    private static final class Handler extends SimpleChannelInboundHandler<Wire.Frame> {
+        private final Receiver receiver;
+
+        private Handler(Receiver receiver) {
+            this.receiver = receiver;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            receiver.onOpen(context.channel());
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Wire.Frame frame) {
+            receiver.onFrame(context.channel(), frame);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            receiver.onClose(context.channel());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            Logger.debug("connection {}: {}", context.channel().remoteAddress(), cause.toString());
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpEndpoint.java
@@ -0,0 +1,126 @@
+package org.hyssophitch.wire.net;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import org.tinylog.Logger;
+
+/**
+ * Small HTTP endpoint for processes whose memory bound leaves no room for a full web server. Thread-safe; open from
+ * construction until {@link #close}.
+ */
+public final class HttpEndpoint implements AutoCloseable {
+
+    /** Largest body in bytes; the object API holds values up to a megabyte. */
+    private static final int MAX_BODY_BYTES = 2_000_000;
+
+    private static final int SERVER_ERROR = 500;
+
+    private final Channel channel;
+
+    /**
+     * Opens the endpoint.
+     *
+     * @param group event loops
+     * @param local address to bind to
+     * @param handler called on the event loop; must not block
+     */
+    public HttpEndpoint(
+            EventLoopGroup group, InetSocketAddress local, Function<HttpQuery, CompletionStage<HttpReply>> handler) {
+        channel = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel c) {
+                        c.pipeline()
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                                .addLast(new Handler(handler));
+                    }
+                })
+                .bind(local)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    @Override
+    public void close() {
+        channel.close().syncUninterruptibly();
+    }
+
+    private static final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Function<HttpQuery, CompletionStage<HttpReply>> handler;
+
+        private Handler(Function<HttpQuery, CompletionStage<HttpReply>> handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            boolean isKept = HttpUtil.isKeepAlive(request);
+            handler.apply(query(request)).whenComplete((reply, failure) -> {
+                if (failure != null) {
+                    Logger.error(failure, "HTTP endpoint failed on {}", request.uri());
+                }
+                write(context, failure == null ? reply : HttpReply.empty(SERVER_ERROR), isKept);
+            });
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            Logger.debug("HTTP connection {}: {}", context.channel().remoteAddress(), cause.toString());
+            context.close();
+        }
+
+        private static HttpQuery query(FullHttpRequest request) {
+            QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+            Map<String, String> parameters = new HashMap<>();
+            uri.parameters().forEach((name, values) -> parameters.put(name, values.get(0)));
+            Map<String, String> headers = new HashMap<>();
+            request.headers().forEach(h -> headers.putIfAbsent(h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
+            byte[] body = ByteBufUtil.getBytes(request.content());
+            return new HttpQuery(request.method().name(), uri.path(), parameters, headers, body);
+        }
+
+        private static void write(ChannelHandlerContext context, HttpReply reply, boolean isKept) {
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(reply.status()),
+                    Unpooled.wrappedBuffer(reply.body()));
+            reply.headers().forEach((name, value) -> response.headers().set(name, value));
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType());
+            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+            HttpUtil.setKeepAlive(response, isKept);
+            context.writeAndFlush(response)
+                    .addListener(isKept ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/hyssophitch/wire/platform/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Client of the platform: object API and host list.
+ */
+package org.hyssophitch.wire.platform;
--- /dev/null
+++ b/wire/src/main/java/org/hyssophitch/wire/yaml/YamlMapping.java
@@ -0,0 +1,239 @@
+package org.hyssophitch.wire.yaml;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
+
+import org.yaml.snakeyaml.nodes.MappingNode;
+import org.yaml.snakeyaml.nodes.Node;
+import org.yaml.snakeyaml.nodes.NodeTuple;
+import org.yaml.snakeyaml.nodes.ScalarNode;
+import org.yaml.snakeyaml.nodes.SequenceNode;
+
+/**
+ * One mapping of a YAML file. Each accessor reports what is wrong with its value and returns a default in its place, so
+ * that one reading finds every fault. Not thread-safe; used within one reading.
+ */
+public final class YamlMapping {
+
+    private final MappingNode node;
+    private final String path;
+    private final List<Fault> faults;
+    private final Map<String, Node> values = new LinkedHashMap<>();
+    private final Set<String> known = new TreeSet<>();
+
+    YamlMapping(MappingNode node, String path, List<Fault> faults) {
+        this.node = node;
+        this.path = path;
+        this.faults = faults;
+        node.getValue().forEach(this::addValue);
+    }
+
+    /** Returns the line of this mapping, from 1. */
+    public int line() {
+        return line(node);
+    }
+
+    /** Returns the line of a value, or of this mapping when the value is missing. */
+    public int line(String key) {
+        return values.containsKey(key) ? line(values.get(key)) : line();
+    }
+
+    /** Returns the path of a value. */
+    public String path(String key) {
+        return path.isEmpty() ? key : path + "." + key;
+    }
+
+    /** Reports a fault of a value. */
+    public void report(Fault.Kind kind, String key, String found, String allowed) {
+        faults.add(new Fault(kind, path(key), line(key), found, allowed));
+    }
+
+    /** Returns a required text. */
+    public String text(String key) {
+        return scalar(key, "a text").orElseGet(() -> missing(key, "a text", ""));
+    }
+
+    /** Returns an optional text. */
+    public String text(String key, String defaultValue) {
+        return scalar(key, "a text").orElse(defaultValue);
+    }
+
+    /** Returns a required text that matches a regular expression. */
+    public String text(String key, String pattern, String allowed) {
+        String value = text(key);
+        if (!value.isEmpty() && !value.matches(pattern)) {
+            report(Fault.Kind.NOT_ALLOWED, key, value, allowed);
+        }
+        return value;
+    }
+
+    /** Returns a required whole number within bounds. */
+    public int integer(String key, int least, int most) {
+        return number(key, least, most).map(Double::intValue).orElseGet(() -> missing(key, range(least, most), least));
+    }
+
+    /** Returns an optional whole number within bounds. */
+    public int integer(String key, int least, int most, int defaultValue) {
+        Optional<Double> value = number(key, least, most);
+        value.filter(v -> v != Math.rint(v))
+                .ifPresent(v -> report(Fault.Kind.WRONG_TYPE, key, v.toString(), "a whole number"));
+        return value.map(Double::intValue).orElse(defaultValue);
+    }
+
+    /** Returns an optional number within bounds. */
+    public double decimal(String key, double least, double most, double defaultValue) {
+        return number(key, least, most).orElse(defaultValue);
+    }
+
+    /** Returns an optional truth value. */
+    public boolean flag(String key, boolean defaultValue) {
+        Optional<String> value = scalar(key, "true or false");
+        boolean isWrong = value.isPresent() && !value.get().matches("true|false");
+        if (isWrong) {
+            report(Fault.Kind.WRONG_TYPE, key, value.get(), "true or false");
+        }
+        return isWrong || value.isEmpty() ? defaultValue : Boolean.parseBoolean(value.get());
+    }
+
+    /** Returns an optional constant of an enumeration, written in lower case with hyphens. */
+    public <E extends Enum<E>> E choice(String key, Class<E> type, E defaultValue) {
+        Optional<String> value = scalar(key, "a name");
+        List<String> names =
+                Arrays.stream(type.getEnumConstants()).map(YamlMapping::written).toList();
+        if (value.isPresent() && !names.contains(value.get())) {
+            report(Fault.Kind.NOT_ALLOWED, key, value.get(), "one of " + String.join(", ", names));
+            return defaultValue;
+        }
+        return value.map(v -> type.getEnumConstants()[names.indexOf(v)]).orElse(defaultValue);
+    }
+
+    /** Returns an optional nested mapping. */
+    public <T> Optional<T> mapping(String key, Function<YamlMapping, T> mapper) {
+        Node value = value(key);
+        if (value == null) {
+            return Optional.empty();
+        }
+        return Optional.ofNullable(map(value, path(key), mapper));
+    }
+
+    /** Returns the elements of an optional list of mappings. */
+    public <T> List<T> list(String key, Function<YamlMapping, T> mapper) {
+        List<T> elements = new ArrayList<>();
+        List<Node> nodes = sequence(key, "a list of mappings");
+        for (int i = 0; i < nodes.size(); i++) {
+            T element = map(nodes.get(i), path(key) + "[" + i + "]", mapper);
+            if (element != null) {
+                elements.add(element);
+            }
+        }
+        return elements;
+    }
+
+    /** Returns the elements of an optional list of texts. */
+    public List<String> texts(String key) {
+        return sequence(key, "a list of texts").stream()
+                .filter(ScalarNode.class::isInstance)
+                .map(n -> ((ScalarNode) n).getValue())
+                .toList();
+    }
+
+    /** Returns the constant's name as it is written in files. */
+    public static String written(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    void reportUnknownKeys() {
+        values.forEach((key, value) -> {
+            if (!known.contains(key)) {
+                report(Fault.Kind.UNKNOWN_KEY, key, key, "one of " + String.join(", ", known));
+            }
+        });
+    }
+
+    private void addValue(NodeTuple tuple) {
+        String key = tuple.getKeyNode() instanceof ScalarNode s ? s.getValue() : "?";
+        if (values.put(key, tuple.getValueNode()) != null) {
+            faults.add(new Fault(Fault.Kind.DUPLICATE, path(key), line(tuple.getKeyNode()), key, "each key once"));
+        }
+    }
+
+    private Node value(String key) {
+        known.add(key);
+        return values.get(key);
+    }
+
+    private Optional<String> scalar(String key, String allowed) {
+        Node value = value(key);
+        if (value == null || value instanceof ScalarNode) {
+            return Optional.ofNullable((ScalarNode) value).map(ScalarNode::getValue);
+        }
+        report(Fault.Kind.WRONG_TYPE, key, "a " + value.getNodeId(), allowed);
+        return Optional.of("");
+    }
+
+    private Optional<Double> number(String key, double least, double most) {
+        Optional<String> text = scalar(key, range(least, most));
+        if (text.isEmpty() || text.get().isEmpty() && !(values.get(key) instanceof ScalarNode)) {
+            return text.map(t -> least);
+        }
+        try {
+            double value = Double.parseDouble(text.get());
+            boolean isWithin = value >= least && value <= most;
+            if (!isWithin) {
+                report(Fault.Kind.OUT_OF_RANGE, key, text.get(), range(least, most));
+            }
+            return Optional.of(isWithin ? value : least);
+        } catch (NumberFormatException e) {
+            report(Fault.Kind.WRONG_TYPE, key, text.get(), range(least, most));
+            return Optional.of(least);
+        }
+    }
+
+    private List<Node> sequence(String key, String allowed) {
+        Node value = value(key);
+        if (value == null) {
+            return List.of();
+        }
+        if (value instanceof SequenceNode s) {
+            return s.getValue();
+        }
+        report(Fault.Kind.WRONG_TYPE, key, "a " + value.getNodeId(), allowed);
+        return List.of();
+    }
+
+    private <T> T map(Node value, String valuePath, Function<YamlMapping, T> mapper) {
+        if (value instanceof MappingNode m) {
+            YamlMapping mapping = new YamlMapping(m, valuePath, faults);
+            T mapped = mapper.apply(mapping);
+            mapping.reportUnknownKeys();
+            return mapped;
+        }
+        faults.add(new Fault(Fault.Kind.WRONG_TYPE, valuePath, line(value), "a " + value.getNodeId(), "a mapping"));
+        return null;
+    }
+
+    private <T> T missing(String key, String allowed, T defaultValue) {
+        report(Fault.Kind.MISSING_KEY, key, "nothing", allowed);
+        return defaultValue;
+    }
+
+    private static String range(double least, double most) {
+        return String.format(Locale.ROOT, "a number from %s to %s", trim(least), trim(most));
+    }
+
+    private static String trim(double value) {
+        return value == Math.rint(value) ? Long.toString((long) value) : Double.toString(value);
+    }
+
+    private static int line(Node node) {
+        return node.getStartMark().getLine() + 1;
+    }
+}
