Prove the call engine under faults in virtual time, and choose the routing policy by measurement

Cause: nothing showed that the promises hold under faults, nor that the routing policy is worth its name.

Change: a model of a deployment in virtual time around the real call engines (servers with slots, queues, crashes and silent connections; callers that send again), the history checker over it, engine features that can be switched off, and a bench of six policies.

Without TICKETS and without SAFE_RETRIES a crash gives double runs; without SUSPECT_ISOLATION a crashing request brings down more than 3 servers; without DRAIN a leaving server still gets work after 3 s.

Found by the proofs: a callout answered with a server's own 500 was remembered as run, so that a repetition was told "already run" although no server had run it. Such a ticket now counts as "may have run" (regression: FAIL_FAST cases).

--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/PolicyBench.java
@@ -0,0 +1,111 @@
+package org.hyssophitch.bench;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Stream;
+
+import org.HdrHistogram.Histogram;
+import org.hyssophitch.bench.model.ModelCallers;
+import org.hyssophitch.bench.model.ModelRun;
+import org.hyssophitch.bench.model.ModelServer;
+import org.hyssophitch.core.call.EngineFeature;
+import org.hyssophitch.core.configuration.RoutingKind;
+import org.hyssophitch.standin.CallRecord;
+import org.hyssophitch.standin.Deployment;
+import org.hyssophitch.wire.yaml.YamlMapping;
+
+/** Compares routing policies in virtual time: same seeds and same load for each. Stateless. */
+public final class PolicyBench {
+
+    /** Disturbance of a run. */
+    public enum Scenario {
+        CALM,
+        /** One server of each service takes ten times as long. */
+        STRAGGLER,
+        /** Every load figure is half a second old when it is reported. */
+        OLD_REPORTS
+    }
+
+    /** Shares of the slots that the requests keep busy, in percent. */
+    public static final List<Integer> LOADS_PERCENT = List.of(50, 70, 85, 95);
+
+    private static final double STRAGGLER_FACTOR = 10;
+    private static final long OLD_MICROS = 500_000;
+    private static final double PERCENT = 100;
+    private static final double MICROS_PER_MILLI = 1_000;
+    private static final long DRAIN_MICROS = 30_000_000;
+
+    private PolicyBench() {}
+
+    /**
+     * Runs every policy.
+     *
+     * @param deployments deployments to model
+     * @param seconds length of each run in virtual seconds
+     * @param seed seed of each run
+     */
+    public static List<PolicyRow> all(List<Deployment> deployments, double seconds, long seed) {
+        return deployments.parallelStream()
+                .flatMap(d -> Arrays.stream(Scenario.values()).flatMap(s -> LOADS_PERCENT.stream()
+                        .flatMap(l ->
+                                Stream.of(RoutingKind.values()).parallel().map(k -> run(d, s, l, k, seconds, seed)))))
+                .toList();
+    }
+
+    /** Runs one policy with every feature of the engine. */
+    public static PolicyRow run(
+            Deployment d, Scenario scenario, int loadPercent, RoutingKind policy, double seconds, long seed) {
+        ModelRun run = new ModelRun(d, seed, EngineFeature.all(), s -> s.withRouting(policy));
+        disturb(run, scenario);
+        long end = (long) (seconds * 1e6);
+        new ModelCallers(run, end).start(loadPercent / PERCENT);
+        run.runUntil(end + DRAIN_MICROS);
+        return row(run, scenario, loadPercent, policy);
+    }
+
+    private static void disturb(ModelRun run, Scenario scenario) {
+        for (Deployment.Server s : run.deployment().servers()) {
+            ModelServer server = run.server(s.name());
+            boolean isFirst = s.name().endsWith("-1");
+            if (scenario == Scenario.STRAGGLER && isFirst) {
+                server.setSlowFactor(STRAGGLER_FACTOR);
+            }
+            if (scenario == Scenario.OLD_REPORTS) {
+                server.setReportLag(OLD_MICROS, false);
+            }
+        }
+    }
+
+    private static PolicyRow row(ModelRun run, Scenario scenario, int loadPercent, RoutingKind policy) {
+        Histogram critical =
+                new Histogram(run.latency(run.deployment().services().get(0).name()));
+        critical.reset();
+        Histogram bulk = critical.copy();
+        run.deployment().services().forEach(s -> {
+            boolean isBulk = s.answerBytes() > 1_000;
+            (isBulk ? bulk : critical).add(run.latency(s.name()));
+        });
+        long refused = run.calls().stream()
+                .filter(c -> c.last() != CallRecord.Answer.COMPLETED && c.last() != CallRecord.Answer.ALREADY_RUN)
+                .count();
+        long runs = run.runs().runs().values().stream().mapToLong(List::size).sum();
+        return new PolicyRow(
+                run.deployment().name().toLowerCase(Locale.ROOT),
+                YamlMapping.written(scenario),
+                loadPercent,
+                YamlMapping.written(policy),
+                run.calls().size(),
+                millis(critical, 50),
+                millis(critical, 99),
+                millis(critical, 99.9),
+                millis(bulk, 99),
+                refused,
+                runs / (double) Math.max(1, run.calls().size()),
+                run.violations().size());
+    }
+
+    private static double millis(Histogram h, double percentile) {
+        return h.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelCallers.java
@@ -0,0 +1,174 @@
+package org.hyssophitch.bench.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.hyssophitch.core.atmostonce.Ticket;
+import org.hyssophitch.core.call.CallRequest;
+import org.hyssophitch.core.call.Reason;
+import org.hyssophitch.standin.CallRecord;
+import org.hyssophitch.standin.CallRecord.Answer;
+import org.hyssophitch.standin.Deployment;
+
+/**
+ * Model of the callers: requests that arrive at random times, are sent to an entry host, and are sent again as the
+ * answers allow. Not thread-safe; one run owns it.
+ */
+public final class ModelCallers {
+
+    private static final long CLIENT_MICROS = 1_000;
+    private static final long BROKEN_PAUSE_MICROS = 20_000;
+    private static final long MICROS_PER_MILLI = 1_000;
+    private static final double MICROS_PER_SECOND = 1_000_000;
+    private static final int MAX_SENDINGS = 6;
+
+    private final ModelRun run;
+    private final SplittableRandom random;
+    private final long endMicros;
+
+    /** One request on its way. */
+    private static final class Request {
+        private final String id;
+        private final Deployment.ServiceSize service;
+        private final Optional<Ticket> ticket;
+        private final String fingerprint;
+        private final long startedMicros;
+        private final List<Answer> answers = new ArrayList<>();
+
+        private Request(
+                String id,
+                Deployment.ServiceSize service,
+                Optional<Ticket> ticket,
+                String fingerprint,
+                long startedMicros) {
+            this.id = id;
+            this.service = service;
+            this.ticket = ticket;
+            this.fingerprint = fingerprint;
+            this.startedMicros = startedMicros;
+        }
+    }
+
+    /**
+     * Creates callers for a run.
+     *
+     * @param run the run
+     * @param endMicros time in microseconds after which no request starts
+     */
+    public ModelCallers(ModelRun run, long endMicros) {
+        this.run = run;
+        this.random = run.random().split();
+        this.endMicros = endMicros;
+    }
+
+    /**
+     * Lets requests for every service arrive.
+     *
+     * @param share share of all slots that the requests keep busy on average
+     */
+    public void start(double share) {
+        run.deployment().services().forEach(s -> {
+            double capacity = s.servers() * Deployment.SLOTS * MICROS_PER_SECOND / (s.workMillis() * MICROS_PER_MILLI);
+            arriveNext(s, capacity * share);
+        });
+    }
+
+    /** Sends one request now that crashes each server that runs it. */
+    public void sendPoison(Deployment.ServiceSize service, String content) {
+        begin(service, Optional.of("poison-" + content));
+    }
+
+    private void arriveNext(Deployment.ServiceSize service, double perSecond) {
+        long gap = (long) (-Math.log(1 - random.nextDouble()) / perSecond * MICROS_PER_SECOND);
+        run.time().after(gap, () -> {
+            if (run.time().nowMicros() < endMicros) {
+                begin(service, Optional.empty());
+                arriveNext(service, perSecond);
+            }
+        });
+    }
+
+    private void begin(Deployment.ServiceSize service, Optional<String> content) {
+        ModelEntryHost host = pick();
+        Optional<Ticket> ticket = service.isNonIdempotent() ? Optional.of(host.issueTicket()) : Optional.empty();
+        String id = ticket.map(Ticket::format).orElseGet(() -> "r" + run.nextCallId());
+        send(new Request(id, service, ticket, content.orElse(id), run.time().nowMicros()), host);
+    }
+
+    private ModelEntryHost pick() {
+        List<ModelEntryHost> live =
+                run.hosts().stream().filter(h -> !h.isDead()).toList();
+        return live.get(random.nextInt(live.size()));
+    }
+
+    private void send(Request r, ModelEntryHost host) {
+        CallRequest call = new CallRequest(
+                run.nextCallId(),
+                r.id,
+                r.service.name(),
+                !r.service.isNonIdempotent(),
+                r.ticket,
+                CallRequest.NO_DEADLINE,
+                0,
+                true,
+                true,
+                r.fingerprint);
+        run.time().after(CLIENT_MICROS, () -> {
+            if (host.isDead()) {
+                onAnswer(r, host, Answer.BROKEN, BROKEN_PAUSE_MICROS, "");
+            } else {
+                host.call(call, a -> run.time().after(CLIENT_MICROS, () -> onReply(r, host, a)));
+            }
+        });
+    }
+
+    private void onReply(Request r, ModelEntryHost host, ModelEntryHost.Answer a) {
+        long pause = Math.max(1, a.retryAfterMillis()) * MICROS_PER_MILLI;
+        if (a.isBroken()) {
+            onAnswer(r, host, Answer.BROKEN, BROKEN_PAUSE_MICROS, "");
+            return;
+        }
+        Answer answer =
+                switch (a.outcome()) {
+                    case COMPLETED -> completed(a);
+                    case NOT_RUN -> Answer.NOT_RUN;
+                    case UNKNOWN -> Answer.UNKNOWN;
+                };
+        onAnswer(r, host, answer, pause, a.detail());
+    }
+
+    private static Answer completed(ModelEntryHost.Answer a) {
+        if (a.isServerError()) {
+            return Answer.SERVER_ERROR;
+        }
+        return a.reason() == Reason.ANSWERED ? Answer.COMPLETED : Answer.ALREADY_RUN;
+    }
+
+    private void onAnswer(Request r, ModelEntryHost host, Answer answer, long pauseMicros, String elsewhere) {
+        r.answers.add(answer);
+        if (isFinal(r, answer)) {
+            long elapsed = run.time().nowMicros() - r.startedMicros;
+            run.record(new CallRecord(
+                    r.id, r.service.name(), !r.service.isNonIdempotent(), List.copyOf(r.answers), elapsed));
+            return;
+        }
+        ModelEntryHost next = run.hosts().stream()
+                .filter(h -> h.name().equals(elsewhere) && !h.isDead())
+                .findFirst()
+                .orElseGet(this::pick);
+        run.time().after(pauseMicros, () -> send(r, next));
+    }
+
+    private static boolean isFinal(Request r, Answer answer) {
+        if (r.answers.size() >= MAX_SENDINGS) {
+            return true;
+        }
+        return switch (answer) {
+            case COMPLETED, ALREADY_RUN, WRONG -> true;
+            case NOT_RUN, BROKEN, SERVER_ERROR -> false;
+            case UNKNOWN -> r.service.isNonIdempotent() && r.answers.size() > 1;
+        };
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
@@ -0,0 +1,264 @@
+package org.hyssophitch.bench.model;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+import org.hyssophitch.core.atmostonce.Ticket;
+import org.hyssophitch.core.call.AttemptResult;
+import org.hyssophitch.core.call.AttemptResult.LostCause;
+import org.hyssophitch.core.call.AttemptResult.NotRunCause;
+import org.hyssophitch.core.call.CallAction;
+import org.hyssophitch.core.call.CallEngine;
+import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.CallRequest;
+import org.hyssophitch.core.call.EngineSettings;
+import org.hyssophitch.core.call.Outcome;
+import org.hyssophitch.core.call.Reason;
+import org.hyssophitch.core.timeline.EventRecorder;
+
+/**
+ * Model of one entry host: a real call engine, with delays and connections to the model's servers. Not thread-safe; one
+ * run owns it.
+ */
+public final class ModelEntryHost {
+
+    /**
+     * What a caller gets back.
+     *
+     * @param reason why the call ended
+     * @param isBroken whether the connection broke in place of an answer
+     * @param isServerError whether the answer is a backend server's error
+     * @param retryAfterMillis when to come back, in milliseconds
+     * @param detail host to use for a ticket issued elsewhere
+     */
+    public record Answer(Reason reason, boolean isBroken, boolean isServerError, long retryAfterMillis, String detail) {
+
+        Outcome outcome() {
+            return reason.outcome();
+        }
+    }
+
+    private static final long SAME_ZONE_MICROS = 50;
+    private static final long OTHER_ZONE_MICROS = 500;
+    private static final long CONNECT_MICROS = 1_000;
+    private static final long TICK_MICROS = 1_000;
+    private static final long FRESH_MICROS = 500_000;
+    private static final long MICROS_PER_MILLI = 1_000;
+    private static final int OK = 200;
+    private static final int SERVER_ERROR = 500;
+
+    private record Connection(int epoch, long usedMicros, boolean isSilent) {}
+
+    private record Running(ModelServer server, ModelServer.Job job) {}
+
+    private final String name;
+    private final String zone;
+    private final VirtualTime time;
+    private final Map<String, ModelServer> servers;
+    private final CallEngine engine;
+    private final Map<Long, Consumer<Answer>> callers = new HashMap<>();
+    private final Map<Long, CallRequest> requests = new HashMap<>();
+    private final Map<Long, Map<Integer, Running>> running = new HashMap<>();
+    private final Map<String, Deque<Connection>> idle = new HashMap<>();
+    private final Consumer<CallAction.ShareSuspicions> onSuspicion;
+    private boolean isDead;
+    private boolean isTickScheduled;
+    private boolean isErrorRelayed;
+
+    ModelEntryHost(
+            EngineSettings settings,
+            VirtualTime time,
+            Map<String, ModelServer> servers,
+            SplittableRandom random,
+            EventRecorder recorder,
+            Consumer<CallAction.ShareSuspicions> onSuspicion) {
+        this.name = settings.host();
+        this.zone = settings.zone();
+        this.time = time;
+        this.servers = servers;
+        this.engine = new CallEngine(settings, random, recorder);
+        this.onSuspicion = onSuspicion;
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public String zone() {
+        return zone;
+    }
+
+    public CallEngine engine() {
+        return engine;
+    }
+
+    public boolean isDead() {
+        return isDead;
+    }
+
+    /** Kills the host: its callers' connections break, its attempts are cancelled. */
+    public void kill() {
+        isDead = true;
+        running.values().forEach(m -> m.values().forEach(r -> r.server().cancel(r.job())));
+        List<Consumer<Answer>> broken = List.copyOf(callers.values());
+        callers.clear();
+        broken.forEach(c -> c.accept(new Answer(Reason.CONNECTION_LOST, true, false, 0, "")));
+    }
+
+    /** Lets every idle connection to a server go silent. */
+    public void silence(String server) {
+        Deque<Connection> connections = idle.getOrDefault(server, new ArrayDeque<>());
+        List<Connection> silent = connections.stream()
+                .map(c -> new Connection(c.epoch(), c.usedMicros(), true))
+                .toList();
+        connections.clear();
+        connections.addAll(silent);
+    }
+
+    /** Issues a ticket. */
+    public Ticket issueTicket() {
+        return engine.issueTicket();
+    }
+
+    /** Takes a caller's request. */
+    void call(CallRequest request, Consumer<Answer> caller) {
+        callers.put(request.callId(), caller);
+        requests.put(request.callId(), request);
+        handle(new CallEvent.CallArrived(time.nowMicros(), request));
+    }
+
+    /** Gives the engine an event and carries out its actions. */
+    public void handle(CallEvent event) {
+        if (isDead) {
+            return;
+        }
+        engine.handle(event).forEach(this::carryOut);
+        scheduleTick();
+    }
+
+    private void scheduleTick() {
+        if (!isTickScheduled && engine.activeCalls() > 0) {
+            isTickScheduled = true;
+            time.after(TICK_MICROS, () -> {
+                isTickScheduled = false;
+                handle(new CallEvent.TimePassed(time.nowMicros()));
+            });
+        }
+    }
+
+    private void carryOut(CallAction action) {
+        switch (action) {
+            case CallAction.StartAttempt a -> start(a);
+            case CallAction.CancelAttempt a -> cancel(a.callId(), a.attempt());
+            case CallAction.RelayAnswer a -> relay(a.callId(), a.attempt());
+            case CallAction.AnswerCaller a ->
+                answer(a.callId(), new Answer(a.reason(), false, false, a.retryAfterMillis(), a.detail()));
+            case CallAction.BreakAnswer a -> answer(a.callId(), new Answer(a.reason(), true, false, 0, ""));
+            case CallAction.ShareSuspicions a -> onSuspicion.accept(a);
+        }
+    }
+
+    private void start(CallAction.StartAttempt a) {
+        ModelServer server = servers.get(a.server().name());
+        CallRequest request = requests.get(a.callId());
+        Connection connection = takeConnection(server, request.idempotent());
+        if (connection == null && server.isDown()) {
+            time.after(delay(server), () -> end(a, new AttemptResult.NotRun(NotRunCause.CONNECT_FAILED)));
+            return;
+        }
+        boolean isCrashing = request.fingerprint().startsWith("poison");
+        ModelServer.Job job = new ModelServer.Job(
+                request.requestId(), isCrashing, reply -> time.after(delay(server), () -> onReply(a, server, reply)));
+        running.computeIfAbsent(a.callId(), c -> new HashMap<>()).put(a.attempt(), new Running(server, job));
+        if (connection != null && connection.isSilent()) {
+            long stall = a.stallMillis() * MICROS_PER_MILLI;
+            time.after(stall, () -> endIfRunning(a, new AttemptResult.Lost(LostCause.STALLED)));
+            return;
+        }
+        long opening = connection == null ? CONNECT_MICROS : 0;
+        time.after(opening + delay(server), () -> server.receive(job));
+    }
+
+    /** Takes an idle connection that still stands, as the proxy's pool does; null when one has to be opened. */
+    private Connection takeConnection(ModelServer server, boolean isIdempotent) {
+        Deque<Connection> connections = idle.getOrDefault(server.name(), new ArrayDeque<>());
+        connections.removeIf(c -> c.epoch() != server.epoch());
+        long oldest = isIdempotent ? Long.MIN_VALUE : time.nowMicros() - FRESH_MICROS;
+        if (!isIdempotent) {
+            connections.removeIf(c -> c.usedMicros() < oldest);
+        }
+        return connections.pollLast();
+    }
+
+    private void onReply(CallAction.StartAttempt a, ModelServer server, ModelServer.Reply reply) {
+        Map<Integer, Running> attempts = running.getOrDefault(a.callId(), Map.of());
+        if (!attempts.containsKey(a.attempt())) {
+            return;
+        }
+        if (reply != ModelServer.Reply.LOST) {
+            idle.computeIfAbsent(server.name(), s -> new ArrayDeque<>())
+                    .addLast(new Connection(server.epoch(), time.nowMicros(), false));
+            handle(new CallEvent.ReportsReceived(time.nowMicros(), List.of(server.report())));
+        }
+        switch (reply) {
+            case ANSWERED -> handle(new CallEvent.AnswerStarted(time.nowMicros(), a.callId(), a.attempt(), OK));
+            case ERROR -> {
+                isErrorRelayed = true;
+                handle(new CallEvent.AnswerStarted(time.nowMicros(), a.callId(), a.attempt(), SERVER_ERROR));
+                isErrorRelayed = false;
+            }
+            case SHED -> endIfRunning(a, new AttemptResult.NotRun(NotRunCause.SHED));
+            case DRAINING -> endIfRunning(a, new AttemptResult.NotRun(NotRunCause.DRAINING));
+            case LOST -> endIfRunning(a, new AttemptResult.Lost(LostCause.CONNECTION_LOST));
+            default -> throw new IllegalStateException("no such reply: " + reply);
+        }
+    }
+
+    private void endIfRunning(CallAction.StartAttempt a, AttemptResult result) {
+        Map<Integer, Running> attempts = running.getOrDefault(a.callId(), new HashMap<>());
+        if (attempts.remove(a.attempt()) != null) {
+            end(a, result);
+        }
+    }
+
+    private void end(CallAction.StartAttempt a, AttemptResult result) {
+        handle(new CallEvent.AttemptEnded(time.nowMicros(), a.callId(), a.attempt(), result));
+    }
+
+    private void relay(long callId, int attempt) {
+        boolean isServerError = isErrorRelayed;
+        Map<Integer, Running> attempts = running.getOrDefault(callId, new HashMap<>());
+        attempts.remove(attempt);
+        answer(callId, new Answer(Reason.ANSWERED, false, isServerError, 0, ""));
+        time.after(
+                0,
+                () -> handle(
+                        new CallEvent.AttemptEnded(time.nowMicros(), callId, attempt, new AttemptResult.Completed())));
+    }
+
+    private void cancel(long callId, int attempt) {
+        Map<Integer, Running> attempts = running.getOrDefault(callId, new HashMap<>());
+        Running r = attempts.remove(attempt);
+        if (r != null) {
+            time.after(delay(r.server()), () -> r.server().cancel(r.job()));
+        }
+    }
+
+    private void answer(long callId, Answer answer) {
+        running.remove(callId);
+        requests.remove(callId);
+        Consumer<Answer> caller = callers.remove(callId);
+        if (caller != null) {
+            caller.accept(answer);
+        }
+    }
+
+    private long delay(ModelServer server) {
+        return server.zone().equals(zone) ? SAME_ZONE_MICROS : OTHER_ZONE_MICROS;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelFault.java
@@ -0,0 +1,84 @@
+package org.hyssophitch.bench.model;
+
+import java.util.Set;
+
+import org.hyssophitch.standin.Deployment;
+
+/** Faults that a model run can be given; each works on one server or entry host. */
+public enum ModelFault {
+    STRAGGLER,
+    FAIL_FAST,
+    SHED,
+    DRAIN,
+    SERVER_CRASH,
+    CRASHING_REQUEST,
+    SILENT_CONNECTIONS,
+    OLD_REPORTS,
+    FALSE_REPORTS,
+    HOST_KILLED,
+    HOST_REPLACED;
+
+    private static final double SLOW = 20;
+    private static final long OLD_MICROS = 500_000;
+
+    /**
+     * Starts the fault.
+     *
+     * @param run run that gets it
+     * @param callers callers of the run
+     * @param target number that selects the server or entry host
+     */
+    public void begin(ModelRun run, ModelCallers callers, int target) {
+        ModelServer server = server(run, target);
+        switch (this) {
+            case STRAGGLER -> server.setSlowFactor(SLOW);
+            case FAIL_FAST -> server.setFailingFast(true);
+            case SHED -> server.setShedding(true);
+            case DRAIN -> {
+                server.setDraining(true);
+                run.announceLeaving(Set.of(server.name()));
+            }
+            case SERVER_CRASH -> server.crash();
+            case CRASHING_REQUEST -> callers.sendPoison(service(run, target), "content" + target);
+            case SILENT_CONNECTIONS -> run.hosts().forEach(h -> h.silence(server.name()));
+            case OLD_REPORTS -> server.setReportLag(OLD_MICROS, true);
+            case FALSE_REPORTS -> server.setFalseLoad(0);
+            case HOST_KILLED -> kill(run, target);
+            case HOST_REPLACED -> run.replace(host(run, target));
+            default -> throw new IllegalStateException("no such fault: " + this);
+        }
+    }
+
+    /** Ends the fault, where it doesn't end by itself. */
+    public void end(ModelRun run, int target) {
+        ModelServer server = server(run, target);
+        server.setSlowFactor(1);
+        server.setFailingFast(false);
+        server.setShedding(false);
+        server.setDraining(false);
+        server.setReportLag(0, false);
+        server.setFalseLoad(-1);
+        if (this == DRAIN) {
+            run.announceLeaving(Set.of());
+        }
+    }
+
+    private static void kill(ModelRun run, int target) {
+        host(run, target).kill();
+        run.publishIssuers();
+    }
+
+    private static ModelServer server(ModelRun run, int target) {
+        return run.server(service(run, target).name() + "-1");
+    }
+
+    private static Deployment.ServiceSize service(ModelRun run, int target) {
+        return run.deployment()
+                .services()
+                .get(target % run.deployment().services().size());
+    }
+
+    private static ModelEntryHost host(ModelRun run, int target) {
+        return run.hosts().get(target % run.hosts().size());
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelRun.java
@@ -0,0 +1,188 @@
+package org.hyssophitch.bench.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
+
+import org.HdrHistogram.Histogram;
+import org.hyssophitch.core.atmostonce.IssuerView;
+import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.EngineFeature;
+import org.hyssophitch.core.call.EngineSettings;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.Service;
+import org.hyssophitch.core.timeline.EventRecorder;
+import org.hyssophitch.document.DocumentReader;
+import org.hyssophitch.standin.CallRecord;
+import org.hyssophitch.standin.Deployment;
+import org.hyssophitch.standin.DeploymentFiles;
+import org.hyssophitch.standin.HistoryChecker;
+import org.hyssophitch.standin.RunHistory;
+import org.hyssophitch.wire.yaml.YamlResult;
+
+/**
+ * One run of a deployment in virtual time: real call engines on all entry hosts, model servers, model callers. Not
+ * thread-safe; used once.
+ */
+public final class ModelRun {
+
+    /** Largest latency in microseconds that histograms hold. */
+    private static final long MAX_LATENCY_MICROS = 60_000_000;
+
+    private static final long SHARING_MICROS = 2_000;
+    private static final long FIRST_INCARNATION = 1;
+    private static final int HISTOGRAM_DIGITS = 3;
+
+    private final VirtualTime time = new VirtualTime();
+    private final Deployment deployment;
+    private final SplittableRandom random;
+    private final Map<String, ModelServer> servers = new TreeMap<>();
+    private final List<ModelEntryHost> hosts = new ArrayList<>();
+    private final Map<ModelEntryHost, Long> incarnations = new HashMap<>();
+    private final RunHistory runs = new RunHistory();
+    private final Map<String, Histogram> latencies = new LinkedHashMap<>();
+    private final List<CallRecord> calls = new ArrayList<>();
+    private final Set<EngineFeature> features;
+    private final Configuration configuration;
+    private long nextCallId;
+
+    /**
+     * Creates a run in which every entry host knows the configuration.
+     *
+     * @param deployment deployment to model
+     * @param seed seed of all randomness
+     * @param features behaviour of the engines that is switched on
+     * @param rules changes the rules of each service
+     */
+    public ModelRun(Deployment deployment, long seed, Set<EngineFeature> features, UnaryOperator<Service> rules) {
+        this.deployment = deployment;
+        this.random = new SplittableRandom(seed);
+        this.features = features;
+        this.configuration = configuration(deployment, rules);
+        deployment.servers().forEach(s -> servers.put(s.name(), new ModelServer(s, time, runs, random.split())));
+        deployment.entryHosts().forEach(h -> hosts.add(newHost(h.name(), h.zone(), FIRST_INCARNATION)));
+        deployment
+                .services()
+                .forEach(s -> latencies.put(s.name(), new Histogram(MAX_LATENCY_MICROS, HISTOGRAM_DIGITS)));
+        publishIssuers();
+    }
+
+    public VirtualTime time() {
+        return time;
+    }
+
+    public Deployment deployment() {
+        return deployment;
+    }
+
+    /** Finds a server by name. */
+    public ModelServer server(String name) {
+        return servers.get(name);
+    }
+
+    /** Returns the entry hosts, dead ones included. */
+    public List<ModelEntryHost> hosts() {
+        return hosts;
+    }
+
+    /** Returns what the servers ran. */
+    public RunHistory runs() {
+        return runs;
+    }
+
+    /** Returns the number of server crashes so far. */
+    public int crashes() {
+        return servers.values().stream().mapToInt(ModelServer::epoch).sum();
+    }
+
+    /** Returns what the callers recorded. */
+    public List<CallRecord> calls() {
+        return calls;
+    }
+
+    /** Returns the latency in microseconds of the calls of one service. */
+    public Histogram latency(String service) {
+        return latencies.get(service);
+    }
+
+    /** Returns every violation of what must always hold. */
+    public List<HistoryChecker.Violation> violations() {
+        return HistoryChecker.check(calls, runs.runs());
+    }
+
+    /** Runs until a time in microseconds. */
+    public void runUntil(long endMicros) {
+        time.runUntil(endMicros);
+    }
+
+    /** Tells every entry host at once that servers are leaving. */
+    public void announceLeaving(Set<String> leaving) {
+        hosts.forEach(h -> h.handle(new CallEvent.LeavingChanged(time.nowMicros(), leaving, "platform")));
+    }
+
+    /** Replaces an entry host by one of the same name and a new incarnation, and tells the others. */
+    public void replace(ModelEntryHost old) {
+        old.kill();
+        int index = hosts.indexOf(old);
+        hosts.set(index, newHost(old.name(), old.zone(), FIRST_INCARNATION + time.nowMicros() + 1));
+        publishIssuers();
+    }
+
+    SplittableRandom random() {
+        return random;
+    }
+
+    long nextCallId() {
+        nextCallId++;
+        return nextCallId;
+    }
+
+    void record(CallRecord call) {
+        calls.add(call);
+        latencies.get(call.service()).recordValue(Math.min(MAX_LATENCY_MICROS, call.elapsedMicros()));
+    }
+
+    /** Tells every entry host which processes issue tickets. */
+    public void publishIssuers() {
+        Map<String, Long> live = hosts.stream()
+                .filter(h -> !h.isDead())
+                .collect(Collectors.toMap(ModelEntryHost::name, incarnations::get));
+        IssuerView view = host -> live.getOrDefault(host, IssuerView.GONE);
+        hosts.forEach(h -> h.handle(new CallEvent.IssuersChanged(time.nowMicros(), view)));
+    }
+
+    private ModelEntryHost newHost(String name, String zone, long incarnation) {
+        EngineSettings settings = new EngineSettings(name, zone, incarnation).withFeatures(features);
+        ModelEntryHost host = new ModelEntryHost(
+                settings,
+                time,
+                servers,
+                random.split(),
+                EventRecorder.NONE,
+                shared -> time.after(
+                        SHARING_MICROS,
+                        () -> hosts.forEach(h ->
+                                h.handle(new CallEvent.SuspicionsReceived(time.nowMicros(), shared.suspicions())))));
+        incarnations.put(host, incarnation);
+        host.handle(new CallEvent.ConfigurationAccepted(time.nowMicros(), configuration));
+        return host;
+    }
+
+    private static Configuration configuration(Deployment d, UnaryOperator<Service> rules) {
+        return switch (DocumentReader.read(DeploymentFiles.document(d))) {
+            case YamlResult.Valid<Configuration> v ->
+                v.value()
+                        .withVersion(1)
+                        .withServices(v.value().services().stream().map(rules).toList());
+            case YamlResult.Invalid<Configuration> i ->
+                throw new IllegalStateException(i.faults().toString());
+        };
+    }
+}
--- a/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
@@ -157,7 +157,12 @@
     /** Returns whether the rules allow one more attempt, budgets aside. */
     boolean mayTryAgain() {
         boolean isSafe = request.idempotent() || !mayHaveRun && attempts.isEmpty();
+        return isSafe && request.mayRetry() && request.replayable() && hasAttemptsLeft();
+    }
+
+    /** Returns whether the bound on attempts allows one more. */
+    boolean hasAttemptsLeft() {
         int most = Math.min(MAX_ATTEMPTS - 1, service.service().retry().maxAttempts());
-        return isSafe && request.mayRetry() && request.replayable() && attemptsStarted < most && !isRelaying();
+        return attemptsStarted < most && !isRelaying();
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
@@ -94,7 +94,7 @@
         boolean mayRetry = call.request().idempotent() && call.mayTryAgain();
         boolean hasOther =
                 call.service().untried(call.tried()).stream().anyMatch(s -> s != a.server() && s.isEligible(nowMicros));
-        if (!mayRetry || !hasOther || !call.service().retries().trySpend()) {
+        if (!mayRetry || !hasOther || !tryRetry(call)) {
             return false;
         }
         call.onLoss(Reason.ANSWER_BROKEN);
@@ -106,7 +106,7 @@
     private void onNotRun(ActiveCall call, ActiveCall.Attempt a, AttemptResult.NotRun result, long nowMicros) {
         switch (result.cause()) {
             case CONNECT_FAILED -> noteFailure(call, a.server(), nowMicros);
-            case SHED -> a.server().limit().onShed(a.server().inFlight() + 1, nowMicros);
+            case SHED -> noteShed(a.server(), nowMicros);
             case DRAINING -> a.server().health().onCancelled();
             default -> throw new IllegalStateException("no such cause: " + result.cause());
         }
@@ -134,7 +134,7 @@
         if (!call.attempts().isEmpty()) {
             return;
         }
-        if (state.suspects().verdict(call.request().fingerprint(), nowMicros) == Verdict.CONVICTED) {
+        if (starter.verdict(call, nowMicros) == Verdict.CONVICTED) {
             recordVerdict(
                     call,
                     Verdict.CONVICTED,
@@ -143,20 +143,37 @@
             finisher.answer(call, giveUp, nowMicros);
             return;
         }
-        if (call.mayTryAgain() && call.service().retries().trySpend()) {
+        if (mayTryAgain(call) && tryRetry(call)) {
             starter.startOrQueue(call, AttemptStarter.Cause.RETRY, nowMicros);
         } else {
             finisher.answer(call, giveUp, nowMicros);
         }
     }
 
+    private boolean mayTryAgain(ActiveCall call) {
+        return call.mayTryAgain() || !state.isOn(EngineFeature.SAFE_RETRIES) && call.hasAttemptsLeft();
+    }
+
+    private boolean tryRetry(ActiveCall call) {
+        return !state.isOn(EngineFeature.RETRY_BUDGET)
+                || call.service().retries().trySpend();
+    }
+
     private void noteFailure(ActiveCall call, ServerState server, long nowMicros) {
-        boolean mayEject = call.service().mayEject(server, nowMicros);
+        boolean mayEject =
+                state.isOn(EngineFeature.OUTLIER_DETECTION) && call.service().mayEject(server, nowMicros);
         if (server.health().onFailure(mayEject, nowMicros)) {
             recordHealth(server, "EJECTED", nowMicros);
         }
     }
 
+    private void noteShed(ServerState server, long nowMicros) {
+        server.health().onCancelled();
+        if (state.isOn(EngineFeature.ADAPTIVE_LIMIT)) {
+            server.limit().onShed(server.inFlight() + 1, nowMicros);
+        }
+    }
+
     private void noteCrash(ServerState server, long nowMicros) {
         Set<String> inFlight = state.calls().values().stream()
                 .filter(c -> c.attempts().stream().anyMatch(a -> a.server() == server))
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
@@ -75,7 +75,10 @@
     /** Starts a second attempt of a late call when rules and budget allow it. */
     void hedge(ActiveCall call, int lateAttempt, long nowMicros) {
         boolean isLate = call.attempt(lateAttempt) != null && call.attempts().size() == 1;
-        boolean isAllowed = isLate && call.mayTryAgain() && call.request().idempotent();
+        boolean isAllowed = state.isOn(EngineFeature.HEDGING)
+                && isLate
+                && call.mayTryAgain()
+                && call.request().idempotent();
         if (!isAllowed || verdict(call, nowMicros) != Verdict.CLEAR) {
             return;
         }
@@ -100,7 +103,9 @@
 
     private void enqueue(ActiveCall call, long nowMicros) {
         ServiceState service = call.service();
-        if (nowMicros + service.estimatedWaitMicros() > call.request().deadlineMicros()) {
+        boolean isTooLate =
+                nowMicros + service.estimatedWaitMicros() > call.request().deadlineMicros();
+        if (isTooLate && state.isOn(EngineFeature.EARLY_REFUSAL)) {
             finisher.answer(call, notRunReason(call, Reason.DEADLINE_TOO_SHORT), nowMicros);
         } else if (service.queue().offer(call.waiting())) {
             state.record(
@@ -136,7 +141,8 @@
     }
 
     private void emitStart(ActiveCall call, ActiveCall.Attempt a) {
-        boolean mayRetryBelow = call.request().mayRetry() && a.number() == 1;
+        boolean mayRetryBelow =
+                !state.isOn(EngineFeature.RETRY_BUDGET) || call.request().mayRetry() && a.number() == 1;
         state.emit(new CallAction.StartAttempt(
                 call.callId(),
                 a.number(),
@@ -160,7 +166,11 @@
                 .add(new EngineState.Timer(nowMicros + after, call.callId(), a.number(), EngineState.TimerKind.HEDGE));
     }
 
-    private Verdict verdict(ActiveCall call, long nowMicros) {
+    /** Returns what may be done with a call's request. */
+    Verdict verdict(ActiveCall call, long nowMicros) {
+        if (!state.isOn(EngineFeature.SUSPECT_ISOLATION)) {
+            return Verdict.CLEAR;
+        }
         return state.suspects().verdict(call.request().fingerprint(), nowMicros);
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -108,7 +108,7 @@
                 call,
                 new EventBody.CallArrived(
                         request.service(), request.idempotent(), call.request().deadlineMicros(), request.depth()));
-        if (state.suspects().verdict(request.fingerprint(), nowMicros) == Verdict.CONVICTED) {
+        if (starter.verdict(call, nowMicros) == Verdict.CONVICTED) {
             refuse(request, Reason.REQUEST_CONVICTED, "");
         } else if (request.ticket().isEmpty() || admitTicket(request)) {
             admit(call, nowMicros);
@@ -125,6 +125,9 @@
     }
 
     private boolean admitTicket(CallRequest request) {
+        if (!state.isOn(EngineFeature.TICKETS)) {
+            return true;
+        }
         TicketDecision decision = state.tickets().admit(request.ticket().orElseThrow(), state.issuers());
         switch (decision) {
             case TicketDecision.Run d -> {
@@ -208,9 +211,9 @@
     }
 
     private ServerState defineServer(BackendServer server, int maxEntryHosts) {
-        int share = server.connectionShare(maxEntryHosts);
-        ServerState known = state.servers().computeIfAbsent(server.name(), n -> new ServerState(server, share));
-        known.redefine(server, share);
+        int limit = server.attemptLimit(maxEntryHosts);
+        ServerState known = state.servers().computeIfAbsent(server.name(), n -> new ServerState(server, limit));
+        known.redefine(server, limit);
         return known;
     }
 
@@ -234,7 +237,7 @@
             ServerState server = state.servers().get(r.server());
             if (server != null) {
                 boolean wasLeaving = server.isLeaving();
-                server.onReport(r);
+                server.onReport(state.isOn(EngineFeature.DRAIN) ? r : r.withDraining(false));
                 recordLeaving(server, wasLeaving, "report", nowMicros);
             }
         });
@@ -243,7 +246,7 @@
     private void onLeaving(Set<String> leaving, String source, long nowMicros) {
         state.servers().values().forEach(s -> {
             boolean wasLeaving = s.isLeaving();
-            s.setLeaving(leaving.contains(s.name()));
+            s.setLeaving(state.isOn(EngineFeature.DRAIN) && leaving.contains(s.name()));
             recordLeaving(s, wasLeaving, source, nowMicros);
         });
         state.services().values().forEach(s -> starter.startWaiting(s, nowMicros));
--- a/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.hyssophitch.core.atmostonce.Ticket;
 import org.hyssophitch.core.timeline.EventBody;
 
 /**
@@ -11,6 +12,7 @@
 
     private static final long MIN_RETRY_AFTER_MILLIS = 50;
     private static final long SHORT_RETRY_AFTER_MILLIS = 1_000;
+    private static final int FIRST_SERVER_ERROR = 500;
     private static final long MICROS_PER_MILLI = 1_000;
 
     private final EngineState state;
@@ -107,10 +109,19 @@
         }
     }
 
+    /** A server's own error doesn't tell whether the request ran. */
+    private void settleAnswered(Ticket t, int status) {
+        if (status >= FIRST_SERVER_ERROR) {
+            state.tickets().onMayHaveRun(t);
+        } else {
+            state.tickets().onRun(t, status);
+        }
+    }
+
     private void settleTicket(ActiveCall call, Reason reason, int status) {
         call.request().ticket().ifPresent(t -> {
             switch (reason.outcome()) {
-                case COMPLETED -> state.tickets().onRun(t, status);
+                case COMPLETED -> settleAnswered(t, status);
                 case NOT_RUN -> state.tickets().onNotRun(t);
                 case UNKNOWN -> state.tickets().onMayHaveRun(t);
                 default -> throw new IllegalStateException("no such outcome: " + reason.outcome());
--- a/core/src/main/java/org/hyssophitch/core/call/EngineSettings.java
+++ b/core/src/main/java/org/hyssophitch/core/call/EngineSettings.java
@@ -1,5 +1,7 @@
 package org.hyssophitch.core.call;
 
+import java.util.Set;
+
 /**
  * Settings of a call engine that don't come from the configuration document. Immutable.
  *
@@ -7,14 +9,25 @@
  * @param zone availability zone of this entry host
  * @param incarnation incarnation of this process
  * @param maxBulkInFlight attempts of bulk services in flight at the same time, so that critical calls find room
+ * @param features behaviour that is switched on
  */
-public record EngineSettings(String host, String zone, long incarnation, int maxBulkInFlight) {
+public record EngineSettings(
+        String host, String zone, long incarnation, int maxBulkInFlight, Set<EngineFeature> features) {
 
     /** Default of {@link #maxBulkInFlight()}. */
     public static final int DEFAULT_MAX_BULK_IN_FLIGHT = 256;
 
     /** Creates settings with the default bound on bulk attempts. */
     public EngineSettings(String host, String zone, long incarnation) {
-        this(host, zone, incarnation, DEFAULT_MAX_BULK_IN_FLIGHT);
+        this(host, zone, incarnation, DEFAULT_MAX_BULK_IN_FLIGHT, EngineFeature.all());
+    }
+
+    /** Returns these settings with other features, or this instance when nothing changes. */
+    public EngineSettings withFeatures(Set<EngineFeature> value) {
+        return value.equals(features) ? this : new EngineSettings(host, zone, incarnation, maxBulkInFlight, value);
+    }
+
+    boolean isOn(EngineFeature feature) {
+        return features.contains(feature);
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/call/EngineState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/EngineState.java
@@ -54,6 +54,10 @@
         return settings;
     }
 
+    boolean isOn(EngineFeature feature) {
+        return settings.isOn(feature);
+    }
+
     ServerSelector selector() {
         return selector;
     }
--- a/core/src/main/java/org/hyssophitch/core/configuration/BackendServer.java
+++ b/core/src/main/java/org/hyssophitch/core/configuration/BackendServer.java
@@ -16,6 +16,12 @@
 public record BackendServer(
         String name, String host, int port, String zone, int slots, int connectionLimit, boolean draining) {
 
+    /** Connections that an entry host needs at the least: one for probes, one in use, one idle. */
+    public static final int LEAST_CONNECTIONS_PER_HOST = 3;
+
+    private static final int PROBE_CONNECTIONS = 1;
+    private static final int CONNECTIONS_PER_ATTEMPT = 2;
+
     public BackendServer {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(host, "host");
@@ -30,12 +36,14 @@
     }
 
     /**
-     * Returns the connections that one entry host may open, so that the shares of all entry hosts never sum above
-     * the server's limit.
+     * Returns the attempts that one entry host may have in flight, so that the connections of all entry hosts never
+     * sum above the server's limit. Of its share, an entry host keeps one connection for probes, and divides the rest
+     * between attempts and the idle connections that they leave.
      *
      * @param maxEntryHosts largest number of entry hosts that may run at the same time
      */
-    public int connectionShare(int maxEntryHosts) {
-        return Math.max(1, connectionLimit / Math.max(1, maxEntryHosts));
+    public int attemptLimit(int maxEntryHosts) {
+        int share = connectionLimit / Math.max(1, maxEntryHosts);
+        return Math.max(1, (share - PROBE_CONNECTIONS) / CONNECTIONS_PER_ATTEMPT);
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/load/LoadReport.java
+++ b/core/src/main/java/org/hyssophitch/core/load/LoadReport.java
@@ -14,4 +14,9 @@
     public long ageMicros(long nowMicros) {
         return Math.max(0, nowMicros - takenMicros);
     }
+
+    /** Returns this report with another draining mark, or this instance when nothing changes. */
+    public LoadReport withDraining(boolean value) {
+        return value == draining ? this : new LoadReport(server, inFlight, takenMicros, value);
+    }
 }
--- a/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
@@ -15,11 +15,11 @@
 public final class ServerState {
 
     /** Weight of a new latency sample in the moving average. */
-    private static final double LATENCY_WEIGHT = 0.1;
+    private static final double LATENCY_WEIGHT = 0.2;
 
     private BackendServer server;
     private AdaptiveLimit limit;
-    private int connectionShare;
+    private int attemptLimit;
     private final OutlierDetector health = new OutlierDetector();
     private final Map<Long, Long> startedMicros = new HashMap<>();
     private LoadReport report;
@@ -32,20 +32,20 @@
      * Creates the state of a server that nothing is known of.
      *
      * @param server the server
-     * @param connectionShare connections that this entry host may open to it
+     * @param attemptLimit attempts that this entry host may have in flight at it
      */
-    public ServerState(BackendServer server, int connectionShare) {
+    public ServerState(BackendServer server, int attemptLimit) {
         this.server = server;
-        this.connectionShare = connectionShare;
-        this.limit = new AdaptiveLimit(connectionShare);
+        this.attemptLimit = attemptLimit;
+        this.limit = new AdaptiveLimit(attemptLimit);
     }
 
     /** Takes over a changed definition of the same server. */
-    public void redefine(BackendServer newServer, int newConnectionShare) {
+    public void redefine(BackendServer newServer, int newAttemptLimit) {
         server = newServer;
-        if (newConnectionShare != connectionShare) {
-            connectionShare = newConnectionShare;
-            limit = new AdaptiveLimit(newConnectionShare);
+        if (newAttemptLimit != attemptLimit) {
+            attemptLimit = newAttemptLimit;
+            limit = new AdaptiveLimit(newAttemptLimit);
         }
     }
 
--- a/document/src/main/java/org/hyssophitch/document/DocumentReader.java
+++ b/document/src/main/java/org/hyssophitch/document/DocumentReader.java
@@ -122,12 +122,13 @@
         String address = m.text("address", ADDRESS, "an IPv4 address and port of the form ip:port");
         checkUnique(m, "address", "address", address);
         int connectionLimit = m.integer("connection-limit", 1, MAX_CONNECTIONS, 220);
-        if (connectionLimit < maxEntryHosts) {
+        int leastConnections = BackendServer.LEAST_CONNECTIONS_PER_HOST * maxEntryHosts;
+        if (connectionLimit < leastConnections) {
             m.report(
                     Fault.Kind.CONTRADICTION,
                     "connection-limit",
                     Integer.toString(connectionLimit),
-                    "at least max-entry-hosts, " + maxEntryHosts + ", so that each host gets a connection");
+                    "at least " + leastConnections + ", three for each of max-entry-hosts " + maxEntryHosts);
         }
         int colon = address.lastIndexOf(':');
         int port = address.matches(ADDRESS) ? Integer.parseInt(address.substring(colon + 1)) : 0;
