Prove agreement among agents, and add the console and the published schemas

Cause: nothing showed that configuration, membership, leaving servers and the measuring budget hold on a bad network.

Change: a model of 13 agents around the real agent engines on a network that delays, drops, doubles, reorders and partitions; a console of forms whose only output is one validated document; JSON Schemas; tests of the document's reader and of conditional acceptance (two operators, lost answers, older copies, outage).

Found by the proofs: - A check could not fail: "no older version in force" looked at proxies only, and passed without the version guard. A denial now has to be 500 ms later than the statement it takes back. - A number out of range was replaced by the least one allowed, which caused follow-on faults. It now counts as missing.

--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelAgent.java
@@ -0,0 +1,189 @@
+package org.hyssophitch.bench.model;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.control.AgentAction;
+import org.hyssophitch.core.control.AgentEngine;
+import org.hyssophitch.core.control.AgentEvent;
+import org.hyssophitch.core.control.ListedHost;
+import org.hyssophitch.core.control.ProxyStatus;
+import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.core.membership.Member;
+import org.hyssophitch.core.membership.MemberState;
+import org.hyssophitch.core.timeline.EventRecorder;
+
+/**
+ * Model of one entry host's agent: a real agent engine on the model's network, with a proxy that takes what it is
+ * given. Not thread-safe; one run owns it.
+ */
+public final class ModelAgent {
+
+    private static final long TICK_MICROS = 50_000;
+    private static final long WATCH_MICROS = 100_000;
+    private static final long SEED_MICROS = 1_000_000;
+
+    private final String host;
+    private final ModelAgents run;
+    private final AgentEngine engine;
+    private final long incarnation;
+    private int group;
+    private boolean isDead;
+    private boolean isPaused;
+    private long agentVersion;
+    private long proxyVersion;
+    private long reversals;
+    private long nextWatchMicros;
+    private long nextSeedMicros;
+    private long eventsHandled;
+    private long nanosSpent;
+
+    ModelAgent(String host, String zone, ModelAgents run, SplittableRandom random) {
+        this.host = host;
+        this.run = run;
+        this.incarnation = run.time().nowMicros() + 1;
+        Member self = new Member(host, incarnation, 0, MemberState.ALIVE, zone, host, host + "-proxy", 0, false, 0, 0);
+        this.engine =
+                new AgentEngine(self, random, EventRecorder.NONE, run.time().nowMicros());
+    }
+
+    public String host() {
+        return host;
+    }
+
+    public AgentEngine engine() {
+        return engine;
+    }
+
+    /** Returns the version in force in the proxy. */
+    public long proxyVersion() {
+        return proxyVersion;
+    }
+
+    /** Returns how often an older version than the one before came into force in the agent or its proxy. */
+    public long reversals() {
+        return reversals;
+    }
+
+    public boolean isDead() {
+        return isDead;
+    }
+
+    /** Returns the events that the engine handled. */
+    public long eventsHandled() {
+        return eventsHandled;
+    }
+
+    /** Returns the wall-clock time in nanoseconds that the engine spent. */
+    public long nanosSpent() {
+        return nanosSpent;
+    }
+
+    /** Ends the process without a word. */
+    public void kill() {
+        isDead = true;
+    }
+
+    /** Freezes the process, or lets it go on. */
+    public void setPaused(boolean value) {
+        isPaused = value;
+    }
+
+    /** Puts the host on one side of a partition. */
+    public void setGroup(int value) {
+        group = value;
+    }
+
+    int group() {
+        return group;
+    }
+
+    boolean isRunning() {
+        return !isDead && !isPaused;
+    }
+
+    void start() {
+        tick();
+    }
+
+    /** Gives the engine an event, unless the process is dead or frozen. */
+    public void handle(AgentEvent event) {
+        if (!isRunning()) {
+            return;
+        }
+        long started = System.nanoTime();
+        List<AgentAction> actions = engine.handle(event);
+        nanosSpent += System.nanoTime() - started;
+        eventsHandled++;
+        noteVersion();
+        actions.forEach(this::carryOut);
+    }
+
+    private void noteVersion() {
+        long version = engine.configuration().version();
+        if (version < agentVersion) {
+            reversals++;
+        }
+        agentVersion = version;
+    }
+
+    private void tick() {
+        if (isDead) {
+            return;
+        }
+        long now = run.time().nowMicros();
+        if (!isPaused) {
+            contactSeeds(now);
+            readStore(now);
+            handle(new AgentEvent.ProxyReported(
+                    now, new ProxyStatus(incarnation, proxyVersion > 0, 0, proxyVersion, List.of(), List.of())));
+            handle(new AgentEvent.TimePassed(now));
+        }
+        run.time().after(TICK_MICROS, this::tick);
+    }
+
+    private void contactSeeds(long now) {
+        boolean isAlone = engine.members().size() == 1;
+        if (isAlone && now >= nextSeedMicros) {
+            nextSeedMicros = now + SEED_MICROS;
+            List<ListedHost> seeds = run.seeds().stream()
+                    .map(h -> new ListedHost("seed-" + h, h, false))
+                    .toList();
+            handle(new AgentEvent.HostListRead(now, seeds));
+        }
+    }
+
+    private void readStore(long now) {
+        boolean isFirst = engine.configuration().version() == 0;
+        if (now >= nextWatchMicros && (isFirst || engine.isWatcher())) {
+            nextWatchMicros = now + WATCH_MICROS;
+            run.store().read().ifPresent(c -> handle(new AgentEvent.ConfigurationRead(now, c)));
+        }
+    }
+
+    private void carryOut(AgentAction action) {
+        switch (action) {
+            case AgentAction.Send s -> run.send(this, s);
+            case AgentAction.FetchConfiguration f -> run.fetch(this, f);
+            case AgentAction.PushConfiguration p -> takeConfiguration(p.configuration());
+            case AgentAction.PushUpdate p -> run.onUpdate(this, p.update());
+            case AgentAction.Probe p -> {
+                run.onProbe(p.server().name());
+                LoadReport report = run.load(p.server().name());
+                run.time()
+                        .after(
+                                ModelAgents.DELAY_MICROS,
+                                () -> handle(
+                                        new AgentEvent.ProbeAnswered(run.time().nowMicros(), report)));
+            }
+        }
+    }
+
+    private void takeConfiguration(Configuration c) {
+        if (c.version() < proxyVersion) {
+            reversals++;
+        }
+        proxyVersion = c.version();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelAgents.java
@@ -0,0 +1,198 @@
+package org.hyssophitch.bench.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.control.AgentAction;
+import org.hyssophitch.core.control.AgentEvent;
+import org.hyssophitch.core.control.ProxyUpdate;
+import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.core.membership.Member;
+import org.hyssophitch.core.spread.ConfigurationChange;
+import org.hyssophitch.core.timeline.HybridTimestamp;
+import org.hyssophitch.wire.codec.AgentMessageCodec;
+import org.hyssophitch.wire.codec.FrameCodec;
+
+/**
+ * Model of all agents on a network that delays, drops, doubles, reorders and partitions. Not thread-safe; used once.
+ */
+public final class ModelAgents {
+
+    /** Smallest delay of the network in microseconds. */
+    static final long DELAY_MICROS = 500;
+
+    private static final long JITTER_MICROS = 2_000;
+    private static final int SEEDS = 3;
+    private static final HybridTimestamp CLOCK = new HybridTimestamp(1_796_000_000_000_000L, 1);
+
+    private final VirtualTime time = new VirtualTime();
+    private final ModelStore store = new ModelStore();
+    private final Map<String, ModelAgent> agents = new TreeMap<>();
+    private final List<ModelAgent> all = new ArrayList<>();
+    private final Map<String, Integer> probes = new HashMap<>();
+    private final Map<String, Set<String>> leavingByHost = new HashMap<>();
+    private final Set<String> draining = new HashSet<>();
+    private final SplittableRandom random;
+    private final List<String> zones;
+    private final double lossRate;
+    private final double duplicationRate;
+    private long bytesSent;
+    private long largestDatagram;
+
+    /**
+     * Creates and starts agents.
+     *
+     * @param count number of agents
+     * @param zones availability zones, over which the agents are spread
+     * @param seed seed of all randomness
+     * @param lossRate share of datagrams that get lost
+     * @param duplicationRate share of datagrams that arrive twice
+     */
+    public ModelAgents(int count, List<String> zones, long seed, double lossRate, double duplicationRate) {
+        this.random = new SplittableRandom(seed);
+        this.zones = zones;
+        this.lossRate = lossRate;
+        this.duplicationRate = duplicationRate;
+        for (int i = 0; i < count; i++) {
+            start(String.format("entry-%03d", i));
+        }
+    }
+
+    public VirtualTime time() {
+        return time;
+    }
+
+    public ModelStore store() {
+        return store;
+    }
+
+    /** Returns the running agent of a host. */
+    public ModelAgent agent(int index) {
+        return agents.get(String.format("entry-%03d", index));
+    }
+
+    /** Returns every agent process that was ever started. */
+    public List<ModelAgent> all() {
+        return all;
+    }
+
+    /** Returns the agents that run now. */
+    public List<ModelAgent> running() {
+        return agents.values().stream().filter(ModelAgent::isRunning).toList();
+    }
+
+    /** Starts an agent on a host, in place of one that ran there before. */
+    public ModelAgent start(String host) {
+        int number = Integer.parseInt(host.substring(host.indexOf('-') + 1));
+        String zone = zones.get(number % zones.size());
+        Optional.ofNullable(agents.get(host)).ifPresent(ModelAgent::kill);
+        ModelAgent agent = new ModelAgent(host, zone, this, random.split());
+        agents.put(host, agent);
+        all.add(agent);
+        time.after(random.nextLong(JITTER_MICROS), agent::start);
+        return agent;
+    }
+
+    /** Returns the bytes of all datagrams and configuration frames between agents so far. */
+    public long bytesSent() {
+        return bytesSent;
+    }
+
+    /** Returns the size of the largest datagram so far, in bytes. */
+    public long largestDatagram() {
+        return largestDatagram;
+    }
+
+    /** Returns the probes that each backend server received. */
+    public Map<String, Integer> probes() {
+        return probes;
+    }
+
+    /** Returns the leaving backend servers as the proxy of a host knows them. */
+    public Set<String> leavingAt(String host) {
+        return leavingByHost.getOrDefault(host, Set.of());
+    }
+
+    /** Returns whether every running agent and proxy has a version in force. */
+    public boolean isInForceEverywhere(long version) {
+        return running().stream()
+                .allMatch(a -> a.engine().configuration().version() == version && a.proxyVersion() == version);
+    }
+
+    /** Returns whether every running agent sees exactly the running agents as live. */
+    public boolean isMembershipRight() {
+        List<String> running = running().stream().map(ModelAgent::host).toList();
+        return running().stream().allMatch(a -> a.engine().members().stream()
+                .filter(Member::isLive)
+                .map(Member::host)
+                .toList()
+                .equals(running));
+    }
+
+    List<String> seeds() {
+        return agents.keySet().stream().limit(SEEDS).toList();
+    }
+
+    void send(ModelAgent from, AgentAction.Send s) {
+        int size = AgentMessageCodec.encode(s.message(), CLOCK).getSerializedSize();
+        bytesSent += size;
+        largestDatagram = Math.max(largestDatagram, size);
+        int copies = random.nextDouble() < duplicationRate ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            boolean isLost = random.nextDouble() < lossRate;
+            long delay = DELAY_MICROS + random.nextLong(JITTER_MICROS);
+            if (!isLost) {
+                time.after(delay, () -> reach(from, s.address())
+                        .ifPresent(a -> a.handle(new AgentEvent.MessageReceived(time.nowMicros(), s.message()))));
+            }
+        }
+    }
+
+    void fetch(ModelAgent from, AgentAction.FetchConfiguration f) {
+        time.after(DELAY_MICROS, () -> {
+            Optional<ModelAgent> source = reach(from, f.address()).filter(ModelAgent::isRunning);
+            if (source.isEmpty()) {
+                from.handle(new AgentEvent.FetchFailed(time.nowMicros()));
+                return;
+            }
+            ConfigurationChange change = source.get().engine().changeSince(f.haveVersion());
+            bytesSent += FrameCodec.encode(change, CLOCK).getSerializedSize();
+            time.after(DELAY_MICROS, () -> from.handle(new AgentEvent.ChangeReceived(time.nowMicros(), change)));
+        });
+    }
+
+    /** Lets a backend server say that it is leaving. */
+    public void setDraining(String server) {
+        draining.add(server);
+    }
+
+    /** Returns what a backend server says of its load. */
+    public LoadReport load(String server) {
+        return new LoadReport(server, 0, time.nowMicros(), draining.contains(server));
+    }
+
+    void onProbe(String server) {
+        probes.merge(server, 1, Integer::sum);
+    }
+
+    void onUpdate(ModelAgent agent, ProxyUpdate update) {
+        leavingByHost.put(agent.host(), update.leaving());
+    }
+
+    /** Writes a configuration when no other was accepted meanwhile, and returns it with its version. */
+    public Optional<Configuration> accept(Configuration candidate, long expectedVersion) {
+        return store.write(candidate, expectedVersion);
+    }
+
+    private Optional<ModelAgent> reach(ModelAgent from, String address) {
+        return Optional.ofNullable(agents.get(address)).filter(a -> a.group() == from.group());
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/hyssophitch/bench/model/ModelAgentsTest.java
@@ -0,0 +1,249 @@
+package org.hyssophitch.bench.model;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.Service;
+import org.hyssophitch.core.control.AgentEvent;
+import org.hyssophitch.core.control.ListedHost;
+import org.hyssophitch.core.membership.Member;
+import org.hyssophitch.document.DocumentReader;
+import org.hyssophitch.standin.Deployment;
+import org.hyssophitch.standin.DeploymentFiles;
+import org.hyssophitch.wire.yaml.YamlResult;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** How the agents act together on a network that loses, doubles and reorders, under outages, freezes and partitions. */
+public class ModelAgentsTest {
+
+    private static final int HOSTS = 13;
+    private static final long SECOND = 1_000_000;
+    private static final long IN_FORCE_BOUND = 5 * SECOND;
+    private static final long LEAVE_BOUND = 3 * SECOND;
+    private static final long FAILURE_BOUND = 3 * SECOND;
+    private static final long START = 10 * SECOND;
+
+    @DataProvider
+    public Object[][] networks() {
+        return new Object[][] {{1L, 0.0, 0.0}, {2L, 0.05, 0.05}, {3L, 0.2, 0.1}, {4L, 0.2, 0.1}};
+    }
+
+    @Test(dataProvider = "networks")
+    public void configurationIsInForceEverywhereWithinItsBound(long seed, double loss, double doubling) {
+        ModelAgents run = started(seed, loss, doubling);
+        for (int i = 0; i < 5; i++) {
+            accept(run);
+            run.time().runUntil(run.time().nowMicros() + IN_FORCE_BOUND);
+            assertTrue(
+                    run.isInForceEverywhere(run.store().version()),
+                    "version " + run.store().version());
+        }
+        assertNoReversal(run);
+    }
+
+    /** An outage right after the acceptance: the hosts that learnt it tell the others. */
+    @Test(dataProvider = "networks")
+    public void configurationSpreadsDuringAnOutage(long seed, double loss, double doubling) {
+        ModelAgents run = started(seed, loss, doubling);
+        accept(run);
+        run.time().runUntil(run.time().nowMicros() + 200_000);
+        run.store().setDown(true);
+        run.time().runUntil(run.time().nowMicros() + IN_FORCE_BOUND);
+
+        assertTrue(run.isInForceEverywhere(2));
+    }
+
+    /** A host that restarts during an outage learns the newest version; an older copy changes nothing. */
+    @Test(dataProvider = "networks")
+    public void restartedHostLearnsTheNewestVersion(long seed, double loss, double doubling) {
+        ModelAgents run = started(seed, loss, doubling);
+        accept(run);
+        run.time().runUntil(run.time().nowMicros() + IN_FORCE_BOUND);
+        run.store().setStale(true);
+        run.start("entry-004");
+        run.time().runUntil(run.time().nowMicros() + IN_FORCE_BOUND);
+        run.store().setDown(true);
+        run.start("entry-005");
+        run.time().runUntil(run.time().nowMicros() + IN_FORCE_BOUND);
+
+        assertTrue(run.isInForceEverywhere(2));
+        assertNoReversal(run);
+    }
+
+    @Test(dataProvider = "networks")
+    public void failedHostIsSeenWithinItsBoundAndAReplacementIsTold(long seed, double loss, double doubling) {
+        ModelAgents run = started(seed, loss, doubling);
+        run.agent(6).kill();
+        assertTrue(isReached(run, FAILURE_BOUND, run::isMembershipRight), "failure not seen within its bound");
+
+        run.start("entry-006");
+        run.time().runUntil(run.time().nowMicros() + 3 * SECOND);
+        assertTrue(run.isMembershipRight(), "replacement not known to all");
+    }
+
+    /** A frozen host is taken for dead; when it wakes it refutes that, and takes the version it missed. */
+    @Test(dataProvider = "networks")
+    public void frozenHostReturnsWithTheNewestVersion(long seed, double loss, double doubling) {
+        ModelAgents run = started(seed, loss, doubling);
+        run.agent(3).setPaused(true);
+        run.time().runUntil(run.time().nowMicros() + 10 * SECOND);
+        accept(run);
+        run.time().runUntil(run.time().nowMicros() + IN_FORCE_BOUND);
+        run.agent(3).setPaused(false);
+        run.time().runUntil(run.time().nowMicros() + IN_FORCE_BOUND);
+
+        assertTrue(run.isInForceEverywhere(2));
+        assertTrue(isReached(run, 10 * SECOND, run::isMembershipRight), "frozen host did not return");
+        assertNoReversal(run);
+    }
+
+    /** Each side of a partition goes on; after it heals all have the newest version, and no one an older one. */
+    @Test(dataProvider = "networks")
+    public void partitionHealsToTheNewestVersion(long seed, double loss, double doubling) {
+        ModelAgents run = started(seed, loss, doubling);
+        for (int i = 0; i < HOSTS; i++) {
+            run.agent(i).setGroup(i % 3 == 0 ? 1 : 0);
+        }
+        run.time().runUntil(run.time().nowMicros() + 10 * SECOND);
+        accept(run);
+        run.time().runUntil(run.time().nowMicros() + 5 * SECOND);
+        run.running().forEach(a -> a.setGroup(0));
+        run.time().runUntil(run.time().nowMicros() + 10 * SECOND);
+
+        assertTrue(run.isInForceEverywhere(2));
+        assertTrue(run.isMembershipRight(), "membership did not converge");
+        assertNoReversal(run);
+    }
+
+    /** Two operators write from the same version: one is accepted, the other sees a conflict, and all hosts agree. */
+    @Test(dataProvider = "networks")
+    public void oneOfTwoWritesIsAccepted(long seed, double loss, double doubling) {
+        ModelAgents run = started(seed, loss, doubling);
+        Optional<Configuration> first = run.accept(named("first"), 1);
+        Optional<Configuration> second = run.accept(named("second"), 1);
+        run.time().runUntil(run.time().nowMicros() + IN_FORCE_BOUND);
+
+        assertTrue(first.isPresent() && second.isEmpty());
+        run.running().forEach(a -> assertEquals(a.engine().configuration().revisionId(), "first"));
+    }
+
+    @DataProvider
+    public Object[][] leavingSources() {
+        return new Object[][] {{1L, true}, {2L, true}, {3L, false}, {4L, false}};
+    }
+
+    /** One host learns that a server leaves, from the platform's list or the server's own report; all proxies know. */
+    @Test(dataProvider = "leavingSources")
+    public void leavingServerIsKnownToAllWithinItsBound(long seed, boolean isFromPlatform) {
+        ModelAgents run = started(seed, 0.1, 0.1);
+        long now = run.time().nowMicros();
+        if (!isFromPlatform) {
+            run.setDraining("mastwatch-2");
+        }
+        AgentEvent news = isFromPlatform
+                ? new AgentEvent.HostListRead(now, List.of(new ListedHost("mastwatch-2", "", true)))
+                : new AgentEvent.ProbeAnswered(now, run.load("mastwatch-2"));
+        run.agent(9).handle(news);
+
+        BooleanSupplier isKnown = () ->
+                run.running().stream().allMatch(a -> run.leavingAt(a.host()).contains("mastwatch-2"));
+        assertTrue(isReached(run, LEAVE_BOUND, isKnown), "leaving server not known to all");
+    }
+
+    @DataProvider
+    public Object[][] measuringFaults() {
+        return new Object[][] {{"calm"}, {"partition"}, {"restarts"}, {"freeze"}};
+    }
+
+    /** Probes stay within the budget, per server and in total, whatever the hosts believe of each other. */
+    @Test(dataProvider = "measuringFaults")
+    public void probesStayWithinTheBudget(String fault) {
+        ModelAgents run = started(5, 0.1, 0.1);
+        SplittableRandom random = new SplittableRandom(5);
+        int seconds = 60;
+        for (int s = 0; s < seconds; s++) {
+            int host = random.nextInt(HOSTS);
+            switch (fault) {
+                case "partition" -> run.running().forEach(a -> a.setGroup(random.nextInt(HOSTS)));
+                case "restarts" -> run.start(String.format("entry-%03d", host));
+                case "freeze" -> run.agent(host).setPaused(s % 2 == 0);
+                default -> {}
+            }
+            run.time().runUntil(run.time().nowMicros() + SECOND);
+        }
+        double elapsed = run.time().nowMicros() / (double) SECOND;
+        Configuration c = run.agent(0).engine().configuration();
+        int total = run.probes().values().stream().mapToInt(Integer::intValue).sum();
+        int most =
+                run.probes().values().stream().mapToInt(Integer::intValue).max().orElse(0);
+
+        assertTrue(total > 0, "nothing was measured");
+        assertTrue(total <= c.measuring().probesPerSecondTotal() * elapsed, "total " + total);
+        assertTrue(most <= c.measuring().probesPerSecondPerServer() * elapsed, "per server " + most);
+    }
+
+    @DataProvider
+    public Object[][] fleetSizes() {
+        return new Object[][] {{5}, {15}, {50}};
+    }
+
+    /** Control traffic per host stays within 6 KB/s, whatever the number of hosts. */
+    @Test(dataProvider = "fleetSizes")
+    public void controlTrafficPerHostIsBounded(int hosts) {
+        ModelAgents run = new ModelAgents(hosts, Deployment.GLENMORVEN.zones(), 1, 0, 0);
+        run.accept(named("first"), 0);
+        run.time().runUntil(START);
+        long before = run.bytesSent();
+        run.time().runUntil(START + 30 * SECOND);
+        double perHostSecond = (run.bytesSent() - before) / 30.0 / hosts;
+
+        assertTrue(perHostSecond <= 6_000, "bytes per host and second " + perHostSecond);
+        assertTrue(run.largestDatagram() <= 1_400, "largest datagram " + run.largestDatagram());
+    }
+
+    private static ModelAgents started(long seed, double loss, double doubling) {
+        ModelAgents run = new ModelAgents(HOSTS, Deployment.GLENMORVEN.zones(), seed, loss, doubling);
+        run.accept(named("initial"), 0);
+        run.time().runUntil(START);
+        assertTrue(run.isInForceEverywhere(1), "first version not in force");
+        assertTrue(run.running().stream()
+                .allMatch(a -> a.engine().members().stream().allMatch(Member::isLive)));
+        return run;
+    }
+
+    private static void accept(ModelAgents run) {
+        Optional<Configuration> accepted = run.accept(
+                named("revision-" + run.store().version()), run.store().version());
+        assertFalse(accepted.isEmpty());
+    }
+
+    private static boolean isReached(ModelAgents run, long boundMicros, BooleanSupplier condition) {
+        run.time().runUntil(run.time().nowMicros() + boundMicros);
+        return condition.getAsBoolean();
+    }
+
+    private static void assertNoReversal(ModelAgents run) {
+        assertEquals(run.all().stream().mapToLong(ModelAgent::reversals).sum(), 0, "older versions in force");
+    }
+
+    private static Configuration named(String revisionId) {
+        return switch (DocumentReader.read(DeploymentFiles.document(Deployment.GLENMORVEN))) {
+            case YamlResult.Valid<Configuration> v -> renamed(v.value(), revisionId);
+            case YamlResult.Invalid<Configuration> i ->
+                throw new IllegalStateException(i.faults().toString());
+        };
+    }
+
+    private static Configuration renamed(Configuration c, String revisionId) {
+        List<Service> services = c.services();
+        return new Configuration(0, revisionId, c.maxEntryHosts(), c.measuring(), c.addresses(), services);
+    }
+}
--- /dev/null
+++ b/console/src/main/java/org/hyssophitch/console/ConsoleMain.java
@@ -0,0 +1,21 @@
+package org.hyssophitch.console;
+
+import java.nio.file.Path;
+
+import org.hyssophitch.wire.duty.Lifecycle;
+import org.hyssophitch.wire.yaml.SettingsFile;
+
+/** Program {@code hyssophitch-console}: takes the path of its settings file. */
+public final class ConsoleMain {
+
+    private ConsoleMain() {}
+
+    /** Starts the console. */
+    public static void main(String[] arguments) {
+        Path file = Lifecycle.settingsArgument("hyssophitch-console", arguments);
+        Console console = new Console(SettingsFile.readOrExit(file, ConsoleSettings::from));
+        Lifecycle.stopOnSignal(console::stop);
+        console.start();
+        Lifecycle.awaitEnd();
+    }
+}
--- a/core/src/main/java/org/hyssophitch/core/control/LeavingBoard.java
+++ b/core/src/main/java/org/hyssophitch/core/control/LeavingBoard.java
@@ -15,12 +15,15 @@
  */
 final class LeavingBoard {
 
+    /** Time in microseconds by which a denial has to be later than the statement that it takes back. */
+    private static final long DENIAL_MARGIN_MICROS = 500_000;
+
     private final Map<String, LeavingNotice> notices = new TreeMap<>();
 
     /** Takes a statement; returns whether it changes what its source said. */
     boolean add(LeavingNotice n) {
         LeavingNotice known = notices.get(key(n));
-        boolean isOlder = known != null && known.statedMicros() >= n.statedMicros();
+        boolean isOlder = known != null && known.statedMicros() + margin(known, n) >= n.statedMicros();
         boolean isFirstDenial = known == null && !n.isLeaving();
         if (isOlder || isFirstDenial) {
             return false;
@@ -53,6 +56,11 @@
         notices.values().removeIf(n -> !servers.contains(n.server()));
     }
 
+    /** A denial has to be clearly later, since ages of reports passed on leave out the time on their way. */
+    private static long margin(LeavingNotice known, LeavingNotice n) {
+        return known.isLeaving() && !n.isLeaving() ? DENIAL_MARGIN_MICROS : 0;
+    }
+
     private static String key(LeavingNotice n) {
         return n.server() + '|' + n.source();
     }
--- a/document/src/main/java/org/hyssophitch/document/DocumentStore.java
+++ b/document/src/main/java/org/hyssophitch/document/DocumentStore.java
@@ -1,7 +1,6 @@
 package org.hyssophitch.document;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
@@ -38,14 +37,7 @@
 
     /** Reads the accepted document. */
     public PlatformResult<ConfigurationRecord> read() {
-        return switch (client.get(PlatformClient.CONFIGURATION)) {
-            case PlatformResult.Found<byte[]> f -> decoded(f);
-            case PlatformResult.Throttled<byte[]> t -> new PlatformResult.Throttled<>();
-            case PlatformResult.Unreachable<byte[]> u -> new PlatformResult.Unreachable<>(u.cause());
-            case PlatformResult.Absent<byte[]> a -> new PlatformResult.Absent<>();
-            case PlatformResult.Written<byte[]> w -> new PlatformResult.Absent<>();
-            case PlatformResult.Conflict<byte[]> c -> new PlatformResult.Absent<>();
-        };
+        return client.get(PlatformClient.CONFIGURATION).flatMap(DocumentStore::decoded);
     }
 
     /**
@@ -77,26 +69,35 @@
 
     private ApplyResult tryWrite(
             String text, Configuration parsed, String author, long expectedVersion, String revisionId) {
-        Optional<ConfigurationRecord> current = Optional.empty();
-        switch (read()) {
-            case PlatformResult.Found<ConfigurationRecord> f -> current = Optional.of(f.value());
-            case PlatformResult.Absent<ConfigurationRecord> a -> current = Optional.empty();
-            case PlatformResult.Throttled<ConfigurationRecord> t -> {
-                return new ApplyResult.Unknown("throttled", revisionId);
-            }
-            case PlatformResult.Unreachable<ConfigurationRecord> u -> {
-                return new ApplyResult.Unknown(u.cause(), revisionId);
-            }
-            case PlatformResult.Written<ConfigurationRecord> w -> current = Optional.empty();
-            case PlatformResult.Conflict<ConfigurationRecord> c -> current = Optional.empty();
-        }
-        if (current.filter(r -> r.contains(revisionId)).isPresent()) {
-            return new ApplyResult.Accepted(current.get().configuration().version(), revisionId);
+        return switch (read()) {
+            case PlatformResult.Found<ConfigurationRecord> f ->
+                writeOver(f.value(), text, parsed, author, expectedVersion, revisionId);
+            case PlatformResult.Absent<ConfigurationRecord> a ->
+                put(text, parsed, author, expectedVersion, revisionId, List.of());
+            case PlatformResult.Throttled<ConfigurationRecord> t -> new ApplyResult.Unknown("throttled", revisionId);
+            case PlatformResult.Unreachable<ConfigurationRecord> u -> new ApplyResult.Unknown(u.cause(), revisionId);
+            case PlatformResult.Written<ConfigurationRecord> w -> unexpected(revisionId);
+            case PlatformResult.Conflict<ConfigurationRecord> c -> unexpected(revisionId);
+        };
+    }
+
+    private ApplyResult writeOver(
+            ConfigurationRecord current,
+            String text,
+            Configuration parsed,
+            String author,
+            long expectedVersion,
+            String revisionId) {
+        long version = current.configuration().version();
+        if (current.contains(revisionId)) {
+            return new ApplyResult.Accepted(version, revisionId);
         }
-        if (current.filter(r -> r.configuration().version() != expectedVersion).isPresent()) {
-            return new ApplyResult.Conflict(current.get());
+        if (version < expectedVersion) {
+            return new ApplyResult.Unknown("older-copy", revisionId);
         }
-        return put(text, parsed, author, expectedVersion, revisionId, current);
+        return version > expectedVersion
+                ? new ApplyResult.Conflict(current)
+                : put(text, parsed, author, expectedVersion, revisionId, current.revisionsForNext());
     }
 
     private ApplyResult put(
@@ -105,22 +106,24 @@
             String author,
             long expectedVersion,
             String revisionId,
-            Optional<ConfigurationRecord> current) {
+            List<String> earlier) {
         Configuration named = new Configuration(
                 0, revisionId, parsed.maxEntryHosts(), parsed.measuring(), parsed.addresses(), parsed.services());
-        List<String> earlier =
-                current.map(ConfigurationRecord::revisionsForNext).orElse(List.of());
         byte[] value = ConfigurationRecords.encode(new ConfigurationRecord(author, text, named, earlier));
         return switch (client.put(PlatformClient.CONFIGURATION, value, expectedVersion)) {
             case PlatformResult.Written<byte[]> w -> new ApplyResult.Accepted(w.version(), revisionId);
             case PlatformResult.Conflict<byte[]> c -> new ApplyResult.Unknown("conflict", revisionId);
             case PlatformResult.Throttled<byte[]> t -> new ApplyResult.Unknown("throttled", revisionId);
             case PlatformResult.Unreachable<byte[]> u -> new ApplyResult.Unknown(u.cause(), revisionId);
-            case PlatformResult.Found<byte[]> f -> new ApplyResult.Unknown("unexpected-answer", revisionId);
-            case PlatformResult.Absent<byte[]> a -> new ApplyResult.Unknown("unexpected-answer", revisionId);
+            case PlatformResult.Found<byte[]> f -> unexpected(revisionId);
+            case PlatformResult.Absent<byte[]> a -> unexpected(revisionId);
         };
     }
 
+    private static ApplyResult unexpected(String revisionId) {
+        return new ApplyResult.Unknown("unexpected-answer", revisionId);
+    }
+
     private static PlatformResult<ConfigurationRecord> decoded(PlatformResult.Found<byte[]> found) {
         return ConfigurationRecords.decode(found.value(), found.version())
                 .<PlatformResult<ConfigurationRecord>>map(r -> new PlatformResult.Found<>(r, found.version()))
--- /dev/null
+++ b/document/src/test/java/org/hyssophitch/document/DocumentReaderTest.java
@@ -0,0 +1,139 @@
+package org.hyssophitch.document;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.standin.Deployment;
+import org.hyssophitch.standin.DeploymentFiles;
+import org.hyssophitch.wire.yaml.Fault;
+import org.hyssophitch.wire.yaml.YamlResult;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Documents are read, written back, and refused with every fault; the published schema agrees. */
+public class DocumentReaderTest {
+
+    private static final Path SCHEMA = Path.of("..", "docs", "schema", "configuration.schema.json");
+    private static final String SERVER = "      - {name: b1, address: 10.0.0.1:80, zone: z1}\n";
+    private static final String SERVICE = "  - name: s1\n    servers:\n" + SERVER;
+
+    @DataProvider
+    public Object[][] deployments() {
+        return new Object[][] {{Deployment.GLENMORVEN}, {Deployment.LAKESHORE}};
+    }
+
+    @Test(dataProvider = "deployments")
+    public void writtenDocumentReadsBackTheSame(Deployment d) {
+        Configuration read = valid(DeploymentFiles.document(d));
+
+        assertEquals(valid(DocumentWriter.write(read)), read);
+    }
+
+    @DataProvider
+    public Object[][] faultyDocuments() {
+        return new Object[][] {
+            {"nothing", "", List.of("WRONG_TYPE  1"), true},
+            {"no service", "max-entry-hosts: 3\n", List.of("MISSING_KEY services 1"), true},
+            {"unknown key", "servces: []\nservices:\n" + SERVICE, List.of("UNKNOWN_KEY servces 1"), true},
+            {
+                "two faults at once",
+                "max-entry-hosts: none\nservices:\n" + SERVICE + "    criticality: urgent\n",
+                List.of("WRONG_TYPE max-entry-hosts 1", "NOT_ALLOWED services[0].criticality 6"),
+                true
+            },
+            {
+                "out of range",
+                "services:\n" + SERVICE + "    retry: {max-attempts: 99}\n",
+                List.of("OUT_OF_RANGE services[0].retry.max-attempts 5"),
+                true
+            },
+            {
+                "not a whole number",
+                "services:\n" + SERVICE + "    sample-size: 1.5\n",
+                List.of("WRONG_TYPE services[0].sample-size 5"),
+                true
+            },
+            {
+                "same server twice",
+                "services:\n" + SERVICE + SERVER,
+                List.of("DUPLICATE services[0].servers[1].name 5", "DUPLICATE services[0].servers[1].address 5"),
+                false
+            },
+            {
+                "hedges without attempts",
+                "services:\n" + SERVICE + "    retry: {max-attempts: 1}\n",
+                List.of("CONTRADICTION services[0].retry.hedge-ratio 5"),
+                false
+            },
+            {
+                "too few connections",
+                "services:\n  - name: s1\n    servers:\n"
+                        + "      - {name: b1, address: 10.0.0.1:80, zone: z1, connection-limit: 20}\n",
+                List.of("CONTRADICTION services[0].servers[0].connection-limit 4"),
+                false
+            },
+            {"not YAML", "services: [\n", List.of("MALFORMED  2"), true},
+        };
+    }
+
+    @Test(dataProvider = "faultyDocuments")
+    public void everyFaultIsNamedWithItsLine(String name, String text, List<String> expected, boolean isOfSchema) {
+        List<String> found = faults(text).stream()
+                .map(f -> f.kind() + " " + f.path() + " " + f.line())
+                .toList();
+
+        assertEquals(found, expected, name);
+    }
+
+    /** The published schema refuses what the reader refuses, but for what it can't express, and takes what it takes. */
+    @Test(dataProvider = "faultyDocuments")
+    public void schemaAgreesOnFaults(String name, String text, List<String> expected, boolean isOfSchema)
+            throws IOException {
+        boolean isWellFormed = expected.stream().noneMatch(e -> e.startsWith("MALFORMED"));
+        if (isWellFormed && !text.isEmpty()) {
+            assertEquals(!schemaFaults(text).isEmpty(), isOfSchema, name);
+        }
+    }
+
+    @Test(dataProvider = "deployments")
+    public void schemaTakesValidDocuments(Deployment d) throws IOException {
+        assertTrue(schemaFaults(DeploymentFiles.document(d)).isEmpty());
+        assertTrue(schemaFaults(DocumentWriter.write(valid(DeploymentFiles.document(d))))
+                .isEmpty());
+    }
+
+    private static Set<ValidationMessage> schemaFaults(String text) throws IOException {
+        JsonSchema schema =
+                JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(Files.readString(SCHEMA));
+        JsonNode document = new YAMLMapper().readTree(text);
+        return schema.validate(document);
+    }
+
+    private static Configuration valid(String text) {
+        return switch (DocumentReader.read(text)) {
+            case YamlResult.Valid<Configuration> v -> v.value();
+            case YamlResult.Invalid<Configuration> i ->
+                throw new AssertionError(i.faults().toString());
+        };
+    }
+
+    private static List<Fault> faults(String text) {
+        return switch (DocumentReader.read(text)) {
+            case YamlResult.Valid<Configuration> v -> List.of();
+            case YamlResult.Invalid<Configuration> i -> i.faults();
+        };
+    }
+}
--- a/wire/src/main/java/org/hyssophitch/wire/platform/PlatformClient.java
+++ b/wire/src/main/java/org/hyssophitch/wire/platform/PlatformClient.java
@@ -90,14 +90,7 @@
     /** Reads the host list. */
     public PlatformResult<List<ListedHost>> hosts() {
         Request request = new Request.Builder().url(baseUrl + "/hosts").build();
-        return switch (call(client, request)) {
-            case PlatformResult.Found<byte[]> f -> parseHosts(f);
-            case PlatformResult.Throttled<byte[]> t -> new PlatformResult.Throttled<>();
-            case PlatformResult.Unreachable<byte[]> u -> new PlatformResult.Unreachable<>(u.cause());
-            case PlatformResult.Absent<byte[]> a -> new PlatformResult.Absent<>();
-            case PlatformResult.Written<byte[]> w -> new PlatformResult.Absent<>();
-            case PlatformResult.Conflict<byte[]> c -> new PlatformResult.Absent<>();
-        };
+        return call(client, request).flatMap(PlatformClient::parseHosts);
     }
 
     /** Returns the number of calls made so far; a waiting watch counts as one. */
--- a/wire/src/main/java/org/hyssophitch/wire/platform/PlatformResult.java
+++ b/wire/src/main/java/org/hyssophitch/wire/platform/PlatformResult.java
@@ -1,5 +1,7 @@
 package org.hyssophitch.wire.platform;
 
+import java.util.function.Function;
+
 /**
  * Result of one call to the platform. Every result is immutable.
  *
@@ -7,6 +9,23 @@
  */
 public sealed interface PlatformResult<T> {
 
+    /**
+     * Returns the result that a function makes of a found value; every other result stays as it is.
+     *
+     * @param mapper makes a result of the found value
+     * @param <U> kind of value of the new result
+     */
+    default <U> PlatformResult<U> flatMap(Function<Found<T>, PlatformResult<U>> mapper) {
+        return switch (this) {
+            case Found<T> f -> mapper.apply(f);
+            case Absent<T> a -> new Absent<>();
+            case Written<T> w -> new Written<>(w.version());
+            case Conflict<T> c -> new Conflict<>(c.version());
+            case Throttled<T> t -> new Throttled<>();
+            case Unreachable<T> u -> new Unreachable<>(u.cause());
+        };
+    }
+
     /**
      * The object exists.
      *
--- a/wire/src/main/java/org/hyssophitch/wire/yaml/YamlMapping.java
+++ b/wire/src/main/java/org/hyssophitch/wire/yaml/YamlMapping.java
@@ -75,11 +75,6 @@
         return value;
     }
 
-    /** Returns a required whole number within bounds. */
-    public int integer(String key, int least, int most) {
-        return number(key, least, most).map(Double::intValue).orElseGet(() -> missing(key, range(least, most), least));
-    }
-
     /** Returns an optional whole number within bounds. */
     public int integer(String key, int least, int most, int defaultValue) {
         Optional<Double> value = number(key, least, most);
@@ -180,21 +175,20 @@
     }
 
     private Optional<Double> number(String key, double least, double most) {
-        Optional<String> text = scalar(key, range(least, most));
-        if (text.isEmpty() || text.get().isEmpty() && !(values.get(key) instanceof ScalarNode)) {
-            return text.map(t -> least);
+        Optional<String> text = scalar(key, range(least, most)).filter(t -> values.get(key) instanceof ScalarNode);
+        if (text.isEmpty()) {
+            return Optional.empty();
         }
         try {
             double value = Double.parseDouble(text.get());
-            boolean isWithin = value >= least && value <= most;
-            if (!isWithin) {
-                report(Fault.Kind.OUT_OF_RANGE, key, text.get(), range(least, most));
+            if (value >= least && value <= most) {
+                return Optional.of(value);
             }
-            return Optional.of(isWithin ? value : least);
+            report(Fault.Kind.OUT_OF_RANGE, key, text.get(), range(least, most));
         } catch (NumberFormatException e) {
             report(Fault.Kind.WRONG_TYPE, key, text.get(), range(least, most));
-            return Optional.of(least);
         }
+        return Optional.empty();
     }
 
     private List<Node> sequence(String key, String allowed) {
