--- /dev/null
+++ b/bin/deployment.sh
@@ -0,0 +1,77 @@
+# Functions to run a whole deployment on loopback; sourced by bin/demo, bin/roll and bin/bench.
+# Expects $root and $profile.
+
+directory=$root/target/run-$profile
+HYSSOPHITCH_SETTINGS=$directory/hyssophitch.yaml
+export HYSSOPHITCH_SETTINGS
+HYSSOPHITCH_JAVA=$("$root/bin/jdk")/bin/java || exit 1
+export HYSSOPHITCH_JAVA
+# A short run spends less on the quick compiler alone than on warming up the optimizing one 26 times over.
+HYSSOPHITCH_JVM_FLAGS=${HYSSOPHITCH_JVM_FLAGS:--XX:TieredStopAtLevel=1}
+export HYSSOPHITCH_JVM_FLAGS
+WAIT_ROUNDS=40
+WAIT_SECONDS=0.5
+declare -A pids
+
+say() { echo "$(basename "$0"): $*" >&2; }
+
+build_if_needed() {
+    local jar=$root/bench/target/hyssophitch-bench-0.1.0.jar
+    if [ ! -e "$jar" ] || [ -n "$(find "$root" -path '*/src/main/*' -newer "$jar" -print -quit)" ]; then
+        say "building"
+        "$root/bin/build" || exit 1
+    fi
+}
+
+start() { # NAME PROGRAM ARGUMENTS...
+    local name=$1
+    shift
+    "$root/bin/$1" "${@:2}" >>"$directory/$name.out" 2>>"$directory/$name.log" &
+    pids[$name]=$!
+}
+
+start_host() { # HOST
+    start "agent-$1" hyssophitch-agent "$directory/agent-$1.yaml"
+    start "proxy-$1" hyssophitch-proxy "$directory/proxy-$1.yaml"
+}
+
+hosts() { (cd "$directory" && ls agent-entry-*.yaml | sed 's/^agent-\(.*\)\.yaml$/\1/'); }
+
+stop_all() {
+    [ ${#pids[@]} -gt 0 ] && kill "${pids[@]}" 2>/dev/null
+    sleep "$WAIT_SECONDS"
+    [ ${#pids[@]} -gt 0 ] && kill -9 "${pids[@]}" 2>/dev/null
+    wait 2>/dev/null
+}
+
+await() { # COMMAND...: repeats the command until it succeeds
+    local round
+    for round in $(seq $WAIT_ROUNDS); do
+        "$@" && return 0
+        sleep "$WAIT_SECONDS"
+    done
+    say "gave up on: $*"
+    return 1
+}
+
+is_ready() { "$root/bin/hyssophitch" status >"$directory/status.txt" 2>/dev/null; }
+
+start_deployment() {
+    trap stop_all EXIT
+    trap 'exit 130' INT TERM
+    rm -rf "$directory"
+    mkdir -p "$directory"
+    "$root/bin/hyssophitch-standin" prepare --profile "$profile" --directory "$directory" || exit 1
+    started_at=$(date +%s)
+    start platform hyssophitch-standin platform --profile "$profile"
+    start servers hyssophitch-standin servers --profile "$profile"
+    start console hyssophitch-console "$directory/console.yaml"
+    local host
+    for host in $(hosts); do
+        start_host "$host"
+    done
+    say "started ${#pids[@]} processes; logs in $directory"
+    await "$root/bin/hyssophitch" apply --author demo "$directory/document.yaml" >&2 || exit 1
+    await is_ready || { cat "$directory/status.txt" >&2; exit 1; }
+    cat "$directory/status.txt" >&2
+}
--- /dev/null
+++ b/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
@@ -0,0 +1,326 @@
+package org.hyssophitch.proxy;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.List;
+
+import okhttp3.Interceptor;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.BufferedSink;
+import org.hyssophitch.agent.Agent;
+import org.hyssophitch.agent.AgentSettings;
+import org.hyssophitch.document.DocumentStore;
+import org.hyssophitch.standin.PlatformStandin;
+import org.hyssophitch.wire.platform.PlatformClient;
+import org.hyssophitch.wire.report.CallHeaders;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+/** The proxy over real sockets: whole answers, typed outcomes, and requests that are sent no more than allowed. */
+public class ProxyTest {
+
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+    private static final String CUT = "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello";
+    private static final String CUT_CHUNK = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n";
+    private static final String COME_BACK_AT_ONCE =
+            "HTTP/1.1 503 Unavailable\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n";
+    private static final String NOT_RUN =
+            "HTTP/1.1 503 Unavailable\r\nHyssophitch-Outcome: not-run\r\nContent-Length: 0\r\n\r\n";
+    private static final String HOST = "entry-01";
+    private static final String SEEN_RETRY_AFTER = "Seen-Retry-After";
+
+    private final OkHttpClient caller = new OkHttpClient.Builder()
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .addNetworkInterceptor(ProxyTest::holdRetryAfter)
+            .readTimeout(Duration.ofSeconds(8))
+            .build();
+    private RawServer server;
+    private String proxyAddress;
+    private PlatformStandin platform;
+    private Agent agent;
+    private Proxy proxy;
+
+    @BeforeClass
+    public void open() throws IOException, InterruptedException {
+        server = new RawServer(OK, RawServer.End.KEEP);
+        String platformAddress = "127.0.0.1:" + freePort();
+        String agentAddress = "127.0.0.1:" + freePort();
+        int proxyPort = freePort();
+        proxyAddress = "127.0.0.1:" + proxyPort;
+        platform = new PlatformStandin(platformAddress);
+        new DocumentStore(new PlatformClient(platformAddress)).apply(document(), "test", 0);
+        agent = new Agent(new AgentSettings(
+                HOST,
+                "z1",
+                agentAddress,
+                "127.0.0.1:" + freePort(),
+                proxyAddress,
+                platformAddress,
+                List.of(),
+                50,
+                500));
+        agent.start();
+        proxy = new Proxy(new ProxySettings(HOST, "z1", "127.0.0.1", proxyPort, agentAddress, 500));
+        proxy.start();
+        awaitConfiguration();
+    }
+
+    @AfterClass
+    public void close() throws IOException {
+        proxy.stop();
+        agent.stop();
+        platform.close();
+        server.close();
+    }
+
+    @BeforeMethod
+    public void reset() {
+        server.become(OK, RawServer.End.KEEP);
+        server.requestLines().clear();
+    }
+
+    @Test
+    public void wholeAnswerIsRelayedWithItsOutcome() throws IOException {
+        try (Response r = send(get("/services/s1/a%20b?q=1"))) {
+            assertEquals(r.body().string(), "hello");
+            assertEquals(r.header(CallHeaders.OUTCOME), "completed");
+            assertEquals(r.header(CallHeaders.SERVER), "b1");
+        }
+        assertEquals(server.requestLines(), List.of("GET /a%20b?q=1 HTTP/1.1"));
+    }
+
+    @DataProvider
+    public Object[][] cutAnswers() {
+        return new Object[][] {{CUT}, {CUT_CHUNK}};
+    }
+
+    /** A truncated answer of a backend server breaks at the caller too; it never looks whole. */
+    @Test(dataProvider = "cutAnswers")
+    public void truncatedAnswerIsABrokenAnswer(String answer) {
+        server.become(answer, RawServer.End.CLOSE);
+
+        assertThrows(IOException.class, () -> {
+            try (Response r = send(get("/services/s1/cut"))) {
+                r.body().string();
+            }
+        });
+    }
+
+    /** The HTTP client must not repeat a request by itself, whatever the server asks for. */
+    @Test
+    public void nonIdempotentRequestIsSentOnceAlthoughTheServerAsksForMore() throws IOException {
+        server.become(COME_BACK_AT_ONCE, RawServer.End.KEEP);
+        try (Response r = send(post("/services/s1/booking", ticket()))) {
+            assertEquals(r.code(), 503);
+            assertEquals(r.header(SEEN_RETRY_AFTER), "0");
+        }
+        assertEquals(server.requestLines().size(), 1);
+    }
+
+    @Test
+    public void repeatedTicketIsNotRunAgain() throws IOException {
+        String ticket = ticket();
+        try (Response r = send(post("/services/s1/booking", ticket))) {
+            assertEquals(r.code(), 200);
+        }
+        assertAnswer(post("/services/s1/booking", ticket), 409, "completed", "already-run");
+        assertEquals(server.requestLines().size(), 1);
+    }
+
+    @Test
+    public void ticketWithALostAnswerStaysUnknown() throws IOException {
+        String ticket = ticket();
+        server.become("", RawServer.End.CLOSE);
+        assertAnswer(post("/services/s1/booking", ticket), 502, "unknown", "connection-lost");
+        server.become(OK, RawServer.End.KEEP);
+        assertAnswer(post("/services/s1/booking", ticket), 409, "unknown", "ticket-may-have-run");
+        assertEquals(server.requestLines().size(), 1);
+    }
+
+    @Test
+    public void ticketProvedNotRunCanBeUsedAgain() throws IOException {
+        String ticket = ticket();
+        server.become(NOT_RUN, RawServer.End.KEEP);
+        assertAnswer(post("/services/s1/booking", ticket), 503, "not-run", "attempts-refused");
+        server.become(OK, RawServer.End.KEEP);
+        try (Response r = send(post("/services/s1/booking", ticket))) {
+            assertEquals(r.code(), 200);
+        }
+    }
+
+    @DataProvider
+    public Object[][] refusals() {
+        return new Object[][] {
+            {post("/services/s1/x", "my-own-name"), 428, "not-run", "ticket-required"},
+            {post("/services/s1/x", "t~entry-01~1~1"), 410, "unknown", "ticket-issuer-gone"},
+            {get("/services/nothing/x"), 404, "not-run", "unknown-service"},
+            {
+                get("/services/s1/x")
+                        .newBuilder()
+                        .header(CallHeaders.DEADLINE_MILLIS, "soon")
+                        .build(),
+                400,
+                "not-run",
+                "bad-request"
+            },
+            {
+                get("/services/s1/x")
+                        .newBuilder()
+                        .header(CallHeaders.IDEMPOTENT, "yes")
+                        .build(),
+                400,
+                "not-run",
+                "bad-request"
+            },
+        };
+    }
+
+    @Test(dataProvider = "refusals")
+    public void refusalIsTypedAndReachesNoServer(Request request, int status, String outcome, String reason)
+            throws IOException {
+        assertAnswer(request, status, outcome, reason);
+        assertEquals(server.requestLines(), List.of());
+    }
+
+    /** A call that misses its deadline gets its final answer then, and not later. */
+    @Test
+    public void silentServerIsAnsweredForAtTheDeadline() throws IOException {
+        server.become(OK, RawServer.End.SILENT);
+        long started = System.nanoTime();
+        Request request = get("/services/s1/x")
+                .newBuilder()
+                .header(CallHeaders.DEADLINE_MILLIS, "300")
+                .build();
+        assertAnswer(request, 504, "unknown", "deadline-passed");
+        assertTrue(System.nanoTime() - started < Duration.ofSeconds(5).toNanos());
+    }
+
+    @Test
+    public void largeBodiesPassBothWays() throws IOException {
+        int size = 8_000_000;
+        server.become("HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n" + "x".repeat(size), RawServer.End.KEEP);
+        Request request = get("/services/s1/upload")
+                .newBuilder()
+                .put(new RepeatedByte(size))
+                .build();
+        try (Response r = send(request)) {
+            assertEquals(r.body().bytes().length, size);
+        }
+        assertEquals(server.requestLines().size(), 1);
+    }
+
+    private void assertAnswer(Request request, int status, String outcome, String reason) throws IOException {
+        try (Response r = send(request)) {
+            assertEquals(
+                    r.code() + " " + r.header(CallHeaders.OUTCOME) + " " + r.header(CallHeaders.REASON),
+                    status + " " + outcome + " " + reason);
+            assertTrue(r.body().string().contains("\"reason\":\"" + reason + "\""));
+        }
+    }
+
+    private Response send(Request request) throws IOException {
+        String url = request.url().toString().replace("http://proxy", "http://" + proxyAddress);
+        return caller.newCall(request.newBuilder().url(url).build()).execute();
+    }
+
+    /** Keeps the caller's client from repeating a request by itself. */
+    private static Response holdRetryAfter(Interceptor.Chain chain) throws IOException {
+        Response r = chain.proceed(chain.request());
+        String value = r.header("Retry-After", "");
+        return r.newBuilder()
+                .removeHeader("Retry-After")
+                .header(SEEN_RETRY_AFTER, value)
+                .build();
+    }
+
+    private static Request get(String path) {
+        return new Request.Builder().url("http://proxy" + path).build();
+    }
+
+    private static Request post(String path, String requestId) {
+        return get(path)
+                .newBuilder()
+                .header(CallHeaders.REQUEST_ID, requestId)
+                .post(RequestBody.create("1".getBytes(), null))
+                .build();
+    }
+
+    private String ticket() throws IOException {
+        Request request = get("/tickets")
+                .newBuilder()
+                .post(RequestBody.create(new byte[0], null))
+                .build();
+        try (Response r = send(request)) {
+            return r.body().string().replaceAll(".*\"(t~[^\"]+)\".*", "$1");
+        }
+    }
+
+    private void awaitConfiguration() throws IOException, InterruptedException {
+        for (int i = 0; i < 200; i++) {
+            try (Response r = send(get("/services/s1/ready"))) {
+                if (r.isSuccessful()) {
+                    return;
+                }
+            }
+            Thread.sleep(50);
+        }
+        throw new AssertionError("the configuration did not come into force");
+    }
+
+    private String document() {
+        return """
+                addresses: {keep-seconds: 1}
+                services:
+                  - name: s1
+                    queue: {stall-ms: 2000}
+                    servers:
+                      - {name: b1, address: "127.0.0.1:%d", zone: z1, slots: 100, connection-limit: 5000}
+                """
+                .formatted(server.port());
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Body of one repeated byte, which is never held as a whole. */
+    private static final class RepeatedByte extends RequestBody {
+        private final int size;
+
+        private RepeatedByte(int size) {
+            this.size = size;
+        }
+
+        @Override
+        public MediaType contentType() {
+            return null;
+        }
+
+        @Override
+        public long contentLength() {
+            return size;
+        }
+
+        @Override
+        public void writeTo(BufferedSink sink) throws IOException {
+            for (int i = 0; i < size; i++) {
+                sink.writeByte('x');
+            }
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/test/java/org/hyssophitch/proxy/RawServer.java
@@ -0,0 +1,108 @@
+package org.hyssophitch.proxy;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** Backend server for tests that answers every request with the bytes given, which may break the protocol. */
+final class RawServer implements AutoCloseable {
+
+    /** How the answer ends. */
+    enum End {
+        KEEP,
+        CLOSE,
+        /** No answer at all, and the connection stays open. */
+        SILENT
+    }
+
+    private final ServerSocket socket;
+    private final List<String> requestLines = new CopyOnWriteArrayList<>();
+    private volatile byte[] answer;
+    private volatile End end;
+
+    RawServer(String answer, End end) throws IOException {
+        socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        become(answer, end);
+        Thread.startVirtualThread(this::accept);
+    }
+
+    void become(String newAnswer, End newEnd) {
+        answer = newAnswer.getBytes(StandardCharsets.ISO_8859_1);
+        end = newEnd;
+    }
+
+    int port() {
+        return socket.getLocalPort();
+    }
+
+    /** Returns the first line of each request but probes. */
+    List<String> requestLines() {
+        return requestLines;
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+
+    private void accept() {
+        while (!socket.isClosed()) {
+            try {
+                Socket connection = socket.accept();
+                Thread.startVirtualThread(() -> serve(connection));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket connection) {
+        try (connection) {
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(connection.getInputStream(), StandardCharsets.ISO_8859_1));
+            OutputStream out = connection.getOutputStream();
+            String line = in.readLine();
+            while (line != null) {
+                skip(in);
+                boolean isProbe = line.startsWith("GET /load ");
+                if (!isProbe) {
+                    requestLines.add(line);
+                }
+                if (end == End.SILENT && !isProbe) {
+                    line = in.readLine();
+                    continue;
+                }
+                out.write(isProbe ? "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n".getBytes() : answer);
+                out.flush();
+                if (end == End.CLOSE && !isProbe) {
+                    return;
+                }
+                line = in.readLine();
+            }
+        } catch (IOException e) {
+            // The proxy closed the connection, as it may.
+        }
+    }
+
+    private static void skip(BufferedReader in) throws IOException {
+        int length = 0;
+        String header = in.readLine();
+        while (header != null && !header.isEmpty()) {
+            if (header.toLowerCase().startsWith("content-length:")) {
+                length = Integer.parseInt(
+                        header.substring("content-length:".length()).trim());
+            }
+            header = in.readLine();
+        }
+        for (int i = 0; i < length; i++) {
+            in.read();
+        }
+    }
+}
--- a/standin/src/main/java/org/hyssophitch/standin/LoadRun.java
+++ b/standin/src/main/java/org/hyssophitch/standin/LoadRun.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Pattern;
@@ -117,15 +116,14 @@
      * Runs callers and checks their history.
      *
      * @param callers number of callers at the same time
-     * @param calls number of requests of all callers
+     * @param hasMore asked before each request whether there is one more
      * @param thinkMicros mean pause of a caller between two requests, in microseconds
      * @param probeBudgetPerSecond probes that the budget allows per second
      * @param startMicros when the first agent started, in microseconds since the epoch
      */
-    public Result run(int callers, int calls, long thinkMicros, double probeBudgetPerSecond, long startMicros)
+    public Result run(
+            int callers, BooleanSupplier hasMore, long thinkMicros, double probeBudgetPerSecond, long startMicros)
             throws IOException, InterruptedException {
-        AtomicInteger left = new AtomicInteger(calls);
-        BooleanSupplier hasMore = () -> left.getAndDecrement() > 0;
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < callers; i++) {
             CallerStandin caller =
--- a/standin/src/main/java/org/hyssophitch/standin/command/CallersCommand.java
+++ b/standin/src/main/java/org/hyssophitch/standin/command/CallersCommand.java
@@ -1,5 +1,9 @@
 package org.hyssophitch.standin.command;
 
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+
 import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
@@ -21,6 +25,9 @@
     @Option(name = "--calls", title = "number", description = "requests of all callers")
     private int calls = 4_000;
 
+    @Option(name = "--seconds", title = "number", description = "how long to start requests, in place of a number")
+    private int seconds;
+
     @Option(name = "--think-us", title = "microseconds", description = "mean pause of a caller between two requests")
     private long thinkMicros = 2_000;
 
@@ -36,8 +43,14 @@
     @Override
     public int execute() throws Exception {
         LoadRun.Result result = new LoadRun(profile.deployment(), seed, hasFaults)
-                .run(callers, calls, thinkMicros, DOCUMENT_PROBES_PER_SECOND, startedAtSeconds * 1_000_000);
+                .run(callers, hasMore(), thinkMicros, DOCUMENT_PROBES_PER_SECOND, startedAtSeconds * 1_000_000);
         System.out.println(result.json());
         return result.isGood() ? 0 : EXIT_VIOLATED;
     }
+
+    private BooleanSupplier hasMore() {
+        AtomicInteger left = new AtomicInteger(calls);
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        return seconds > 0 ? () -> System.nanoTime() < end : () -> left.getAndDecrement() > 0;
+    }
 }
