Measure control, state, choices and latency; make the agent engine's cost flat in the fleet's size

Cause: the agent engine spent 29,341 us/s per host at 200 hosts, three times the 1% of a core that control may cost. It worked out who watches and who probes what at every tick, over all members and servers.

Ruled out: the datagrams (their number doesn't grow; 2,177 bytes/s at 200 hosts).

--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/ControlBench.java
@@ -0,0 +1,102 @@
+package org.hyssophitch.bench;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.hyssophitch.bench.model.ModelAgent;
+import org.hyssophitch.bench.model.ModelAgents;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.document.DocumentReader;
+import org.hyssophitch.standin.Deployment;
+import org.hyssophitch.standin.DeploymentFiles;
+import org.hyssophitch.wire.yaml.YamlResult;
+
+/** Measures what control costs per host at several fleet sizes, in virtual time. Stateless. */
+public final class ControlBench {
+
+    /** Fleet sizes that are measured. */
+    public static final List<Integer> FLEET_SIZES = List.of(5, 15, 50, 200);
+
+    private static final long SECOND = 1_000_000;
+    private static final long SETTLE_SECONDS = 15;
+    private static final long MEASURE_SECONDS = 10;
+    private static final int CHANGES = 5;
+    private static final long CHANGE_SECONDS = 2;
+    private static final long STEP_MICROS = 5_000;
+    /** Keeps acceptances from falling on the watchers' ticks. */
+    private static final long OFFSET_MICROS = 17_000;
+
+    private static final double NANOS_PER_MICRO = 1_000;
+    private static final double MICROS_PER_MILLI = 1_000;
+
+    private ControlBench() {}
+
+    /** Measures one fleet size. */
+    public static ControlRow run(int hosts, long seed) {
+        ModelAgents run = new ModelAgents(hosts, Deployment.GLENMORVEN.zones(), seed, 0, 0);
+        run.accept(named("0"), 0);
+        run.time().runUntil(SETTLE_SECONDS * SECOND);
+        long bytes = run.bytesSent();
+        long nanos = nanos(run);
+        long reads = run.store().calls();
+        run.time().runUntil((SETTLE_SECONDS + MEASURE_SECONDS) * SECOND);
+        double hostSeconds = (double) MEASURE_SECONDS * hosts;
+        double perHost = (run.bytesSent() - bytes) / hostSeconds;
+        double cpu = (nanos(run) - nanos) / NANOS_PER_MICRO / hostSeconds;
+        double readsPerSecond = (run.store().calls() - reads) / (double) MEASURE_SECONDS;
+        List<Double> delays = inForceDelays(run);
+        long watchers =
+                run.running().stream().filter(a -> a.engine().isWatcher()).count();
+        return new ControlRow(
+                hosts,
+                perHost,
+                cpu,
+                run.largestDatagram(),
+                percentile(delays, 0.5),
+                percentile(delays, 1),
+                readsPerSecond,
+                watchers);
+    }
+
+    private static List<Double> inForceDelays(ModelAgents run) {
+        Map<String, Double> delays = new HashMap<>();
+        for (int i = 1; i <= CHANGES; i++) {
+            run.time().runUntil(run.time().nowMicros() + i * OFFSET_MICROS);
+            run.accept(named(Integer.toString(i)), run.store().version());
+            long started = run.time().nowMicros();
+            while (run.time().nowMicros() < started + CHANGE_SECONDS * SECOND) {
+                run.time().runUntil(run.time().nowMicros() + STEP_MICROS);
+                double elapsed = (run.time().nowMicros() - started) / MICROS_PER_MILLI;
+                int change = i;
+                run.running().stream()
+                        .filter(a -> a.proxyVersion() == run.store().version())
+                        .forEach(a -> delays.putIfAbsent(a.host() + '/' + change, elapsed));
+            }
+        }
+        return delays.values().stream().sorted().toList();
+    }
+
+    private static double percentile(List<Double> sorted, double share) {
+        return sorted.isEmpty() ? -1 : sorted.get((int) Math.round(share * (sorted.size() - 1)));
+    }
+
+    private static long nanos(ModelAgents run) {
+        return run.all().stream().mapToLong(ModelAgent::nanosSpent).sum();
+    }
+
+    private static Configuration named(String revisionId) {
+        return switch (DocumentReader.read(DeploymentFiles.document(Deployment.GLENMORVEN))) {
+            case YamlResult.Valid<Configuration> v ->
+                new Configuration(
+                        0,
+                        revisionId,
+                        v.value().maxEntryHosts(),
+                        v.value().measuring(),
+                        v.value().addresses(),
+                        v.value().services());
+            case YamlResult.Invalid<Configuration> i ->
+                throw new IllegalStateException(i.faults().toString());
+        };
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/EngineBench.java
@@ -0,0 +1,79 @@
+package org.hyssophitch.bench;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.hyssophitch.core.call.AttemptResult;
+import org.hyssophitch.core.call.CallEngine;
+import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.CallRequest;
+import org.hyssophitch.core.call.EngineSettings;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.core.timeline.EventRecorder;
+import org.hyssophitch.core.timeline.ProcessTimeline;
+import org.hyssophitch.document.DocumentReader;
+import org.hyssophitch.standin.Deployment;
+import org.hyssophitch.standin.DeploymentFiles;
+import org.hyssophitch.wire.yaml.YamlResult;
+
+/** Measures the processor time that the call engine takes per call, with and without the time line. Stateless. */
+public final class EngineBench {
+
+    private static final int WARM_UP = 100_000;
+    private static final int CALLS = 400_000;
+    private static final int EVENTS_KEPT = 20_000;
+    private static final int OK = 200;
+    private static final double NANOS_PER_MICRO = 1_000;
+
+    /**
+     * Result. Immutable.
+     *
+     * @param microsPerCall processor time in microseconds per call without recording
+     * @param microsPerRecordedCall the same with every decision recorded
+     */
+    public record EngineRow(double microsPerCall, double microsPerRecordedCall) {}
+
+    private EngineBench() {}
+
+    /** Measures both ways, one after the other. */
+    public static EngineRow run() {
+        measure(EventRecorder.NONE, WARM_UP);
+        measure(new ProcessTimeline("bench", "z", EVENTS_KEPT), WARM_UP);
+        double plain = measure(EventRecorder.NONE, CALLS);
+        double recorded = measure(new ProcessTimeline("bench", "z", EVENTS_KEPT), CALLS);
+        return new EngineRow(plain, recorded);
+    }
+
+    private static double measure(EventRecorder recorder, int calls) {
+        CallEngine engine =
+                new CallEngine(new EngineSettings("entry-01", "inverness-hall", 1), new SplittableRandom(1), recorder);
+        engine.handle(new CallEvent.ConfigurationAccepted(0, configuration()));
+        long started = System.nanoTime();
+        for (int i = 1; i <= calls; i++) {
+            callOnce(engine, i);
+        }
+        return (System.nanoTime() - started) / NANOS_PER_MICRO / calls;
+    }
+
+    private static void callOnce(CallEngine engine, int id) {
+        long now = id * 100L;
+        CallRequest request = new CallRequest(
+                id, "r", "mastwatch", true, Optional.empty(), CallRequest.NO_DEADLINE, 0, true, true, "f");
+        engine.handle(new CallEvent.CallArrived(now, request));
+        LoadReport report = new LoadReport("mastwatch-" + (1 + id % 8), id % 4, now, false);
+        engine.handle(new CallEvent.ReportsReceived(now, List.of(report)));
+        engine.handle(new CallEvent.AnswerStarted(now + 50, id, 1, OK));
+        engine.handle(new CallEvent.AttemptEnded(now + 60, id, 1, new AttemptResult.Completed()));
+        engine.handle(new CallEvent.TimePassed(now + 60));
+    }
+
+    private static Configuration configuration() {
+        return switch (DocumentReader.read(DeploymentFiles.document(Deployment.GLENMORVEN))) {
+            case YamlResult.Valid<Configuration> v -> v.value().withVersion(1);
+            case YamlResult.Invalid<Configuration> i ->
+                throw new IllegalStateException(i.faults().toString());
+        };
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/command/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Command line of the measurements.
+ */
+package org.hyssophitch.bench.command;
--- a/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
@@ -67,6 +67,10 @@
     private long nextUpdateMicros;
     private long proxyVersion = -1;
     private long nextFetchMicros;
+    private long newestVersionSeen;
+    private int membershipEpoch = 1;
+    private int watcherEpoch;
+    private boolean isWatcher;
     private long nextContactMicros;
     private List<ListedHost> listed = List.of();
 
@@ -143,14 +147,18 @@
 
     /** Returns whether this host is one of the few that wait for changes at the object API. */
     public boolean isWatcher() {
-        List<String> live = membership.live().stream().map(Member::host).toList();
-        return Rendezvous.owners("configuration-watch", live, WATCHERS)
-                .contains(membership.self().host());
+        if (watcherEpoch != membershipEpoch) {
+            watcherEpoch = membershipEpoch;
+            List<String> live = membership.live().stream().map(Member::host).toList();
+            isWatcher = Rendezvous.owners("configuration-watch", live, WATCHERS)
+                    .contains(membership.self().host());
+        }
+        return isWatcher;
     }
 
     private void onTime() {
         membership.onTime(nowMicros).forEach(this::sendHeartbeat);
-        planner.due(membership.live(), nowMicros).forEach(s -> actions.add(new AgentAction.Probe(s)));
+        planner.due(membershipEpoch, membership::live, nowMicros).forEach(s -> actions.add(new AgentAction.Probe(s)));
         fetchIfBehind();
         contactListedHosts();
         boolean isUpdateDue = nowMicros >= nextUpdateMicros;
@@ -163,6 +171,7 @@
     private void onMessage(AgentMessage m) {
         membership.merge(m.sender(), nowMicros);
         membership.refresh(m.sender());
+        newestVersionSeen = Math.max(newestVersionSeen, m.sender().configurationVersion());
         m.members().forEach(member -> membership.merge(member, nowMicros));
         m.loads().forEach(l -> addReport(l.received(nowMicros), false));
         m.leaving().forEach(this::addLeaving);
@@ -206,6 +215,8 @@
     }
 
     private void onMemberChange(Member m) {
+        membershipEpoch++;
+        newestVersionSeen = Math.max(newestVersionSeen, m.configurationVersion());
         memberNews.add(m.host(), m);
         hasUrgentNews = true;
         isProxyStale = true;
@@ -222,8 +233,8 @@
 
     /** A host that knows no other tries those of the host list again. */
     private void contactListedHosts() {
-        boolean isAlone = membership.live().size() == 1;
-        if (isAlone && nowMicros >= nextContactMicros) {
+        boolean isAlone = nowMicros >= nextContactMicros && membership.live().size() == 1;
+        if (isAlone) {
             nextContactMicros = nowMicros + CONTACT_PERIOD_MICROS;
             listed.forEach(this::onListedHost);
         }
@@ -267,7 +278,7 @@
 
     private void fetchIfBehind() {
         long own = configuration().version();
-        if (nowMicros < nextFetchMicros) {
+        if (nowMicros < nextFetchMicros || newestVersionSeen <= own) {
             return;
         }
         List<Member> ahead = membership.live().stream()
@@ -348,7 +359,7 @@
         AgentMessage m = new AgentMessage(
                 membership.self(),
                 heartbeat,
-                withReminder(memberNews.take(MEMBERS_PER_MESSAGE), members()),
+                withReminder(memberNews.take(MEMBERS_PER_MESSAGE), membership.all()),
                 loads.freshest(LOADS_PER_MESSAGE, nowMicros),
                 withReminder(leavingNews.take(NOTICES_PER_MESSAGE), leaving.all()),
                 suspicionNews.take(NOTICES_PER_MESSAGE));
--- a/core/src/main/java/org/hyssophitch/core/load/ProbePlanner.java
+++ b/core/src/main/java/org/hyssophitch/core/load/ProbePlanner.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 import org.hyssophitch.core.configuration.BackendServer;
@@ -28,12 +29,15 @@
     private static final long FRESH_MICROS = 1_000_000;
 
     private static final double ONE_PROBE = 1;
+    private static final int NO_EPOCH = -1;
 
     private final String host;
     private final Map<String, TokenBucket> perServer = new HashMap<>();
     private final Map<String, Long> lastReportMicros = new HashMap<>();
     private final TokenBucket total;
     private final TokenBucket bytes;
+    private List<BackendServer> owned = List.of();
+    private int ownedEpoch = NO_EPOCH;
     private Configuration configuration = Configuration.NONE;
 
     /**
@@ -51,6 +55,7 @@
     /** Takes over the budgets and backend servers of a configuration. */
     public void onConfiguration(Configuration accepted, long nowMicros) {
         configuration = accepted;
+        ownedEpoch = NO_EPOCH;
         MeasuringBudget budget = accepted.measuring();
         double hosts = Math.max(1, accepted.maxEntryHosts());
         total.setRate(budget.probesPerSecondTotal() / hosts, ONE_PROBE, nowMicros);
@@ -72,19 +77,29 @@
     /**
      * Returns the backend servers to probe now; their tokens are taken.
      *
+     * @param membershipEpoch number that changes whenever the live hosts may have changed
      * @param live entry hosts that count as running
      * @param nowMicros current time in microseconds
      */
-    public List<BackendServer> due(Collection<Member> live, long nowMicros) {
-        return configuration.services().stream()
-                .flatMap(s -> s.servers().stream())
+    public List<BackendServer> due(int membershipEpoch, Supplier<List<Member>> live, long nowMicros) {
+        if (membershipEpoch != ownedEpoch) {
+            ownedEpoch = membershipEpoch;
+            owned = owned(live.get());
+        }
+        return owned.stream()
                 .filter(s -> isStale(s, nowMicros))
-                .filter(s -> isOwner(s, live))
                 .sorted(Comparator.comparingLong(s -> lastReportMicros.getOrDefault(s.name(), 0L)))
                 .filter(s -> tryTake(s, nowMicros))
                 .toList();
     }
 
+    private List<BackendServer> owned(List<Member> live) {
+        return configuration.services().stream()
+                .flatMap(s -> s.servers().stream())
+                .filter(s -> isOwner(s, live))
+                .toList();
+    }
+
     private boolean isStale(BackendServer s, long nowMicros) {
         return nowMicros - lastReportMicros.getOrDefault(s.name(), Long.MIN_VALUE / 2) > FRESH_MICROS;
     }
--- a/core/src/main/java/org/hyssophitch/core/membership/MembershipEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/membership/MembershipEngine.java
@@ -29,6 +29,7 @@
     private static final long ACK_TIMEOUT_MICROS = 200_000;
     private static final long INDIRECT_TIMEOUT_MICROS = 400_000;
     private static final long SUSPICION_MICROS = 1_000_000;
+    private static final long CHECK_MICROS = 100_000;
     private static final long FORGET_MICROS = 600_000_000;
     private static final int INDIRECT_HELPERS = 2;
 
@@ -41,6 +42,9 @@
     private final RandomGenerator random;
     private final Consumer<Member> onChange;
     private Member self;
+    private List<Member> all = List.of();
+    private boolean isAllStale = true;
+    private long nextCheckMicros;
     private long nextRoundMicros;
     private long sequence;
 
@@ -55,6 +59,7 @@
         this.self = self;
         this.random = random;
         this.onChange = onChange;
+        isAllStale = true;
         members.put(self.host(), self);
     }
 
@@ -67,6 +72,15 @@
         return Collections.unmodifiableCollection(members.values());
     }
 
+    /** Returns every known member as a list, which is rebuilt only after a change. */
+    public List<Member> all() {
+        if (isAllStale) {
+            all = List.copyOf(members.values());
+            isAllStale = false;
+        }
+        return all;
+    }
+
     /** Returns the members that count as running, this host included, ordered by name. */
     public List<Member> live() {
         return members.values().stream().filter(Member::isLive).toList();
@@ -87,6 +101,7 @@
     /** Replaces this host's own statement without spreading it at once; heartbeats carry it. */
     public void stateSelfQuietly(Member statement) {
         self = statement;
+        isAllStale = true;
         members.put(self.host(), self);
     }
 
@@ -99,6 +114,7 @@
         if (known != null && !statement.supersedes(known)) {
             return false;
         }
+        isAllStale = true;
         members.put(statement.host(), statement);
         changedMicros.put(statement.host(), nowMicros);
         onChange.accept(statement);
@@ -115,6 +131,7 @@
         if (isSame
                 && statement.state() == MemberState.ALIVE
                 && !statement.host().equals(self.host())) {
+            isAllStale = true;
             members.put(statement.host(), statement);
         }
     }
@@ -123,7 +140,10 @@
     public List<Heartbeat> onTime(long nowMicros) {
         List<Heartbeat> out = new ArrayList<>();
         checkPending(nowMicros, out);
-        checkSuspects(nowMicros);
+        if (nowMicros >= nextCheckMicros) {
+            nextCheckMicros = nowMicros + CHECK_MICROS;
+            checkSuspects(nowMicros);
+        }
         if (nowMicros >= nextRoundMicros) {
             nextRoundMicros = nowMicros + PERIOD_MICROS;
             startRound(nowMicros, out);
@@ -232,6 +252,7 @@
     }
 
     private void forgetOld(long nowMicros) {
+        isAllStale = true;
         members.values()
                 .removeIf(m ->
                         !m.isLive() && nowMicros - changedMicros.getOrDefault(m.host(), nowMicros) >= FORGET_MICROS);
@@ -250,6 +271,7 @@
 
     private void putSelf(Member statement) {
         self = statement;
+        isAllStale = true;
         members.put(self.host(), self);
         onChange.accept(self);
     }
