--- a/agent/src/main/java/org/hyssophitch/agent/AgentDecisions.java
+++ b/agent/src/main/java/org/hyssophitch/agent/AgentDecisions.java
@@ -16,7 +16,7 @@
 final class AgentDecisions implements AutoCloseable {
 
     private static final int RING_CAPACITY = 4_096;
-    private static final long TICK_MICROS = 10_000;
+    private static final long TICK_MICROS = 50_000;
 
     private final AgentEngine engine;
     private final Consumer<AgentAction> executor;
@@ -27,7 +27,7 @@
         this.engine = engine;
         this.executor = executor;
         this.publisher = publisher;
-        this.duty = new DutyThread<>("agent-decisions", RING_CAPACITY, TICK_MICROS, this::handle, this::tick);
+        this.duty = new DutyThread<>("agent-decisions", RING_CAPACITY, () -> TICK_MICROS, this::handle, this::tick);
     }
 
     void start() {
--- a/agent/src/main/java/org/hyssophitch/agent/PlatformReader.java
+++ b/agent/src/main/java/org/hyssophitch/agent/PlatformReader.java
@@ -37,7 +37,7 @@
     private static final long BASE_BACKOFF_MILLIS = 200;
     private static final long MAX_BACKOFF_MILLIS = 5_000;
     private static final double BURST_CALLS = 3;
-    private static final long POLL_MILLIS = 20;
+    private static final long POLL_MILLIS = 100;
 
     private final PlatformClient client;
     private final BooleanSupplier isWatcher;
--- a/agent/src/main/java/org/hyssophitch/agent/Prober.java
+++ b/agent/src/main/java/org/hyssophitch/agent/Prober.java
@@ -38,7 +38,7 @@
 
     Prober(Consumer<LoadReport> sink) {
         this.sink = sink;
-        this.duty = new DutyThread<>("agent-probes", RING_CAPACITY, TICK_MICROS, this::probe, () -> {});
+        this.duty = new DutyThread<>("agent-probes", RING_CAPACITY, () -> TICK_MICROS, this::probe, () -> {});
     }
 
     void start() {
--- a/bench/src/main/java/org/hyssophitch/bench/CapacityTable.java
+++ b/bench/src/main/java/org/hyssophitch/bench/CapacityTable.java
@@ -15,7 +15,6 @@
     public static final String END = "<!-- end of the table -->";
 
     private static final int SERVERS = 31_000;
-    private static final int SERVICES = 4_100;
     private static final double CALLS_PER_SECOND = 4_600_000;
     private static final int CHANGES_PER_DAY = 29_000;
     private static final double SECONDS_PER_DAY = 86_400;
@@ -113,7 +112,7 @@
                 "message of one change, bytes",
                 "none",
                 number(last.changeBytes()),
-                "one service of " + SERVICES + " changed; names of all services included",
+                "one service of " + last.services() + " changed",
                 "measured",
                 "changes travel, not documents");
         Fit apply = fit(s.state(), StateBench.StateRow::servers, StateBench.StateRow::applyMicros);
--- a/core/src/main/java/org/hyssophitch/core/routing/ServerSelector.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerSelector.java
@@ -19,6 +19,8 @@
     private static final double REPORT_HALF_LIFE_MICROS = 50_000;
     /** Candidates listed in one decision at the most. */
     private static final int MAX_VIEWS = 64;
+    /** Multiple of the sample size from which on candidates are drawn before they are looked at. */
+    private static final int LARGE_FACTOR = 4;
 
     private final RandomGenerator random;
     private int nextInTurn;
@@ -41,12 +43,10 @@
      * @param isDetailed whether to list what was known of each candidate
      */
     public Optional<Choice> choose(RoutingPolicy policy, List<ServerState> all, long nowMicros, boolean isDetailed) {
-        List<ServerState> eligible =
-                all.stream().filter(s -> s.isEligible(nowMicros)).toList();
-        if (eligible.isEmpty()) {
+        List<ServerState> compared = sample(policy, all, nowMicros);
+        if (compared.isEmpty()) {
             return Optional.empty();
         }
-        List<ServerState> compared = sample(policy, eligible);
         ToDoubleFunction<ServerState> score = scoreOf(policy, compared, nowMicros);
         double[] scores = compared.stream().mapToDouble(score).toArray();
         ServerState chosen = compared.get(indexOfLeast(scores));
@@ -54,17 +54,25 @@
         return Optional.of(new Choice(chosen, views));
     }
 
-    private List<ServerState> sample(RoutingPolicy policy, List<ServerState> eligible) {
+    private List<ServerState> sample(RoutingPolicy policy, List<ServerState> all, long nowMicros) {
         return switch (policy) {
-            case RoutingPolicy.Uniform u -> draw(eligible, 1);
-            case RoutingPolicy.RoundRobin r -> List.of(eligible.get(Math.floorMod(nextInTurn++, eligible.size())));
-            case RoutingPolicy.LeastInFlight l -> eligible;
-            case RoutingPolicy.PowerOfTwo p -> draw(eligible, 2);
-            case RoutingPolicy.PowerOfD p -> draw(eligible, p.sampleSize());
-            case RoutingPolicy.EstimatedDelay e -> draw(eligible, e.sampleSize());
+            case RoutingPolicy.Uniform u -> draw(all, 1, nowMicros);
+            case RoutingPolicy.RoundRobin r -> inTurn(eligible(all, nowMicros));
+            case RoutingPolicy.LeastInFlight l -> eligible(all, nowMicros);
+            case RoutingPolicy.PowerOfTwo p -> draw(all, 2, nowMicros);
+            case RoutingPolicy.PowerOfD p -> draw(all, p.sampleSize(), nowMicros);
+            case RoutingPolicy.EstimatedDelay e -> draw(all, e.sampleSize(), nowMicros);
         };
     }
 
+    private List<ServerState> inTurn(List<ServerState> eligible) {
+        return eligible.isEmpty() ? eligible : List.of(eligible.get(Math.floorMod(nextInTurn++, eligible.size())));
+    }
+
+    private static List<ServerState> eligible(List<ServerState> all, long nowMicros) {
+        return all.stream().filter(s -> s.isEligible(nowMicros)).toList();
+    }
+
     private ToDoubleFunction<ServerState> scoreOf(RoutingPolicy policy, List<ServerState> compared, long nowMicros) {
         return switch (policy) {
             case RoutingPolicy.Uniform u -> s -> 0;
@@ -82,14 +90,29 @@
                 .orElse(0.0);
     }
 
-    /** Draws distinct candidates; all of them, in order, when the sample covers them. */
-    private List<ServerState> draw(List<ServerState> eligible, int size) {
-        if (eligible.size() <= size) {
-            return eligible;
-        }
-        if (size == 1) {
-            return List.of(eligible.get(random.nextInt(eligible.size())));
+    /** Draws distinct eligible candidates; all of them, in order, when the sample covers them. */
+    private List<ServerState> draw(List<ServerState> all, int size, long nowMicros) {
+        if (all.size() > size * LARGE_FACTOR) {
+            List<ServerState> drawn = drawUnseen(all, size, nowMicros);
+            if (drawn.size() == size) {
+                return drawn;
+            }
         }
+        List<ServerState> eligible = eligible(all, nowMicros);
+        return eligible.size() <= size ? eligible : pick(eligible, size);
+    }
+
+    /** Draws from many candidates without looking at all of them; may find too few when most are not eligible. */
+    private List<ServerState> drawUnseen(List<ServerState> all, int size, long nowMicros) {
+        return random.ints((long) size * LARGE_FACTOR, 0, all.size())
+                .distinct()
+                .mapToObj(all::get)
+                .filter(s -> s.isEligible(nowMicros))
+                .limit(size)
+                .toList();
+    }
+
+    private List<ServerState> pick(List<ServerState> eligible, int size) {
         return random.ints(0, eligible.size())
                 .distinct()
                 .limit(size)
@@ -119,9 +142,8 @@
             ServerState s = compared.get(i);
             views.add(view(s, scores[i], s == chosen ? "chosen" : "scored-higher", nowMicros));
         }
-        Stream<CandidateView> refused = all.stream()
-                .filter(s -> !s.isEligible(nowMicros))
-                .map(s -> view(s, 0, s.refusal(nowMicros), nowMicros));
+        Stream<CandidateView> refused = (all.size() > MAX_VIEWS ? compared : all)
+                .stream().filter(s -> !s.isEligible(nowMicros)).map(s -> view(s, 0, s.refusal(nowMicros), nowMicros));
         return Stream.concat(views.stream(), refused).limit(MAX_VIEWS).toList();
     }
 
--- a/core/src/main/java/org/hyssophitch/core/spread/ConfigurationHistory.java
+++ b/core/src/main/java/org/hyssophitch/core/spread/ConfigurationHistory.java
@@ -50,7 +50,7 @@
                 kept.stream().filter(c -> c.version() == version).findFirst();
         return base.filter(b -> b.version() > 0)
                 .map(b -> changeFrom(b, inForce()))
-                .orElseGet(() -> new ConfigurationChange(0, inForce(), inForce().services(), serviceNames(inForce())));
+                .orElseGet(() -> new ConfigurationChange(0, inForce(), inForce().services(), List.of()));
     }
 
     /**
@@ -69,10 +69,11 @@
         Set<Service> unchanged = new HashSet<>(base.services());
         List<Service> changed =
                 target.services().stream().filter(s -> !unchanged.contains(s)).toList();
-        return new ConfigurationChange(base.version(), target, changed, serviceNames(target));
-    }
-
-    private static List<String> serviceNames(Configuration c) {
-        return c.services().stream().map(Service::name).collect(Collectors.toList());
+        Set<String> kept = target.services().stream().map(Service::name).collect(Collectors.toSet());
+        List<String> removed = base.services().stream()
+                .map(Service::name)
+                .filter(n -> !kept.contains(n))
+                .toList();
+        return new ConfigurationChange(base.version(), target, changed, removed);
     }
 }
--- a/proxy/src/main/java/org/hyssophitch/proxy/AgentLink.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/AgentLink.java
@@ -36,7 +36,7 @@
  */
 final class AgentLink implements FrameChannels.Receiver, AutoCloseable {
 
-    private static final long PERIOD_MILLIS = 100;
+    private static final long PERIOD_MILLIS = 200;
 
     private final String address;
     private final CallDecisions decisions;
--- a/proxy/src/main/java/org/hyssophitch/proxy/CallDecisions.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/CallDecisions.java
@@ -22,7 +22,8 @@
 final class CallDecisions implements AutoCloseable {
 
     private static final int RING_CAPACITY = 16_384;
-    private static final long TICK_MICROS = 1_000;
+    private static final long BUSY_TICK_MICROS = 1_000;
+    private static final long IDLE_TICK_MICROS = 20_000;
 
     private final CallEngine engine;
     private final Map<Long, Consumer<CallAction>> calls = new ConcurrentHashMap<>();
@@ -31,7 +32,7 @@
 
     CallDecisions(CallEngine engine) {
         this.engine = engine;
-        this.duty = new DutyThread<>("proxy-decisions", RING_CAPACITY, TICK_MICROS, this::handle, this::tick);
+        this.duty = new DutyThread<>("proxy-decisions", RING_CAPACITY, this::tickMicros, this::handle, this::tick);
     }
 
     void start() {
@@ -85,6 +86,11 @@
         }
     }
 
+    /** Timers need a fine tick only while there are calls; a call that arrives wakes the thread. */
+    private long tickMicros() {
+        return engine.activeCalls() > 0 ? BUSY_TICK_MICROS : IDLE_TICK_MICROS;
+    }
+
     private void tick() {
         long now = WallClock.nowMicros();
         if (engine.activeCalls() > 0 || engine.nextTimerMicros() <= now) {
--- a/wire/src/main/java/org/hyssophitch/wire/codec/ConfigurationCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/ConfigurationCodec.java
@@ -44,14 +44,14 @@
         return header(change.header())
                 .setBaseVersion(change.baseVersion())
                 .addAllServices(encodeServices(change.changed()))
-                .addAllOrder(change.order())
+                .addAllRemoved(change.removed())
                 .build();
     }
 
     /** Decodes a change. */
     public static ConfigurationChange decodeChange(Wire.Configuration c) {
         Configuration decoded = decode(c);
-        return new ConfigurationChange(c.getBaseVersion(), decoded, decoded.services(), c.getOrderList());
+        return new ConfigurationChange(c.getBaseVersion(), decoded, decoded.services(), c.getRemovedList());
     }
 
     private static Wire.Configuration.Builder header(Configuration c) {
--- a/wire/src/main/java/org/hyssophitch/wire/duty/DutyThread.java
+++ b/wire/src/main/java/org/hyssophitch/wire/duty/DutyThread.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import org.jctools.queues.MpscArrayQueue;
 import org.tinylog.Logger;
@@ -24,7 +25,7 @@
     private final Thread thread;
     private final Consumer<E> onEvent;
     private final Runnable onTick;
-    private final long tickNanos;
+    private final LongSupplier tickMicros;
     private final AtomicBoolean isWaiting = new AtomicBoolean();
     private volatile boolean isClosed;
 
@@ -33,15 +34,15 @@
      *
      * @param name name of the thread
      * @param capacity number of events that the ring holds
-     * @param tickMicros time in microseconds between two ticks
+     * @param tickMicros time in microseconds until the next tick, asked after each tick
      * @param onEvent handler of events
      * @param onTick called once per tick
      */
-    public DutyThread(String name, int capacity, long tickMicros, Consumer<E> onEvent, Runnable onTick) {
+    public DutyThread(String name, int capacity, LongSupplier tickMicros, Consumer<E> onEvent, Runnable onTick) {
         this.ring = new MpscArrayQueue<>(capacity);
         this.onEvent = onEvent;
         this.onTick = onTick;
-        this.tickNanos = TimeUnit.MICROSECONDS.toNanos(tickMicros);
+        this.tickMicros = tickMicros;
         this.thread = Thread.ofPlatform().name(name).daemon().unstarted(this::run);
     }
 
@@ -78,10 +79,12 @@
             int handled = ring.drain(this::handle, BATCH);
             long now = System.nanoTime();
             if (now - nextTick >= 0) {
-                nextTick = now + tickNanos;
                 guard(onTick);
+                nextTick = now + TimeUnit.MICROSECONDS.toNanos(tickMicros.getAsLong());
             }
-            if (handled == 0) {
+            if (handled > 0) {
+                nextTick = Math.min(nextTick, now + TimeUnit.MICROSECONDS.toNanos(tickMicros.getAsLong()));
+            } else {
                 await(nextTick - now);
             }
         }
