Start attempts on the engine's thread, and check requests before they are sent on

Cause: each call crossed five threads; a path that the HTTP client can't take failed on the attempt's thread. Change: an attempt starts where it is decided; its request is made once per call, on the caller's thread, and refused there as bad-request when it can't be sent on. Test: oddCharactersAreSentOn.

--- a/proxy/src/main/java/org/hyssophitch/proxy/Attempt.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/Attempt.java
@@ -2,20 +2,12 @@
 
 import java.io.IOException;
 import java.net.SocketTimeoutException;
-import java.util.Collections;
 import java.util.List;
-import java.util.Locale;
-import java.util.Set;
 
-import io.javalin.http.Context;
 import okhttp3.Call;
-import okhttp3.MediaType;
+import okhttp3.HttpUrl;
 import okhttp3.Request;
-import okhttp3.RequestBody;
 import okhttp3.Response;
-import okhttp3.internal.http.HttpMethod;
-import okio.BufferedSink;
-import okio.Okio;
 import org.hyssophitch.core.call.AttemptResult;
 import org.hyssophitch.core.call.AttemptResult.LostCause;
 import org.hyssophitch.core.call.AttemptResult.NotRunCause;
@@ -34,37 +26,27 @@
 
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final long MICROS_PER_MILLI = 1_000;
-    private static final Set<String> NOT_FORWARDED = Set.of(
-            "host",
-            "connection",
-            "keep-alive",
-            "te",
-            "trailer",
-            "transfer-encoding",
-            "upgrade",
-            "content-length",
-            "proxy-authorization",
-            "accept-encoding");
-
-    private final Context context;
     private final CallerRequest request;
+    private final Request template;
     private final CallAction.StartAttempt start;
     private final CallDecisions decisions;
     private final AttemptProgress progress = new AttemptProgress();
-    private final Call call;
+    private final BackendClient client;
+    private volatile Call call;
+    private volatile boolean isCancelled;
     private volatile Response response;
 
     Attempt(
-            Context context,
             CallerRequest request,
+            Request template,
             CallAction.StartAttempt start,
             CallDecisions decisions,
             BackendClient client) {
-        this.context = context;
         this.request = request;
+        this.template = template;
         this.start = start;
         this.decisions = decisions;
-        this.call = client.call(httpRequest(), request.call().idempotent(), start.stallMillis(), progress);
+        this.client = client;
     }
 
     String serverName() {
@@ -77,7 +59,11 @@
     }
 
     void cancel() {
-        call.cancel();
+        isCancelled = true;
+        Call c = call;
+        if (c != null) {
+            c.cancel();
+        }
         Response r = response;
         if (r != null) {
             r.close();
@@ -87,6 +73,10 @@
     @Override
     public void run() {
         try {
+            call = client.call(httpRequest(), request.call().idempotent(), start.stallMillis(), progress);
+            if (isCancelled) {
+                return;
+            }
             response = call.execute();
         } catch (IOException e) {
             end(classify(e));
@@ -127,56 +117,16 @@
     }
 
     private Request httpRequest() {
-        String url = "http://" + start.server().host() + ":" + start.server().port() + request.target();
-        Request.Builder builder = new Request.Builder().url(url).method(request.method(), body());
-        Collections.list(context.req().getHeaderNames()).stream()
-                .filter(n -> !NOT_FORWARDED.contains(n.toLowerCase(Locale.ROOT)))
-                .forEach(n -> Collections.list(context.req().getHeaders(n)).forEach(v -> builder.addHeader(n, v)));
-        String encoding = context.header("Accept-Encoding");
+        HttpUrl url = template.url()
+                .newBuilder()
+                .host(start.server().host())
+                .port(start.server().port())
+                .build();
         long remaining = Math.max(1, (start.deadlineMicros() - WallClock.nowMicros()) / MICROS_PER_MILLI);
-        return builder.header("Accept-Encoding", encoding == null ? "identity" : encoding)
-                .header(CallHeaders.REQUEST_ID, request.call().requestId())
+        return template.newBuilder()
+                .url(url)
                 .header(CallHeaders.DEADLINE_MILLIS, Long.toString(remaining))
-                .header(CallHeaders.DEPTH, Integer.toString(request.call().depth() + 1))
                 .header(CallHeaders.MAY_RETRY, Boolean.toString(start.mayRetryBelow()))
                 .build();
     }
-
-    private RequestBody body() {
-        if (request.hasStreamedBody()) {
-            return new StreamedBody(context);
-        }
-        byte[] bytes = request.body();
-        boolean needsBody = HttpMethod.requiresRequestBody(request.method());
-        return bytes == null && !needsBody ? null : RequestBody.create(bytes == null ? new byte[0] : bytes, null);
-    }
-
-    /** Body of a large request, read from the caller's connection once. */
-    private static final class StreamedBody extends RequestBody {
-        private final Context context;
-
-        private StreamedBody(Context context) {
-            this.context = context;
-        }
-
-        @Override
-        public MediaType contentType() {
-            return null;
-        }
-
-        @Override
-        public long contentLength() {
-            return context.req().getContentLengthLong();
-        }
-
-        @Override
-        public boolean isOneShot() {
-            return true;
-        }
-
-        @Override
-        public void writeTo(BufferedSink sink) throws IOException {
-            sink.writeAll(Okio.source(context.req().getInputStream()));
-        }
-    }
 }
--- a/proxy/src/main/java/org/hyssophitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/Exchange.java
@@ -3,15 +3,16 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.BooleanSupplier;
 
 import io.javalin.http.Context;
+import okhttp3.Request;
 import okhttp3.Response;
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
 import org.hyssophitch.core.call.AttemptResult;
@@ -22,7 +23,7 @@
 
 /**
  * One call between a caller's connection and its attempts. Runs on the thread of the caller's request until the final
- * answer; attempts run on threads of their own.
+ * answer; attempts are started on the engine's thread and run on threads of their own.
  */
 final class Exchange {
 
@@ -40,13 +41,19 @@
 
     private final Context context;
     private final CallerRequest request;
+    private final Request template;
     private final CallDecisions decisions;
     private final BackendClient client;
     private final AnswerWriter answers;
     private final BooleanSupplier isStopping;
     private final BlockingQueue<CallAction> actions = new LinkedBlockingQueue<>();
-    private final Map<Integer, Attempt> attempts = new HashMap<>();
+    private final Map<Integer, Attempt> attempts = new ConcurrentHashMap<>();
 
+    /**
+     * Prepares a call.
+     *
+     * @throws IllegalArgumentException when the caller's path or headers can't be sent on
+     */
     Exchange(
             Context context,
             CallerRequest request,
@@ -56,6 +63,7 @@
             BooleanSupplier isStopping) {
         this.context = context;
         this.request = request;
+        this.template = RequestTemplate.of(context, request);
         this.decisions = decisions;
         this.client = client;
         this.answers = answers;
@@ -65,7 +73,7 @@
     /** Carries the call to its final answer. */
     void run() throws InterruptedException {
         long callId = request.call().callId();
-        decisions.register(callId, actions::add);
+        decisions.register(callId, this::receive);
         try {
             if (!decisions.offer(new CallEvent.CallArrived(WallClock.nowMicros(), request.call()))) {
                 answers.busy(context, request);
@@ -81,10 +89,17 @@
         }
     }
 
-    private boolean carryOut(CallAction action) {
+    /** Takes an action on the engine's thread: attempts start and end there, the answer is up to the call's thread. */
+    private void receive(CallAction action) {
         switch (action) {
             case CallAction.StartAttempt a -> start(a);
             case CallAction.CancelAttempt a -> cancel(a.attempt());
+            default -> actions.add(action);
+        }
+    }
+
+    private boolean carryOut(CallAction action) {
+        switch (action) {
             case CallAction.RelayAnswer a -> {
                 return relay(a.attempt());
             }
@@ -96,13 +111,12 @@
                 breakConnection();
                 return true;
             }
-            case CallAction.ShareSuspicions s -> throw new IllegalStateException("not an action of one call");
+            default -> throw new IllegalStateException("not an action for the call's own thread: " + action);
         }
-        return false;
     }
 
     private void start(CallAction.StartAttempt a) {
-        Attempt attempt = new Attempt(context, request, a, decisions, client);
+        Attempt attempt = new Attempt(request, template, a, decisions, client);
         attempts.put(a.attempt(), attempt);
         Thread.startVirtualThread(attempt);
     }
--- a/proxy/src/main/java/org/hyssophitch/proxy/Proxy.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/Proxy.java
@@ -130,7 +130,7 @@
             } else {
                 new Exchange(context, request, decisions, client, answers, () -> isStopping).run();
             }
-        } catch (CallerRequest.MalformedRequestException e) {
+        } catch (CallerRequest.MalformedRequestException | IllegalArgumentException e) {
             answers.refuse(context, Reason.BAD_REQUEST, e.getMessage());
         } catch (IOException e) {
             Logger.debug("caller's connection failed: {}", e.toString());
--- a/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
+++ b/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
@@ -102,6 +102,19 @@
         assertEquals(server.requestLines(), List.of("GET /a%20b?q=1 HTTP/1.1"));
     }
 
+    /** Odd paths and headers either reach the server or are refused at once; they never hang. */
+    @Test
+    public void oddCharactersAreSentOn() throws IOException {
+        Request request = get("/services/s1/a%7Cb;c=1/%C3%A9?q=%5B%5D&r=a+b")
+                .newBuilder()
+                .header("X-Odd", "tab\tand;=,\"quotes\"")
+                .build();
+        try (Response r = send(request)) {
+            assertEquals(r.code(), 200);
+        }
+        assertEquals(server.requestLines(), List.of("GET /a%7Cb;c=1/%C3%A9?q=%5B%5D&r=a+b HTTP/1.1"));
+    }
+
     @DataProvider
     public Object[][] cutAnswers() {
         return new Object[][] {{CUT}, {CUT_CHUNK}};
