Read the code as a newcomer: one duty for engines, one reading of documents, strict types in YAML

Cause: agent and proxy each had their own ring element and question mechanism; check, apply and diff each read the document; the reader took "17" for a number where the published schema refuses it, and the console wrote such. Ruled out: loosening the schema, since editors would then accept what other tools refuse. Change: EngineDuty in wire, DocumentFile.withValid in the client, scalars are read by their YAML type, the console quotes texts only. An operator's drain shows on the time line. Proof: form round trip and hostile names (DocumentFormTest, 6 cases), two more faults in DocumentReaderTest against the schema; without the change the schema check fails on both.

--- a/cli/src/main/java/org/hyssophitch/cli/ApplyCommand.java
+++ b/cli/src/main/java/org/hyssophitch/cli/ApplyCommand.java
@@ -1,20 +1,14 @@
 package org.hyssophitch.cli;
 
-import java.nio.file.Path;
-import java.util.Optional;
-
 import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.help.Examples;
 import com.github.rvesse.airline.annotations.restrictions.Required;
-import org.hyssophitch.core.configuration.Configuration;
 import org.hyssophitch.document.ApplyResult;
-import org.hyssophitch.document.DocumentReader;
 import org.hyssophitch.wire.platform.ConfigurationRecords.ConfigurationRecord;
 import org.hyssophitch.wire.platform.PlatformResult;
-import org.hyssophitch.wire.yaml.YamlResult;
 
 /** Writes a document on the condition that no other was accepted meanwhile. */
 @Command(name = "apply", description = "checks a document and puts it into force")
@@ -41,16 +35,11 @@
 
     @Override
     public ExitCode execute() {
-        Optional<String> text = DocumentFile.text(file);
-        if (text.isEmpty()) {
-            return DocumentFile.notFound(Path.of(file));
-        }
-        if (DocumentReader.read(text.get()) instanceof YamlResult.Invalid<Configuration> i) {
-            return DocumentFile.printFaults(context, file, i.faults());
-        }
-        long version = expected >= 0 ? expected : acceptedVersion();
-        ApplyResult result = context.documents().apply(text.get(), author, version);
-        return DocumentFile.printResult(context, file, result);
+        return DocumentFile.withValid(context, file, (text, configuration) -> {
+            long version = expected >= 0 ? expected : acceptedVersion();
+            ApplyResult result = context.documents().apply(text, author, version);
+            return DocumentFile.printResult(context, file, result);
+        });
     }
 
     private long acceptedVersion() {
--- a/cli/src/main/java/org/hyssophitch/cli/DiffCommand.java
+++ b/cli/src/main/java/org/hyssophitch/cli/DiffCommand.java
@@ -1,6 +1,5 @@
 package org.hyssophitch.cli;
 
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -15,11 +14,9 @@
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import org.hyssophitch.core.configuration.Configuration;
 import org.hyssophitch.core.configuration.Service;
-import org.hyssophitch.document.DocumentReader;
 import org.hyssophitch.document.DocumentWriter;
 import org.hyssophitch.wire.platform.ConfigurationRecords.ConfigurationRecord;
 import org.hyssophitch.wire.platform.PlatformResult;
-import org.hyssophitch.wire.yaml.YamlResult;
 
 /** Shows what a document would change. */
 @Command(name = "diff", description = "shows what a document would change in the accepted one")
@@ -40,14 +37,7 @@
 
     @Override
     public ExitCode execute() {
-        Optional<String> text = DocumentFile.text(file);
-        if (text.isEmpty()) {
-            return DocumentFile.notFound(Path.of(file));
-        }
-        return switch (DocumentReader.read(text.get())) {
-            case YamlResult.Invalid<Configuration> i -> DocumentFile.printFaults(context, file, i.faults());
-            case YamlResult.Valid<Configuration> v -> compare(v.value());
-        };
+        return DocumentFile.withValid(context, file, (text, configuration) -> compare(configuration));
     }
 
     private ExitCode compare(Configuration candidate) {
--- a/cli/src/main/java/org/hyssophitch/cli/DocumentFile.java
+++ b/cli/src/main/java/org/hyssophitch/cli/DocumentFile.java
@@ -4,10 +4,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Optional;
+import java.util.function.BiFunction;
 
+import org.hyssophitch.core.configuration.Configuration;
 import org.hyssophitch.document.ApplyResult;
+import org.hyssophitch.document.DocumentReader;
 import org.hyssophitch.wire.yaml.Fault;
+import org.hyssophitch.wire.yaml.YamlResult;
 
 /** Reading of documents and printing of what became of them, for several commands. Stateless. */
 final class DocumentFile {
@@ -26,20 +29,28 @@
 
     private DocumentFile() {}
 
-    static Optional<String> text(String file) {
+    /**
+     * Reads and checks a document, and goes on with its text and configuration when it has no fault.
+     *
+     * @param context output and access to the platform
+     * @param file path of the document
+     * @param next what to do with a document without faults
+     */
+    static ExitCode withValid(ClientContext context, String file, BiFunction<String, Configuration, ExitCode> next) {
+        String text;
         try {
-            return Optional.of(Files.readString(Path.of(file)));
+            text = Files.readString(Path.of(file));
         } catch (IOException e) {
-            return Optional.empty();
+            System.err.println(file + " can't be read");
+            return ExitCode.NOT_FOUND;
         }
+        return switch (DocumentReader.read(text)) {
+            case YamlResult.Invalid<Configuration> i -> printFaults(context, file, i.faults());
+            case YamlResult.Valid<Configuration> v -> next.apply(text, v.value());
+        };
     }
 
-    static ExitCode notFound(Path file) {
-        System.err.println(file + " can't be read");
-        return ExitCode.NOT_FOUND;
-    }
-
-    static ExitCode printFaults(ClientContext context, String file, List<Fault> faults) {
+    private static ExitCode printFaults(ClientContext context, String file, List<Fault> faults) {
         if (context.isJson()) {
             context.printJson(new Faults(false, faults));
         } else {
--- a/console/src/main/java/org/hyssophitch/console/DocumentForm.java
+++ b/console/src/main/java/org/hyssophitch/console/DocumentForm.java
@@ -193,9 +193,13 @@
         }
     }
 
-    /** Quotes a value so that nothing that is typed can change the document's structure. */
+    /** Quotes what is neither number nor truth value, so that nothing typed can change the document's structure. */
     private static String quoted(String value) {
-        return '"' + value.strip().replace("\\", "\\\\").replace("\"", "\\\"").replaceAll("\\s+", " ") + '"';
+        String typed = value.strip();
+        if (typed.matches("-?\\d+(\\.\\d+)?|true|false")) {
+            return typed;
+        }
+        return '"' + typed.replace("\\", "\\\\").replace("\"", "\\\"").replaceAll("\\s+", " ") + '"';
     }
 
     private static int count(String value) {
--- a/console/src/main/java/org/hyssophitch/console/Html.java
+++ b/console/src/main/java/org/hyssophitch/console/Html.java
@@ -18,7 +18,7 @@
             .fault{background:#fdecea;border-left:4px solid #c0392b;padding:.5rem .8rem;margin:.6rem 0}
             .good{background:#e9f6ec;border-left:4px solid #2e8b57;padding:.5rem .8rem;margin:.6rem 0}
             .pair{display:grid;grid-template-columns:1fr 1fr;gap:1rem}
-            textarea{width:100%;height:28rem;font:13px/1.4 ui-monospace,monospace}
+            textarea{box-sizing:border-box;width:100%;height:28rem;font:13px/1.4 ui-monospace,monospace}
             pre{background:#f5f7f9;padding:.6rem;overflow:auto;max-height:28rem;font:13px/1.4 ui-monospace,monospace}
             """;
 
--- /dev/null
+++ b/console/src/test/java/org/hyssophitch/console/DocumentFormTest.java
@@ -0,0 +1,85 @@
+package org.hyssophitch.console;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.document.DocumentReader;
+import org.hyssophitch.standin.Deployment;
+import org.hyssophitch.standin.DeploymentFiles;
+import org.hyssophitch.wire.yaml.YamlResult;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** What the form shows comes back as the same document, and what is typed can't break out of its field. */
+public class DocumentFormTest {
+
+    private static final Pattern INPUT = Pattern.compile(
+            "<input type=\"(\\w+)\"(?: step=\"any\")? name=\"([^\"]*)\" value=\"([^\"]*)\"( checked)?>");
+    private static final Pattern SELECT =
+            Pattern.compile("<select name=\"([^\"]*)\">.*?<option selected>([^<]*)</option>.*?</select>");
+
+    @DataProvider
+    public Object[][] deployments() {
+        return new Object[][] {{Deployment.GLENMORVEN}, {Deployment.LAKESHORE}};
+    }
+
+    @Test(dataProvider = "deployments")
+    public void formLeadsBackToTheSameConfiguration(Deployment d) {
+        Configuration shown = configuration(DeploymentFiles.document(d));
+        Map<String, String> typed = fields(shown);
+
+        assertEquals(configuration(DocumentForm.document(f -> typed.getOrDefault(f, ""))), shown);
+    }
+
+    @DataProvider
+    public Object[][] hostileNames() {
+        return new Object[][] {{"a\"\nservices: []"}, {"\\\""}, {"<script>"}, {": {"}};
+    }
+
+    @Test(dataProvider = "hostileNames")
+    public void typedTextStaysInItsField(String name) {
+        Map<String, String> typed = fields(configuration(DeploymentFiles.document(Deployment.GLENMORVEN)));
+        typed.put("s0.name", name);
+
+        YamlResult<Configuration> result = DocumentReader.read(DocumentForm.document(f -> typed.getOrDefault(f, "")));
+
+        assertTrue(
+                result instanceof YamlResult.Invalid<Configuration> i
+                        && i.faults().size() == 1
+                        && i.faults().get(0).path().equals("services[0].name"),
+                result.toString());
+    }
+
+    private static Map<String, String> fields(Configuration c) {
+        Html html = new Html();
+        DocumentForm.show(html, c);
+        String page = html.page("form");
+        Map<String, String> fields = new HashMap<>();
+        Matcher input = INPUT.matcher(page);
+        while (input.find()) {
+            boolean isUnchecked = input.group(1).equals("checkbox") && input.group(4) == null;
+            if (!isUnchecked) {
+                fields.put(input.group(2), input.group(3));
+            }
+        }
+        Matcher select = SELECT.matcher(page);
+        while (select.find()) {
+            fields.put(select.group(1), select.group(2));
+        }
+        return fields;
+    }
+
+    private static Configuration configuration(String document) {
+        return switch (DocumentReader.read(document)) {
+            case YamlResult.Valid<Configuration> v -> v.value();
+            case YamlResult.Invalid<Configuration> i ->
+                throw new AssertionError(i.faults().toString());
+        };
+    }
+}
--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -187,7 +187,7 @@
         accepted.services().forEach(s -> {
             names.add(s.name());
             s.servers().forEach(b -> servers.add(b.name()));
-            defineService(s, accepted.maxEntryHosts());
+            defineService(s, accepted.maxEntryHosts(), nowMicros);
         });
         dropServices(names, nowMicros);
         state.servers().keySet().retainAll(servers);
@@ -196,9 +196,9 @@
         state.services().values().forEach(s -> starter.startWaiting(s, nowMicros));
     }
 
-    private void defineService(Service service, int maxEntryHosts) {
+    private void defineService(Service service, int maxEntryHosts, long nowMicros) {
         List<ServerState> servers = new ArrayList<>();
-        service.servers().forEach(b -> servers.add(defineServer(b, maxEntryHosts)));
+        service.servers().forEach(b -> servers.add(defineServer(b, maxEntryHosts, nowMicros)));
         ServiceState known = state.services().get(service.name());
         if (known == null) {
             state.services()
@@ -210,10 +210,13 @@
         }
     }
 
-    private ServerState defineServer(BackendServer server, int maxEntryHosts) {
+    private ServerState defineServer(BackendServer server, int maxEntryHosts, long nowMicros) {
         int limit = server.attemptLimit(maxEntryHosts);
-        ServerState known = state.servers().computeIfAbsent(server.name(), n -> new ServerState(server, limit));
+        ServerState known =
+                state.servers().computeIfAbsent(server.name(), n -> new ServerState(server.withDraining(false), limit));
+        boolean wasLeaving = known.isLeaving();
         known.redefine(server, limit);
+        recordLeaving(known, wasLeaving, "operator", nowMicros);
         return known;
     }
 
--- a/document/src/test/java/org/hyssophitch/document/DocumentReaderTest.java
+++ b/document/src/test/java/org/hyssophitch/document/DocumentReaderTest.java
@@ -66,6 +66,18 @@
                 List.of("WRONG_TYPE services[0].sample-size 5"),
                 true
             },
+            {
+                "number as a text",
+                "max-entry-hosts: \"3\"\nservices:\n" + SERVICE,
+                List.of("WRONG_TYPE max-entry-hosts 1"),
+                true
+            },
+            {
+                "text as a number",
+                "services:\n" + SERVICE.replace("s1", "17"),
+                List.of("WRONG_TYPE services[0].name 2"),
+                true
+            },
             {
                 "same server twice",
                 "services:\n" + SERVICE + SERVER,
--- a/proxy/src/main/java/org/hyssophitch/proxy/CallDecisions.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/CallDecisions.java
@@ -12,7 +12,7 @@
 import org.hyssophitch.core.call.CallEngine;
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.health.SuspectRegister.Suspicion;
-import org.hyssophitch.wire.duty.DutyThread;
+import org.hyssophitch.wire.duty.EngineDuty;
 import org.hyssophitch.wire.duty.WallClock;
 
 /**
@@ -28,11 +28,18 @@
     private final CallEngine engine;
     private final Map<Long, Consumer<CallAction>> calls = new ConcurrentHashMap<>();
     private final List<Suspicion> suspicions = new ArrayList<>();
-    private final DutyThread<ProxyWork> duty;
+    private final EngineDuty<CallEngine, CallEvent, CallAction> duty;
 
     CallDecisions(CallEngine engine) {
         this.engine = engine;
-        this.duty = new DutyThread<>("proxy-decisions", RING_CAPACITY, this::tickMicros, this::handle, this::tick);
+        this.duty = new EngineDuty<>(
+                "proxy-decisions",
+                RING_CAPACITY,
+                engine,
+                CallEngine::handle,
+                this::dispatch,
+                this::tickMicros,
+                this::tick);
     }
 
     void start() {
@@ -50,19 +57,17 @@
 
     /** Adds an event; returns false when the ring is full. */
     boolean offer(CallEvent event) {
-        return duty.offer(new ProxyWork.Event(event));
+        return duty.offer(event);
     }
 
     /** Adds an event that must not get lost. */
     void put(CallEvent event) {
-        duty.put(new ProxyWork.Event(event));
+        duty.put(event);
     }
 
     /** Asks the engine on its own thread. */
     <T> CompletableFuture<T> ask(Function<CallEngine, T> question) {
-        CompletableFuture<T> answer = new CompletableFuture<>();
-        duty.put(new ProxyWork.Query(e -> answer.complete(question.apply(e))));
-        return answer;
+        return duty.ask(question);
     }
 
     /** Returns the suspicions to share since the last call. */
@@ -79,22 +84,15 @@
         duty.close();
     }
 
-    private void handle(ProxyWork work) {
-        switch (work) {
-            case ProxyWork.Event e -> engine.handle(e.event()).forEach(this::dispatch);
-            case ProxyWork.Query q -> q.reader().accept(engine);
-        }
-    }
-
     /** Timers need a fine tick only while there are calls; a call that arrives wakes the thread. */
     private long tickMicros() {
         return engine.activeCalls() > 0 ? BUSY_TICK_MICROS : IDLE_TICK_MICROS;
     }
 
-    private void tick() {
+    private void tick(CallEngine e) {
         long now = WallClock.nowMicros();
-        if (engine.activeCalls() > 0 || engine.nextTimerMicros() <= now) {
-            engine.handle(new CallEvent.TimePassed(now)).forEach(this::dispatch);
+        if (e.activeCalls() > 0 || e.nextTimerMicros() <= now) {
+            duty.handleNow(new CallEvent.TimePassed(now));
         }
     }
 
--- a/wire/src/main/java/org/hyssophitch/wire/yaml/YamlMapping.java
+++ b/wire/src/main/java/org/hyssophitch/wire/yaml/YamlMapping.java
@@ -16,6 +16,7 @@
 import org.yaml.snakeyaml.nodes.NodeTuple;
 import org.yaml.snakeyaml.nodes.ScalarNode;
 import org.yaml.snakeyaml.nodes.SequenceNode;
+import org.yaml.snakeyaml.nodes.Tag;
 
 /**
  * One mapping of a YAML file. Each accessor reports what is wrong with its value and returns a default in its place, so
@@ -23,6 +24,10 @@
  */
 public final class YamlMapping {
 
+    private static final Set<Tag> TEXTS = Set.of(Tag.STR);
+    private static final Set<Tag> NUMBERS = Set.of(Tag.INT, Tag.FLOAT);
+    private static final Set<Tag> TRUTHS = Set.of(Tag.BOOL);
+
     private final MappingNode node;
     private final String path;
     private final List<Fault> faults;
@@ -58,12 +63,15 @@
 
     /** Returns a required text. */
     public String text(String key) {
-        return scalar(key, "a text").orElseGet(() -> missing(key, "a text", ""));
+        if (!values.containsKey(key)) {
+            return missing(key, "a text", "");
+        }
+        return scalar(key, "a text", TEXTS).orElse("");
     }
 
     /** Returns an optional text. */
     public String text(String key, String defaultValue) {
-        return scalar(key, "a text").orElse(defaultValue);
+        return scalar(key, "a text", TEXTS).orElse(defaultValue);
     }
 
     /** Returns a required text that matches a regular expression. */
@@ -90,17 +98,12 @@
 
     /** Returns an optional truth value. */
     public boolean flag(String key, boolean defaultValue) {
-        Optional<String> value = scalar(key, "true or false");
-        boolean isWrong = value.isPresent() && !value.get().matches("true|false");
-        if (isWrong) {
-            report(Fault.Kind.WRONG_TYPE, key, value.get(), "true or false");
-        }
-        return isWrong || value.isEmpty() ? defaultValue : Boolean.parseBoolean(value.get());
+        return scalar(key, "true or false", TRUTHS).map(Boolean::parseBoolean).orElse(defaultValue);
     }
 
     /** Returns an optional constant of an enumeration, written in lower case with hyphens. */
     public <E extends Enum<E>> E choice(String key, Class<E> type, E defaultValue) {
-        Optional<String> value = scalar(key, "a name");
+        Optional<String> value = scalar(key, "a name", TEXTS);
         List<String> names =
                 Arrays.stream(type.getEnumConstants()).map(YamlMapping::written).toList();
         if (value.isPresent() && !names.contains(value.get())) {
@@ -165,17 +168,22 @@
         return values.get(key);
     }
 
-    private Optional<String> scalar(String key, String allowed) {
+    /** Returns a scalar of one of the types given; a value of another type is reported and counts as missing. */
+    private Optional<String> scalar(String key, String allowed, Set<Tag> types) {
         Node value = value(key);
-        if (value == null || value instanceof ScalarNode) {
-            return Optional.ofNullable((ScalarNode) value).map(ScalarNode::getValue);
+        if (value == null) {
+            return Optional.empty();
         }
-        report(Fault.Kind.WRONG_TYPE, key, "a " + value.getNodeId(), allowed);
-        return Optional.of("");
+        if (value instanceof ScalarNode s && types.contains(s.getTag())) {
+            return Optional.of(s.getValue());
+        }
+        String found = value instanceof ScalarNode s ? s.getValue() : "a " + value.getNodeId();
+        report(Fault.Kind.WRONG_TYPE, key, found, allowed);
+        return Optional.empty();
     }
 
     private Optional<Double> number(String key, double least, double most) {
-        Optional<String> text = scalar(key, range(least, most)).filter(t -> values.get(key) instanceof ScalarNode);
+        Optional<String> text = scalar(key, range(least, most), NUMBERS);
         if (text.isEmpty()) {
             return Optional.empty();
         }
