Settle tickets whose caller leaves, and prove that retries don't multiply

Cause: reading the code showed that the rest of a ticketed answer was read from a response that was closed already, so a repetition was told "may have run" although the request had run.

Ruled out: cancelling the attempt (the engine keeps it running for a ticket).

Proof: the new test of the proxy fails on the code before; without RETRY_BUDGET a chain of 6 multiplies its attempts.

Conclusion: docs/AT-MOST-ONCE.md holds again.

--- a/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
@@ -107,7 +107,7 @@
             case AgentEvent.ChangeReceived e -> onChange(e.change());
             case AgentEvent.FetchFailed e -> nextFetchMicros = nowMicros;
             case AgentEvent.HostListRead e -> onHostList(e.hosts());
-            case AgentEvent.ProbeAnswered e -> addReport(e.report(), true);
+            case AgentEvent.ProbeAnswered e -> addReport(e.report());
             case AgentEvent.StopRequested e -> stop();
             case AgentEvent.Left e -> membership.stateSelf(membership.self().withState(MemberState.LEFT));
         }
@@ -173,7 +173,7 @@
         membership.refresh(m.sender());
         newestVersionSeen = Math.max(newestVersionSeen, m.sender().configurationVersion());
         m.members().forEach(member -> membership.merge(member, nowMicros));
-        m.loads().forEach(l -> addReport(l.received(nowMicros), false));
+        m.loads().forEach(l -> addReport(l.received(nowMicros)));
         m.leaving().forEach(this::addLeaving);
         m.suspicions().forEach(s -> addSuspicion(s, true));
         m.heartbeat().ifPresent(h -> membership
@@ -198,7 +198,7 @@
             proxyVersion = status.configurationVersion();
             pushConfiguration();
         }
-        status.loads().forEach(l -> addReport(l.received(nowMicros), false));
+        status.loads().forEach(l -> addReport(l.received(nowMicros)));
         status.suspicions().forEach(s -> addSuspicion(s, false));
     }
 
@@ -291,7 +291,7 @@
         }
     }
 
-    private void addReport(LoadReport r, boolean isProbe) {
+    private void addReport(LoadReport r) {
         planner.onReport(r);
         boolean isNew = loads.add(r);
         if (isNew && r.draining() != leaving.isLeaving(r.server(), REPORT_SOURCE)) {
--- /dev/null
+++ b/core/src/test/java/org/hyssophitch/core/call/CallEngineTest.java
@@ -0,0 +1,173 @@
+package org.hyssophitch.core.call;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+
+import org.hyssophitch.core.configuration.AddressRule;
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.Criticality;
+import org.hyssophitch.core.configuration.MeasuringBudget;
+import org.hyssophitch.core.configuration.QueueRule;
+import org.hyssophitch.core.configuration.RetryRule;
+import org.hyssophitch.core.configuration.Service;
+import org.hyssophitch.core.timeline.EventRecorder;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Rules of the call engine that one event after the other shows. */
+public class CallEngineTest {
+
+    private static final int CHAIN_DEPTH = 16;
+    private static final int OFF_DEPTH = 6;
+    private static final int MAX_ATTEMPTS = 3;
+
+    @DataProvider
+    public Object[][] chains() {
+        return new Object[][] {
+            {EngineFeature.all(), CHAIN_DEPTH, true},
+            {EngineFeature.allBut(EngineFeature.RETRY_BUDGET), OFF_DEPTH, false}
+        };
+    }
+
+    /** In a chain whose last servers shed everything, retries add up along the chain and don't multiply. */
+    @Test(dataProvider = "chains")
+    public void retriesDoNotMultiplyThroughAChain(Set<EngineFeature> features, int depth, boolean isBounded) {
+        int[] attempts = new int[1];
+        List<CallEngine> engines = IntStream.range(0, depth)
+                .mapToObj(d -> engine(features, EngineSettings.DEFAULT_MAX_BULK_IN_FLIGHT))
+                .toList();
+
+        callThrough(engines, 0, true, attempts);
+
+        int linear = MAX_ATTEMPTS * (depth + 1);
+        assertEquals(attempts[0] <= linear, isBounded, "attempts at the end of the chain: " + attempts[0]);
+    }
+
+    /** Archive pulls fill their own bound only; a critical call finds room at once. */
+    @Test
+    public void bulkCallsLeaveRoomForCriticalOnes() {
+        CallEngine engine = engine(EngineFeature.all(), 2);
+        List<CallAction> actions = new ArrayList<>();
+        for (int i = 1; i <= 5; i++) {
+            actions.addAll(engine.handle(new CallEvent.CallArrived(i, request(i, "bulk", true))));
+        }
+        assertEquals(started(actions), 2);
+
+        List<CallAction> critical = engine.handle(new CallEvent.CallArrived(10, request(10, "critical", true)));
+
+        assertEquals(started(critical), 1);
+    }
+
+    /** A call that can't be served by its deadline is refused at once, with when to come back. */
+    @Test
+    public void hopelessCallIsRefusedAtOnce() {
+        CallEngine engine = engine(EngineFeature.all(), EngineSettings.DEFAULT_MAX_BULK_IN_FLIGHT);
+        List<CallAction> actions = new ArrayList<>();
+        for (int i = 1; i <= 200; i++) {
+            actions.addAll(engine.handle(new CallEvent.CallArrived(i, request(i, "critical", true))));
+        }
+
+        assertTrue(actions.stream()
+                .anyMatch(a -> a instanceof CallAction.AnswerCaller c
+                        && c.reason() == Reason.QUEUE_FULL
+                        && c.retryAfterMillis() > 0));
+    }
+
+    /** An attempt that was proved not run is tried elsewhere; a lost one of a non-idempotent request is not. */
+    @DataProvider
+    public Object[][] results() {
+        return new Object[][] {
+            {true, new AttemptResult.Lost(AttemptResult.LostCause.CONNECTION_LOST), 1, null},
+            {false, new AttemptResult.NotRun(AttemptResult.NotRunCause.CONNECT_FAILED), 1, null},
+            {false, new AttemptResult.NotRun(AttemptResult.NotRunCause.SHED), 1, null},
+            {false, new AttemptResult.Lost(AttemptResult.LostCause.CONNECTION_LOST), 0, Reason.CONNECTION_LOST},
+            {false, new AttemptResult.Lost(AttemptResult.LostCause.STALLED), 0, Reason.CONNECTION_LOST},
+        };
+    }
+
+    @Test(dataProvider = "results")
+    public void onlySafeAttemptsAreRepeated(boolean isIdempotent, AttemptResult result, int retries, Reason answer) {
+        CallEngine engine = engine(EngineFeature.all(), EngineSettings.DEFAULT_MAX_BULK_IN_FLIGHT);
+        engine.handle(new CallEvent.CallArrived(1, request(1, "critical", isIdempotent)));
+
+        List<CallAction> actions = engine.handle(new CallEvent.AttemptEnded(2, 1, 1, result));
+
+        assertEquals(started(actions), retries);
+        Optional<Reason> reason = actions.stream()
+                .filter(CallAction.AnswerCaller.class::isInstance)
+                .map(a -> ((CallAction.AnswerCaller) a).reason())
+                .findFirst();
+        assertEquals(reason.orElse(null), answer);
+    }
+
+    private static void callThrough(List<CallEngine> engines, int depth, boolean mayRetry, int[] attempts) {
+        if (depth == engines.size()) {
+            attempts[0]++;
+            return;
+        }
+        CallEngine engine = engines.get(depth);
+        long now = 1_000L * (1 + attempts[0]);
+        long id = now * 100 + depth;
+        CallRequest request = new CallRequest(
+                id, "r", "critical", true, Optional.empty(), now + 1_000_000, depth, mayRetry, true, "f" + id);
+        Deque<CallAction> open = new ArrayDeque<>(engine.handle(new CallEvent.CallArrived(now, request)));
+        while (!open.isEmpty()) {
+            if (open.poll() instanceof CallAction.StartAttempt a) {
+                callThrough(engines, depth + 1, a.mayRetryBelow(), attempts);
+                AttemptResult shed = new AttemptResult.NotRun(AttemptResult.NotRunCause.SHED);
+                open.addAll(engine.handle(new CallEvent.AttemptEnded(now, id, a.attempt(), shed)));
+            }
+        }
+    }
+
+    private static CallEngine engine(Set<EngineFeature> features, int maxBulkInFlight) {
+        EngineSettings settings = new EngineSettings("entry-01", "z", 1, maxBulkInFlight, features);
+        CallEngine engine = new CallEngine(settings, new SplittableRandom(1), EventRecorder.NONE);
+        List<Service> services = List.of(service("critical", Criticality.CRITICAL), service("bulk", Criticality.BULK));
+        engine.handle(new CallEvent.ConfigurationAccepted(
+                0, new Configuration(1, "r", 1, MeasuringBudget.DEFAULT, AddressRule.DEFAULT, services)));
+        return engine;
+    }
+
+    private static Service service(String name, Criticality criticality) {
+        List<BackendServer> servers = IntStream.range(0, 4)
+                .mapToObj(i -> new BackendServer(name + i, "10.0.0.1", i + 1, "z", 3, 20, false))
+                .toList();
+        return Service.builder(name)
+                .criticality(criticality)
+                .retry(new RetryRule(MAX_ATTEMPTS, 1, 0, 0))
+                .queue(QueueRule.DEFAULT)
+                .servers(servers)
+                .build();
+    }
+
+    private static CallRequest request(long id, String service, boolean isIdempotent) {
+        return new CallRequest(
+                id,
+                "r" + id,
+                service,
+                isIdempotent,
+                Optional.empty(),
+                CallRequest.NO_DEADLINE,
+                0,
+                true,
+                true,
+                "f" + id);
+    }
+
+    private static long started(List<CallAction> actions) {
+        return actions.stream()
+                .filter(CallAction.StartAttempt.class::isInstance)
+                .count();
+    }
+}
--- a/proxy/src/main/java/org/hyssophitch/proxy/AnswerWriter.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/AnswerWriter.java
@@ -50,8 +50,9 @@
     void answer(Context context, CallerRequest request, CallAction.AnswerCaller a) {
         if (a.reason() == Reason.TICKET_ISSUED_ELSEWHERE) {
             String address = agent.proxyAddress(a.detail());
-            context.res()
-                    .setHeader("Location", "http://" + address + context.req().getRequestURI());
+            String query = context.req().getQueryString();
+            String target = context.req().getRequestURI() + (query == null ? "" : "?" + query);
+            context.res().setHeader("Location", "http://" + address + target);
         }
         write(context, request.call().requestId(), a.reason(), a.retryAfterMillis(), a.detail());
     }
--- a/proxy/src/main/java/org/hyssophitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/Exchange.java
@@ -131,30 +131,33 @@
     /** Relays an answer and reports how that ended; the call is over when the caller's connection is. */
     private boolean relay(int number) {
         Attempt attempt = attempts.get(number);
-        try (Response response = attempt.response()) {
+        Response response = attempt.response();
+        InputStream in = response.body().byteStream();
+        try {
             writeHead(response, attempt.serverName());
-            copy(response.body().byteStream(), response.body().contentLength());
+            copy(in, response.body().contentLength());
+            report(number, new AttemptResult.Completed());
+            return true;
         } catch (CallerGoneException e) {
             decisions.put(new CallEvent.CallerGone(
                     WallClock.nowMicros(), request.call().callId()));
-            drainForTicket(attempt, number);
+            readOnForTicket(in, number);
             breakConnection();
             return true;
         } catch (IOException e) {
-            attempt.cancel();
             report(number, new AttemptResult.Lost(LostCause.ANSWER_BROKEN));
             return false;
+        } finally {
+            response.close();
         }
-        report(number, new AttemptResult.Completed());
-        return true;
     }
 
     /** Reads the rest of a ticketed request's answer, so that a repetition learns that the request ran. */
-    private void drainForTicket(Attempt attempt, int number) {
+    private void readOnForTicket(InputStream in, int number) {
         if (request.call().ticket().isEmpty()) {
             return;
         }
-        try (InputStream in = attempt.response().body().byteStream()) {
+        try {
             in.transferTo(OutputStream.nullOutputStream());
             report(number, new AttemptResult.Completed());
         } catch (IOException e) {
--- a/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
+++ b/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
@@ -153,6 +153,23 @@
         assertEquals(server.requestLines().size(), 1);
     }
 
+    /** A caller that leaves in the midst of its answer can ask afterwards, and learns that the request ran. */
+    @Test
+    public void ticketedRequestIsSettledWithoutItsCaller() throws IOException, InterruptedException {
+        int size = 8_000_000;
+        server.become("HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n" + "x".repeat(size), RawServer.End.KEEP);
+        String ticket = ticket();
+        send(post("/services/s1/booking", ticket)).close();
+        for (int i = 0;
+                i < 100 && reasonOf(post("/services/s1/booking", ticket)).equals("ticket-running");
+                i++) {
+            Thread.sleep(20);
+        }
+
+        assertAnswer(post("/services/s1/booking", ticket), 409, "completed", "already-run");
+        assertEquals(server.requestLines().size(), 1);
+    }
+
     @Test
     public void ticketWithALostAnswerStaysUnknown() throws IOException {
         String ticket = ticket();
@@ -244,6 +261,12 @@
         }
     }
 
+    private String reasonOf(Request request) throws IOException {
+        try (Response r = send(request)) {
+            return r.header(CallHeaders.REASON, "");
+        }
+    }
+
     private Response send(Request request) throws IOException {
         String url = request.url().toString().replace("http://proxy", "http://" + proxyAddress);
         return caller.newCall(request.newBuilder().url(url).build()).execute();
--- a/standin/src/main/java/org/hyssophitch/standin/LoadRun.java
+++ b/standin/src/main/java/org/hyssophitch/standin/LoadRun.java
@@ -20,6 +20,7 @@
 import okhttp3.Request;
 import okhttp3.Response;
 import org.HdrHistogram.Histogram;
+import org.hyssophitch.wire.duty.WallClock;
 
 /**
  * One load run of many callers against a running deployment, and the check of its history. Used once.
@@ -119,11 +120,13 @@
      * @param hasMore asked before each request whether there is one more
      * @param thinkMicros mean pause of a caller between two requests, in microseconds
      * @param probeBudgetPerSecond probes that the budget allows per second
-     * @param startMicros when the first agent started, in microseconds since the epoch
+     * @param startMicros when the first agent started, in microseconds since the epoch; 0 to count the run's own time
      */
     public Result run(
             int callers, BooleanSupplier hasMore, long thinkMicros, double probeBudgetPerSecond, long startMicros)
             throws IOException, InterruptedException {
+        long runMicros = WallClock.nowMicros();
+        long probesBefore = startMicros > 0 ? 0 : probes();
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < callers; i++) {
             CallerStandin caller =
@@ -134,10 +137,11 @@
             threads.add(Thread.startVirtualThread(this::switchFaults));
         }
         awaitAll(threads);
-        long elapsedMicros = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis()) - startMicros;
-        long budget = (long) Math.ceil(probeBudgetPerSecond * elapsedMicros / 1e6);
+        long countedFrom = startMicros > 0 ? startMicros : runMicros;
+        long banked = startMicros > 0 ? 0 : Deployment.MAX_ENTRY_HOSTS;
+        long budget = banked + (long) Math.ceil(probeBudgetPerSecond * (WallClock.nowMicros() - countedFrom) / 1e6);
         failures.forEach((type, count) -> System.err.println("broken: " + count + " x " + type));
-        return result(probes(), budget);
+        return result(probes() - probesBefore, budget);
     }
 
     /** One backend server of each service fails fast, slows down or sheds load for a while. */
--- a/standin/src/main/java/org/hyssophitch/standin/command/CallersCommand.java
+++ b/standin/src/main/java/org/hyssophitch/standin/command/CallersCommand.java
@@ -34,8 +34,11 @@
     @Option(name = "--seed", title = "seed", description = "seed of the callers' choices")
     private long seed = 1;
 
-    @Option(name = "--started-at", title = "epoch seconds", description = "when the first agent was started")
-    private long startedAtSeconds = System.currentTimeMillis() / 1_000;
+    @Option(
+            name = "--started-at",
+            title = "epoch seconds",
+            description = "when the first agent was started; without it probes are counted during the run")
+    private long startedAtSeconds;
 
     @Option(name = "--faults", description = "gives backend servers faults meanwhile")
     private boolean hasFaults;
