Replace a test that could not fail: the caller now really leaves during its answer

Ruled out: that the older code was right; with a reset connection it answers "ticket-may-have-run". Change: the caller is a plain socket that reads 1,000 bytes of 40 MB and resets. Proof: seen failing on the older code (409 unknown ticket-may-have-run), passing on the new one.

--- a/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
+++ b/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 
@@ -156,13 +158,12 @@
     /** A caller that leaves in the midst of its answer can ask afterwards, and learns that the request ran. */
     @Test
     public void ticketedRequestIsSettledWithoutItsCaller() throws IOException, InterruptedException {
-        int size = 8_000_000;
-        server.become("HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n" + "x".repeat(size), RawServer.End.KEEP);
+        int size = 40_000_000;
+        server.become(
+                "HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n" + "x".repeat(size), RawServer.End.KEEP);
         String ticket = ticket();
-        send(post("/services/s1/booking", ticket)).close();
-        for (int i = 0;
-                i < 100 && reasonOf(post("/services/s1/booking", ticket)).equals("ticket-running");
-                i++) {
+        leaveDuringAnswer(ticket);
+        for (int i = 0; i < 200 && reasonOf(post("/services/s1/booking", ticket)).equals("ticket-running"); i++) {
             Thread.sleep(20);
         }
 
@@ -261,6 +262,19 @@
         }
     }
 
+    /** Sends a booking, reads the beginning of its answer, and resets the connection. */
+    private void leaveDuringAnswer(String ticket) throws IOException {
+        int colon = proxyAddress.indexOf(':');
+        int port = Integer.parseInt(proxyAddress.substring(colon + 1));
+        try (Socket socket = new Socket(proxyAddress.substring(0, colon), port)) {
+            String request = "POST /services/s1/booking HTTP/1.1\r\nHost: proxy\r\nContent-Length: 1\r\n"
+                    + CallHeaders.REQUEST_ID + ": " + ticket + "\r\n\r\n1";
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            assertEquals(socket.getInputStream().readNBytes(1_000).length, 1_000);
+            socket.setSoLinger(true, 0);
+        }
+    }
+
     private String reasonOf(Request request) throws IOException {
         try (Response r = send(request)) {
             return r.header(CallHeaders.REASON, "");
