--- a/bench/src/main/java/org/hyssophitch/bench/ControlBench.java
+++ b/bench/src/main/java/org/hyssophitch/bench/ControlBench.java
@@ -4,13 +4,11 @@
 import java.util.List;
 import java.util.Map;
 
+import org.hyssophitch.bench.model.DeploymentConfiguration;
 import org.hyssophitch.bench.model.ModelAgent;
 import org.hyssophitch.bench.model.ModelAgents;
 import org.hyssophitch.core.configuration.Configuration;
-import org.hyssophitch.document.DocumentReader;
 import org.hyssophitch.standin.Deployment;
-import org.hyssophitch.standin.DeploymentFiles;
-import org.hyssophitch.wire.yaml.YamlResult;
 
 /** Measures what control costs per host at several fleet sizes, in virtual time. Stateless. */
 public final class ControlBench {
@@ -86,17 +84,6 @@
     }
 
     private static Configuration named(String revisionId) {
-        return switch (DocumentReader.read(DeploymentFiles.document(Deployment.GLENMORVEN))) {
-            case YamlResult.Valid<Configuration> v ->
-                new Configuration(
-                        0,
-                        revisionId,
-                        v.value().maxEntryHosts(),
-                        v.value().measuring(),
-                        v.value().addresses(),
-                        v.value().services());
-            case YamlResult.Invalid<Configuration> i ->
-                throw new IllegalStateException(i.faults().toString());
-        };
+        return DeploymentConfiguration.of(Deployment.GLENMORVEN).withRevisionId(revisionId);
     }
 }
--- a/bench/src/main/java/org/hyssophitch/bench/EngineBench.java
+++ b/bench/src/main/java/org/hyssophitch/bench/EngineBench.java
@@ -4,19 +4,16 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 
+import org.hyssophitch.bench.model.DeploymentConfiguration;
 import org.hyssophitch.core.call.AttemptResult;
 import org.hyssophitch.core.call.CallEngine;
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.EngineSettings;
-import org.hyssophitch.core.configuration.Configuration;
 import org.hyssophitch.core.load.LoadReport;
 import org.hyssophitch.core.timeline.EventRecorder;
 import org.hyssophitch.core.timeline.ProcessTimeline;
-import org.hyssophitch.document.DocumentReader;
 import org.hyssophitch.standin.Deployment;
-import org.hyssophitch.standin.DeploymentFiles;
-import org.hyssophitch.wire.yaml.YamlResult;
 
 /** Measures the processor time that the call engine takes per call, with and without the time line. Stateless. */
 public final class EngineBench {
@@ -49,7 +46,8 @@
     private static double measure(EventRecorder recorder, int calls) {
         CallEngine engine =
                 new CallEngine(new EngineSettings("entry-01", "inverness-hall", 1), new SplittableRandom(1), recorder);
-        engine.handle(new CallEvent.ConfigurationAccepted(0, configuration()));
+        engine.handle(new CallEvent.ConfigurationAccepted(
+                0, DeploymentConfiguration.of(Deployment.GLENMORVEN).withVersion(1)));
         long started = System.nanoTime();
         for (int i = 1; i <= calls; i++) {
             callOnce(engine, i);
@@ -68,12 +66,4 @@
         engine.handle(new CallEvent.AttemptEnded(now + 60, id, 1, new AttemptResult.Completed()));
         engine.handle(new CallEvent.TimePassed(now + 60));
     }
-
-    private static Configuration configuration() {
-        return switch (DocumentReader.read(DeploymentFiles.document(Deployment.GLENMORVEN))) {
-            case YamlResult.Valid<Configuration> v -> v.value().withVersion(1);
-            case YamlResult.Invalid<Configuration> i ->
-                throw new IllegalStateException(i.faults().toString());
-        };
-    }
 }
--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/model/DeploymentConfiguration.java
@@ -0,0 +1,22 @@
+package org.hyssophitch.bench.model;
+
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.document.DocumentReader;
+import org.hyssophitch.standin.Deployment;
+import org.hyssophitch.standin.DeploymentFiles;
+import org.hyssophitch.wire.yaml.YamlResult;
+
+/** The configuration that a deployment's document holds. Stateless. */
+public final class DeploymentConfiguration {
+
+    private DeploymentConfiguration() {}
+
+    /** Returns the configuration without a version. */
+    public static Configuration of(Deployment d) {
+        return switch (DocumentReader.read(DeploymentFiles.document(d))) {
+            case YamlResult.Valid<Configuration> v -> v.value();
+            case YamlResult.Invalid<Configuration> i ->
+                throw new IllegalStateException(i.faults().toString());
+        };
+    }
+}
--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelRun.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelRun.java
@@ -19,13 +19,10 @@
 import org.hyssophitch.core.configuration.Configuration;
 import org.hyssophitch.core.configuration.Service;
 import org.hyssophitch.core.timeline.EventRecorder;
-import org.hyssophitch.document.DocumentReader;
 import org.hyssophitch.standin.CallRecord;
 import org.hyssophitch.standin.Deployment;
-import org.hyssophitch.standin.DeploymentFiles;
 import org.hyssophitch.standin.HistoryChecker;
 import org.hyssophitch.standin.RunHistory;
-import org.hyssophitch.wire.yaml.YamlResult;
 
 /**
  * One run of a deployment in virtual time: real call engines on all entry hosts, model servers, model callers. Not
@@ -176,13 +173,8 @@
     }
 
     private static Configuration configuration(Deployment d, UnaryOperator<Service> rules) {
-        return switch (DocumentReader.read(DeploymentFiles.document(d))) {
-            case YamlResult.Valid<Configuration> v ->
-                v.value()
-                        .withVersion(1)
-                        .withServices(v.value().services().stream().map(rules).toList());
-            case YamlResult.Invalid<Configuration> i ->
-                throw new IllegalStateException(i.faults().toString());
-        };
+        Configuration read = DeploymentConfiguration.of(d);
+        return read.withVersion(1)
+                .withServices(read.services().stream().map(rules).toList());
     }
 }
--- a/bench/src/test/java/org/hyssophitch/bench/model/ModelAgentsTest.java
+++ b/bench/src/test/java/org/hyssophitch/bench/model/ModelAgentsTest.java
@@ -6,14 +6,10 @@
 import java.util.function.BooleanSupplier;
 
 import org.hyssophitch.core.configuration.Configuration;
-import org.hyssophitch.core.configuration.Service;
 import org.hyssophitch.core.control.AgentEvent;
 import org.hyssophitch.core.control.ListedHost;
 import org.hyssophitch.core.membership.Member;
-import org.hyssophitch.document.DocumentReader;
 import org.hyssophitch.standin.Deployment;
-import org.hyssophitch.standin.DeploymentFiles;
-import org.hyssophitch.wire.yaml.YamlResult;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -235,15 +231,6 @@
     }
 
     private static Configuration named(String revisionId) {
-        return switch (DocumentReader.read(DeploymentFiles.document(Deployment.GLENMORVEN))) {
-            case YamlResult.Valid<Configuration> v -> renamed(v.value(), revisionId);
-            case YamlResult.Invalid<Configuration> i ->
-                throw new IllegalStateException(i.faults().toString());
-        };
-    }
-
-    private static Configuration renamed(Configuration c, String revisionId) {
-        List<Service> services = c.services();
-        return new Configuration(0, revisionId, c.maxEntryHosts(), c.measuring(), c.addresses(), services);
+        return DeploymentConfiguration.of(Deployment.GLENMORVEN).withRevisionId(revisionId);
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/configuration/Configuration.java
+++ b/core/src/main/java/org/hyssophitch/core/configuration/Configuration.java
@@ -41,6 +41,13 @@
                 : new Configuration(value, revisionId, maxEntryHosts, measuring, addresses, services);
     }
 
+    /** Returns this configuration with the revision id given, or this instance when nothing changes. */
+    public Configuration withRevisionId(String value) {
+        return value.equals(revisionId)
+                ? this
+                : new Configuration(version, value, maxEntryHosts, measuring, addresses, services);
+    }
+
     /** Returns this configuration with other services, or this instance when nothing changes. */
     public Configuration withServices(List<Service> value) {
         return value.equals(services)
--- a/document/src/main/java/org/hyssophitch/document/DocumentStore.java
+++ b/document/src/main/java/org/hyssophitch/document/DocumentStore.java
@@ -107,8 +107,7 @@
             long expectedVersion,
             String revisionId,
             List<String> earlier) {
-        Configuration named = new Configuration(
-                0, revisionId, parsed.maxEntryHosts(), parsed.measuring(), parsed.addresses(), parsed.services());
+        Configuration named = parsed.withRevisionId(revisionId);
         byte[] value = ConfigurationRecords.encode(new ConfigurationRecord(author, text, named, earlier));
         return switch (client.put(PlatformClient.CONFIGURATION, value, expectedVersion)) {
             case PlatformResult.Written<byte[]> w -> new ApplyResult.Accepted(w.version(), revisionId);
--- a/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
+++ b/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
@@ -159,11 +159,12 @@
     @Test
     public void ticketedRequestIsSettledWithoutItsCaller() throws IOException, InterruptedException {
         int size = 40_000_000;
-        server.become(
-                "HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n" + "x".repeat(size), RawServer.End.KEEP);
+        server.become("HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n" + "x".repeat(size), RawServer.End.KEEP);
         String ticket = ticket();
         leaveDuringAnswer(ticket);
-        for (int i = 0; i < 200 && reasonOf(post("/services/s1/booking", ticket)).equals("ticket-running"); i++) {
+        for (int i = 0;
+                i < 200 && reasonOf(post("/services/s1/booking", ticket)).equals("ticket-running");
+                i++) {
             Thread.sleep(20);
         }
 
