Say settings' names and addresses, waiting, and the member list once each

Cause: reading the whole change found the patterns of names and addresses in four settings classes, the splitting of a listening address beside Addresses.parse, the same sleep in four classes, a copy of the member list per call beside the cached one, and two methods that nothing calls. Ruled out: joining the document's address pattern, which takes IPv4 only, with the settings'; joining the stand-in's server with the model's, which share a shape and not their logic. Change: YamlMapping.name and address, Addresses.parse at the start of proxy and console, Pause.millis, MembershipEngine.all; RetryRule.withHedgeRatio and ClientContext.mapper are gone. Only a constructor call changed in the tests; every assertion stands.

--- a/agent/src/main/java/org/hyssophitch/agent/Agent.java
+++ b/agent/src/main/java/org/hyssophitch/agent/Agent.java
@@ -20,6 +20,7 @@
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.core.timeline.ProcessTimeline;
 import org.hyssophitch.wire.codec.AgentMessageCodec;
+import org.hyssophitch.wire.duty.Pause;
 import org.hyssophitch.wire.duty.WallClock;
 import org.hyssophitch.wire.generated.Wire;
 import org.hyssophitch.wire.net.Addresses;
@@ -100,10 +101,10 @@
         long patience = TimeUnit.SECONDS.toMicros(inForce.addresses().keepSeconds());
         long end = WallClock.nowMicros() + patience;
         while (links.isProxyConnected() && WallClock.nowMicros() < end) {
-            sleep(POLL_MILLIS);
+            Pause.millis(POLL_MILLIS);
         }
         decisions.put(new AgentEvent.Left(WallClock.nowMicros()));
-        sleep(DEPARTURE_MILLIS);
+        Pause.millis(DEPARTURE_MILLIS);
         timeline.record(WallClock.nowMicros(), "", new EventBody.ProcessStage("stopped"));
         Logger.info("agent {} stopped", settings.host());
         reader.close();
@@ -216,12 +217,4 @@
                 .callback(c -> c.call(value.getAsLong()))
                 .register(registry);
     }
-
-    private static void sleep(long millis) {
-        try {
-            TimeUnit.MILLISECONDS.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/agent/src/main/java/org/hyssophitch/agent/AgentSettings.java
+++ b/agent/src/main/java/org/hyssophitch/agent/AgentSettings.java
@@ -28,10 +28,6 @@
         double objectApiCallsPerSecond,
         int timelineEvents) {
 
-    private static final String ADDRESS = "[0-9a-fA-F.:]+:\\d{1,5}";
-    private static final String ADDRESS_HELP = "an address of the form ip:port";
-    private static final String NAME = "[a-z0-9][a-z0-9-]{0,62}";
-    private static final String NAME_HELP = "a name of lower-case letters, digits and hyphens";
     private static final double DEFAULT_CALLS_PER_SECOND = 5;
     private static final int DEFAULT_EVENTS = 2_000;
     private static final int MAX_EVENTS = 100_000;
@@ -39,12 +35,12 @@
     /** Takes the settings out of a settings file. */
     public static AgentSettings from(YamlMapping m) {
         return new AgentSettings(
-                m.text("host", NAME, NAME_HELP),
-                m.text("zone", NAME, NAME_HELP),
-                m.text("agent", ADDRESS, ADDRESS_HELP),
-                m.text("http", ADDRESS, ADDRESS_HELP),
-                m.text("proxy", ADDRESS, ADDRESS_HELP),
-                m.text("platform", ADDRESS, ADDRESS_HELP),
+                m.name("host"),
+                m.name("zone"),
+                m.address("agent"),
+                m.address("http"),
+                m.address("proxy"),
+                m.address("platform"),
                 m.texts("seeds"),
                 m.decimal("object-api-calls-per-second", 0.1, 1_000, DEFAULT_CALLS_PER_SECOND),
                 m.integer("timeline-events", 100, MAX_EVENTS, DEFAULT_EVENTS));
--- a/agent/src/main/java/org/hyssophitch/agent/PlatformReader.java
+++ b/agent/src/main/java/org/hyssophitch/agent/PlatformReader.java
@@ -17,6 +17,7 @@
 import org.hyssophitch.core.retry.Backoff;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.core.timeline.EventRecorder;
+import org.hyssophitch.wire.duty.Pause;
 import org.hyssophitch.wire.duty.WallClock;
 import org.hyssophitch.wire.platform.ConfigurationRecords;
 import org.hyssophitch.wire.platform.PlatformClient;
@@ -139,7 +140,7 @@
 
     private synchronized void takeShare() {
         while (!isClosed && !share.tryTake(1, WallClock.nowMicros())) {
-            sleep(POLL_MILLIS);
+            Pause.millis(POLL_MILLIS);
         }
     }
 
@@ -148,15 +149,7 @@
         boolean wasWatcher = isWatcher.getAsBoolean();
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
         while (!isClosed && System.nanoTime() < end && (wasWatcher || !isWatcher.getAsBoolean())) {
-            sleep(Math.min(POLL_MILLIS, millis));
-        }
-    }
-
-    private static void sleep(long millis) {
-        try {
-            TimeUnit.MILLISECONDS.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            Pause.millis(Math.min(POLL_MILLIS, millis));
         }
     }
 
--- a/cli/src/main/java/org/hyssophitch/cli/ClientContext.java
+++ b/cli/src/main/java/org/hyssophitch/cli/ClientContext.java
@@ -48,10 +48,6 @@
         return output.equals("json");
     }
 
-    static ObjectMapper mapper() {
-        return MAPPER;
-    }
-
     /** Prints a value as one line of JSON. */
     void printJson(Object value) {
         try {
--- a/cli/src/main/java/org/hyssophitch/cli/ClientSettings.java
+++ b/cli/src/main/java/org/hyssophitch/cli/ClientSettings.java
@@ -14,7 +14,6 @@
 
     /** Takes the settings out of a settings file. */
     public static ClientSettings from(YamlMapping m) {
-        return new ClientSettings(
-                m.text("platform", "[0-9a-fA-F.:]+:\\d{1,5}", "an address of the form ip:port"), m.texts("agents"));
+        return new ClientSettings(m.address("platform"), m.texts("agents"));
     }
 }
--- a/console/src/main/java/org/hyssophitch/console/Console.java
+++ b/console/src/main/java/org/hyssophitch/console/Console.java
@@ -1,5 +1,6 @@
 package org.hyssophitch.console;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.function.Function;
 
@@ -8,6 +9,7 @@
 import io.javalin.http.Context;
 import org.hyssophitch.document.ApplyResult;
 import org.hyssophitch.document.DocumentStore;
+import org.hyssophitch.wire.net.Addresses;
 import org.hyssophitch.wire.platform.ConfigurationRecords.ConfigurationRecord;
 import org.hyssophitch.wire.platform.PlatformClient;
 import org.hyssophitch.wire.platform.PlatformResult;
@@ -40,8 +42,9 @@
 
     /** Listens. */
     public void start() {
-        server.start(settings.listenHost(), settings.listenPort());
-        Logger.info("console at http://{}:{}/", settings.listenHost(), settings.listenPort());
+        InetSocketAddress listen = Addresses.parse(settings.listen());
+        server.start(listen.getHostString(), listen.getPort());
+        Logger.info("console at http://{}/", settings.listen());
     }
 
     /** Ends the console; a form that is open in a browser can be sent once it is back. */
--- a/core/src/main/java/org/hyssophitch/core/configuration/RetryRule.java
+++ b/core/src/main/java/org/hyssophitch/core/configuration/RetryRule.java
@@ -14,11 +14,6 @@
     /** Rule used when the document names none. */
     public static final RetryRule DEFAULT = new RetryRule(3, 0.2, 0.05, 0);
 
-    /** Returns this rule with another hedge ratio, or this instance when nothing changes. */
-    public RetryRule withHedgeRatio(double value) {
-        return value == hedgeRatio ? this : new RetryRule(maxAttempts, retryRatio, value, hedgeAfterMillis);
-    }
-
     /** Returns this rule with another attempt bound, or this instance when nothing changes. */
     public RetryRule withMaxAttempts(int value) {
         return value == maxAttempts ? this : new RetryRule(value, retryRatio, hedgeRatio, hedgeAfterMillis);
--- a/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
@@ -137,7 +137,7 @@
 
     /** Returns all known members, this host included. */
     public List<Member> members() {
-        return List.copyOf(membership.members());
+        return membership.all();
     }
 
     /** Returns the names of the leaving backend servers. */
--- a/document/src/main/java/org/hyssophitch/document/DocumentStore.java
+++ b/document/src/main/java/org/hyssophitch/document/DocumentStore.java
@@ -3,10 +3,10 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.UUID;
-import java.util.concurrent.TimeUnit;
 
 import org.hyssophitch.core.configuration.Configuration;
 import org.hyssophitch.core.retry.Backoff;
+import org.hyssophitch.wire.duty.Pause;
 import org.hyssophitch.wire.platform.ConfigurationRecords;
 import org.hyssophitch.wire.platform.ConfigurationRecords.ConfigurationRecord;
 import org.hyssophitch.wire.platform.PlatformClient;
@@ -60,7 +60,7 @@
         ApplyResult result = new ApplyResult.Unknown("not-tried", revisionId);
         for (int i = 0; i < ATTEMPTS && result instanceof ApplyResult.Unknown; i++) {
             if (i > 0) {
-                sleep(backoff.nextMillis());
+                Pause.millis(backoff.nextMillis());
             }
             result = tryWrite(text, parsed, author, expectedVersion, revisionId);
         }
@@ -128,12 +128,4 @@
                 .<PlatformResult<ConfigurationRecord>>map(r -> new PlatformResult.Found<>(r, found.version()))
                 .orElseGet(() -> new PlatformResult.Unreachable<>("record-malformed"));
     }
-
-    private static void sleep(long millis) {
-        try {
-            TimeUnit.MILLISECONDS.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/proxy/src/main/java/org/hyssophitch/proxy/Proxy.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/Proxy.java
@@ -1,6 +1,7 @@
 package org.hyssophitch.proxy;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -22,7 +23,9 @@
 import org.hyssophitch.core.control.ReportedLoad;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.core.timeline.ProcessTimeline;
+import org.hyssophitch.wire.duty.Pause;
 import org.hyssophitch.wire.duty.WallClock;
+import org.hyssophitch.wire.net.Addresses;
 import org.hyssophitch.wire.report.MetricsText;
 import org.hyssophitch.wire.report.TimelineJson;
 import org.tinylog.Logger;
@@ -82,10 +85,11 @@
     public void start() {
         decisions.start();
         agent.start();
-        server.start(settings.listenHost(), settings.listenPort());
+        InetSocketAddress listen = Addresses.parse(settings.listen());
+        server.start(listen.getHostString(), listen.getPort());
         isListening = true;
         timeline.record(WallClock.nowMicros(), "", new EventBody.ProcessStage("started"));
-        Logger.info("proxy {} listens on {}:{}", settings.host(), settings.listenHost(), settings.listenPort());
+        Logger.info("proxy {} listens on {}", settings.host(), settings.listen());
     }
 
     /** Stops as planned: leaves the address answers, serves as long as callers keep them, finishes all in flight. */
@@ -93,9 +97,9 @@
         isStopping = true;
         timeline.record(WallClock.nowMicros(), "", new EventBody.ProcessStage("stopping"));
         Logger.info("proxy {} leaves the address answers", settings.host());
-        sleep(TimeUnit.SECONDS.toMillis(inForce.addresses().keepSeconds()) + SETTLE_MILLIS);
+        Pause.millis(TimeUnit.SECONDS.toMillis(inForce.addresses().keepSeconds()) + SETTLE_MILLIS);
         while (inFlight.get() > 0) {
-            sleep(POLL_MILLIS);
+            Pause.millis(POLL_MILLIS);
         }
         timeline.record(WallClock.nowMicros(), "", new EventBody.ProcessStage("stopped"));
         server.stop();
@@ -175,12 +179,4 @@
         return new ProxyStatus(
                 incarnation, isAccepting, inFlight.get(), inForce.version(), loads, decisions.takeSuspicions());
     }
-
-    private static void sleep(long millis) {
-        try {
-            TimeUnit.MILLISECONDS.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
+++ b/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
@@ -60,8 +60,7 @@
         server = new RawServer(OK, RawServer.End.KEEP);
         String platformAddress = "127.0.0.1:" + freePort();
         String agentAddress = "127.0.0.1:" + freePort();
-        int proxyPort = freePort();
-        proxyAddress = "127.0.0.1:" + proxyPort;
+        proxyAddress = "127.0.0.1:" + freePort();
         platform = new PlatformStandin(platformAddress);
         new DocumentStore(new PlatformClient(platformAddress)).apply(document(), "test", 0);
         agent = new Agent(new AgentSettings(
@@ -75,7 +74,7 @@
                 50,
                 500));
         agent.start();
-        proxy = new Proxy(new ProxySettings(HOST, "z1", "127.0.0.1", proxyPort, agentAddress, 500));
+        proxy = new Proxy(new ProxySettings(HOST, "z1", proxyAddress, agentAddress, 500));
         proxy.start();
         awaitConfiguration();
     }
--- a/wire/src/main/java/org/hyssophitch/wire/yaml/YamlMapping.java
+++ b/wire/src/main/java/org/hyssophitch/wire/yaml/YamlMapping.java
@@ -83,6 +83,16 @@
         return value;
     }
 
+    /** Returns a required name, as hosts and availability zones have. */
+    public String name(String key) {
+        return text(key, "[a-z0-9][a-z0-9-]{0,62}", "a name of lower-case letters, digits and hyphens");
+    }
+
+    /** Returns a required address of the form {@code ip:port}. */
+    public String address(String key) {
+        return text(key, "[0-9a-fA-F.:]+:\\d{1,5}", "an address of the form ip:port");
+    }
+
     /** Returns an optional whole number within bounds. */
     public int integer(String key, int least, int most, int defaultValue) {
         Optional<Double> value = number(key, least, most);
