--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
@@ -15,10 +16,12 @@
 import org.hyssophitch.core.call.CallAction;
 import org.hyssophitch.core.call.CallEngine;
 import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.CallEvent.AskOutcome;
 import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.EngineSettings;
 import org.hyssophitch.core.call.Outcome;
 import org.hyssophitch.core.call.Reason;
+import org.hyssophitch.core.load.LoadReport;
 import org.hyssophitch.core.timeline.EventRecorder;
 
 /**
@@ -159,10 +162,27 @@
             case CallAction.AnswerCaller a ->
                 answer(a.callId(), new Answer(a.reason(), false, false, a.retryAfterMillis(), a.detail()));
             case CallAction.BreakAnswer a -> answer(a.callId(), new Answer(a.reason(), true, false, 0, ""));
+            case CallAction.AskLoad a -> a.servers().forEach(s -> ask(servers.get(s.name())));
             case CallAction.ShareSuspicions a -> onSuspicion.accept(a);
         }
     }
 
+    private void ask(ModelServer server) {
+        time.after(delay(server), () -> {
+            boolean isDown = server.isDown();
+            LoadReport report = server.report();
+            AskOutcome outcome = isDown ? AskOutcome.FAILED : askOutcome(report);
+            time.after(
+                    delay(server),
+                    () -> handle(new CallEvent.LoadAnswered(
+                            time.nowMicros(), server.name(), Optional.of(report).filter(r -> !isDown), outcome)));
+        });
+    }
+
+    private static AskOutcome askOutcome(LoadReport report) {
+        return report.draining() ? AskOutcome.REFUSING : AskOutcome.ACCEPTING;
+    }
+
     private void start(CallAction.StartAttempt a) {
         ModelServer server = servers.get(a.server().name());
         CallRequest request = requests.get(a.callId());
--- a/core/src/main/java/org/hyssophitch/core/admission/CallQueue.java
+++ b/core/src/main/java/org/hyssophitch/core/admission/CallQueue.java
@@ -6,7 +6,8 @@
 import java.util.TreeSet;
 
 /**
- * Bounded queue of the calls of one service, ordered by deadline. Not thread-safe; owned by the call engine.
+ * Bounded queue of the calls of one service, ordered by priority and then by the time by which each
+ * is wanted. Not thread-safe; owned by the call engine.
  */
 public final class CallQueue {
 
@@ -14,12 +15,14 @@
      * One waiting call.
      *
      * @param callId identity of the call within the entry host
-     * @param deadlineMicros time by which the caller needs its answer
+     * @param priority rank; 0 is the highest
+     * @param wantedMicros time by which the caller wants its answer
      */
-    public record Waiting(long callId, long deadlineMicros) {}
+    public record Waiting(long callId, int priority, long wantedMicros) {}
 
-    private final TreeSet<Waiting> waiting =
-            new TreeSet<>(Comparator.comparingLong(Waiting::deadlineMicros).thenComparingLong(Waiting::callId));
+    private final TreeSet<Waiting> waiting = new TreeSet<>(Comparator.comparingInt(Waiting::priority)
+            .thenComparingLong(Waiting::wantedMicros)
+            .thenComparingLong(Waiting::callId));
     private final int capacity;
 
     /**
@@ -46,7 +49,7 @@
         return waiting.size() < capacity && waiting.add(call);
     }
 
-    /** Removes and returns the call with the earliest deadline. */
+    /** Removes and returns the first call. */
     public Optional<Waiting> poll() {
         return Optional.ofNullable(waiting.pollFirst());
     }
@@ -56,12 +59,9 @@
         return waiting.remove(call);
     }
 
-    /** Removes and returns every call whose deadline has passed. */
-    public List<Waiting> removeExpired(long nowMicros) {
-        List<Waiting> expired =
-                waiting.stream().takeWhile(w -> w.deadlineMicros() <= nowMicros).toList();
-        expired.forEach(waiting::remove);
-        return expired;
+    /** Returns the waiting calls in their order. */
+    public List<Waiting> waiting() {
+        return List.copyOf(waiting);
     }
 
     public int size() {
--- a/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
@@ -26,6 +26,8 @@
     record Attempt(int number, ServerState server, long startedMicros, double queueFactor) {}
 
     private static final int MAX_ATTEMPTS = 64;
+    /** Attempts without a connection that don't count against the bound. */
+    private static final int MAX_UNSENT_ATTEMPTS = 3;
 
     private final CallRequest request;
     private final ServiceState service;
@@ -33,6 +35,8 @@
     private final Map<Integer, Attempt> attempts = new LinkedHashMap<>();
     private final Set<String> tried = new HashSet<>();
     private int attemptsStarted;
+    private int unsentAttempts;
+    private long waitUntilMicros;
     private int relaying;
     private int status;
     private boolean mayHaveRun;
@@ -63,7 +67,9 @@
     }
 
     Waiting waiting() {
-        return new Waiting(callId(), request.deadlineMicros());
+        CallTerms terms = request.terms();
+        long wanted = Math.min(terms.targetMicros(), request.deadlineMicros());
+        return new Waiting(callId(), terms.priority(), wanted);
     }
 
     int attemptsStarted() {
@@ -154,6 +160,20 @@
         isSuspectRunning = value;
     }
 
+    /** Notes that no byte of an attempt reached its server, so that it doesn't count against the bound. */
+    void onUnsent() {
+        unsentAttempts++;
+    }
+
+    /** Returns the time in microseconds until which the call may wait for a server with room. */
+    long waitUntilMicros() {
+        return waitUntilMicros;
+    }
+
+    void setWaitUntilMicros(long value) {
+        waitUntilMicros = value;
+    }
+
     /** Returns whether the rules allow one more attempt, budgets aside. */
     boolean mayTryAgain() {
         boolean isSafe = request.idempotent() || !mayHaveRun && attempts.isEmpty();
@@ -162,7 +182,9 @@
 
     /** Returns whether the bound on attempts allows one more. */
     boolean hasAttemptsLeft() {
-        int most = Math.min(MAX_ATTEMPTS - 1, service.service().retry().maxAttempts());
-        return attemptsStarted < most && !isRelaying();
+        int allowed = request.terms().maxAttempts();
+        int most = allowed > 0 ? allowed : service.service().retry().maxAttempts();
+        int unsent = Math.min(unsentAttempts, MAX_UNSENT_ATTEMPTS);
+        return attemptsStarted - unsent < Math.min(MAX_ATTEMPTS - 1, most) && !isRelaying();
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
@@ -5,6 +5,7 @@
 import java.util.stream.Collectors;
 
 import org.hyssophitch.core.call.AttemptResult.LostCause;
+import org.hyssophitch.core.call.AttemptResult.NotRunCause;
 import org.hyssophitch.core.health.SuspectRegister.Suspicion;
 import org.hyssophitch.core.health.SuspectRegister.Verdict;
 import org.hyssophitch.core.routing.ServerState;
@@ -94,7 +95,7 @@
         boolean mayRetry = call.request().idempotent() && call.mayTryAgain();
         boolean hasOther =
                 call.service().untried(call.tried()).stream().anyMatch(s -> s != a.server() && s.isEligible(nowMicros));
-        if (!mayRetry || !hasOther || !tryRetry(call)) {
+        if (!mayRetry || !hasOther || !tryRetry(call, nowMicros)) {
             return false;
         }
         call.onLoss(Reason.ANSWER_BROKEN);
@@ -108,10 +109,15 @@
             case CONNECT_FAILED -> noteFailure(call, a.server(), nowMicros);
             case SHED -> noteShed(a.server(), nowMicros);
             case DRAINING -> a.server().health().onCancelled();
+            case WRONG_INSTANCE -> a.server().setMisdirected();
             default -> throw new IllegalStateException("no such cause: " + result.cause());
         }
         Reason giveUp = call.mayHaveRun() ? call.lastLoss() : Reason.ATTEMPTS_REFUSED;
-        retryOrAnswer(call, giveUp, nowMicros);
+        boolean isUnsent = result.cause() == NotRunCause.CONNECT_FAILED;
+        if (isUnsent) {
+            call.onUnsent();
+        }
+        retryOrAnswer(call, giveUp, isUnsent, nowMicros);
     }
 
     private void onLost(ActiveCall call, ActiveCall.Attempt a, AttemptResult.Lost result, long nowMicros) {
@@ -127,10 +133,15 @@
             finisher.breakAnswer(call, reason, nowMicros);
             return;
         }
-        retryOrAnswer(call, reason, nowMicros);
+        retryOrAnswer(call, reason, false, nowMicros);
     }
 
-    private void retryOrAnswer(ActiveCall call, Reason giveUp, long nowMicros) {
+    /**
+     * Tries again or gives up.
+     *
+     * @param isFree whether the next attempt is the first that reaches a server, which no budget bounds
+     */
+    private void retryOrAnswer(ActiveCall call, Reason giveUp, boolean isFree, long nowMicros) {
         if (!call.attempts().isEmpty()) {
             return;
         }
@@ -143,7 +154,7 @@
             finisher.answer(call, giveUp, nowMicros);
             return;
         }
-        if (mayTryAgain(call) && tryRetry(call)) {
+        if (mayTryAgain(call) && (isFree || tryRetry(call, nowMicros))) {
             starter.startOrQueue(call, AttemptStarter.Cause.RETRY, nowMicros);
         } else {
             finisher.answer(call, giveUp, nowMicros);
@@ -154,9 +165,9 @@
         return call.mayTryAgain() || !state.isOn(EngineFeature.SAFE_RETRIES) && call.hasAttemptsLeft();
     }
 
-    private boolean tryRetry(ActiveCall call) {
+    private boolean tryRetry(ActiveCall call, long nowMicros) {
         return !state.isOn(EngineFeature.RETRY_BUDGET)
-                || call.service().retries().trySpend();
+                || call.service().retries().trySpend(nowMicros);
     }
 
     private void noteFailure(ActiveCall call, ServerState server, long nowMicros) {
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptResult.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptResult.java
@@ -44,6 +44,8 @@
         CONNECT_FAILED,
         /** The server answered that it shed the request without running it. */
         SHED,
+        /** The address belongs to another server by now, which said so. */
+        WRONG_INSTANCE,
         /** The server answered that it is leaving and did not run the request. */
         DRAINING
     }
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
@@ -6,6 +6,7 @@
 import org.hyssophitch.core.admission.CallQueue.Waiting;
 import org.hyssophitch.core.health.SuspectRegister.Verdict;
 import org.hyssophitch.core.routing.Choice;
+import org.hyssophitch.core.routing.RoutingPolicy;
 import org.hyssophitch.core.routing.ServerState;
 import org.hyssophitch.core.timeline.EventBody;
 
@@ -25,17 +26,16 @@
 
     private final EngineState state;
     private final CallFinisher finisher;
+    private final LoadRounds rounds;
 
     AttemptStarter(EngineState state, CallFinisher finisher) {
         this.state = state;
         this.finisher = finisher;
+        this.rounds = new LoadRounds(state, finisher, this);
     }
 
     /** Starts an attempt when a server has room; returns whether it did. */
     boolean tryStart(ActiveCall call, Cause cause, long nowMicros) {
-        if (call.isBulk() && state.bulkInFlight() >= state.settings().maxBulkInFlight()) {
-            return false;
-        }
         List<ServerState> candidates = call.service().untried(call.tried());
         Optional<Choice> choice = state.selector()
                 .choose(
@@ -43,16 +43,32 @@
                         candidates,
                         nowMicros,
                         state.recorder().isDetailed());
-        if (choice.isEmpty() || !claimSuspectRun(call, nowMicros)) {
+        return choice.isPresent() && startChosen(call, cause, choice.get(), nowMicros);
+    }
+
+    /** Starts an attempt at a chosen server unless bulk calls or a suspect request have to wait. */
+    boolean startChosen(ActiveCall call, Cause cause, Choice choice, long nowMicros) {
+        boolean isBulkFull =
+                call.isBulk() && state.bulkInFlight() >= state.settings().maxBulkInFlight();
+        if (isBulkFull || !claimSuspectRun(call, nowMicros)) {
             return false;
         }
-        start(call, cause, choice.get(), nowMicros);
+        start(call, cause, choice, nowMicros);
         return true;
     }
 
+    /** Returns the rounds in which servers are asked for their load. */
+    LoadRounds rounds() {
+        return rounds;
+    }
+
     /** Starts an attempt, or lets the call wait, or gives up on it at once. */
     void startOrQueue(ActiveCall call, Cause cause, long nowMicros) {
         ServiceState service = call.service();
+        if (isAsked(service)) {
+            rounds.join(call, nowMicros);
+            return;
+        }
         if (!service.hasServer()) {
             finisher.answer(call, notRunReason(call, Reason.NO_SERVER), nowMicros);
             return;
@@ -66,6 +82,10 @@
 
     /** Starts attempts of waiting calls while servers have room. */
     void startWaiting(ServiceState service, long nowMicros) {
+        if (isAsked(service)) {
+            rounds.advance(service, nowMicros);
+            return;
+        }
         boolean isProgress = true;
         while (isProgress && service.queue().size() > 0) {
             isProgress = startFirstWaiting(service, nowMicros);
@@ -82,7 +102,12 @@
         if (!isAllowed || verdict(call, nowMicros) != Verdict.CLEAR) {
             return;
         }
-        if (call.service().hedges().trySpend()) {
+        if (!call.service().hedges().trySpend(nowMicros)) {
+            return;
+        }
+        if (isAsked(call.service())) {
+            rounds.join(call, nowMicros);
+        } else {
             tryStart(call, Cause.HEDGE, nowMicros);
         }
     }
@@ -118,7 +143,12 @@
         }
     }
 
-    private static Reason notRunReason(ActiveCall call, Reason reason) {
+    private static boolean isAsked(ServiceState service) {
+        return service.policy() instanceof RoutingPolicy.AskedLoad;
+    }
+
+    /** Returns why a call gets no further attempt: the reason given unless an earlier attempt may have run. */
+    static Reason notRunReason(ActiveCall call, Reason reason) {
         return call.mayHaveRun() ? call.lastLoss() : reason;
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/CallAction.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallAction.java
@@ -42,6 +42,14 @@
     /** Close the caller's connection, because an answer that has begun can't be completed. */
     record BreakAnswer(long callId, Reason reason) implements CallAction {}
 
+    /**
+     * Ask backend servers for their load; each answer goes back as {@link CallEvent.LoadAnswered}.
+     *
+     * @param servers whom to ask
+     * @param healthPath path at which the servers tell their load
+     */
+    record AskLoad(List<BackendServer> servers, String healthPath) implements CallAction {}
+
     /** Share suspicions with the other entry hosts. */
     record ShareSuspicions(List<Suspicion> suspicions) implements CallAction {}
 }
--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -1,7 +1,5 @@
 package org.hyssophitch.core.call;
 
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -9,12 +7,11 @@
 
 import org.hyssophitch.core.atmostonce.Ticket;
 import org.hyssophitch.core.atmostonce.TicketDecision;
-import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.configuration.Service;
 import org.hyssophitch.core.health.SuspectRegister.Verdict;
 import org.hyssophitch.core.load.LoadReport;
-import org.hyssophitch.core.routing.ServerSelector;
 import org.hyssophitch.core.routing.ServerState;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.core.timeline.EventRecorder;
@@ -31,6 +28,7 @@
 
     private final EngineState state;
     private final CallFinisher finisher;
+    private final ServiceDefinitions definitions;
     private final AttemptStarter starter;
     private final AttemptObserver observer;
 
@@ -42,8 +40,9 @@
      * @param recorder sink for the time line
      */
     public CallEngine(EngineSettings settings, RandomGenerator random, EventRecorder recorder) {
-        state = new EngineState(settings, new ServerSelector(random), recorder);
+        state = new EngineState(settings, random, recorder);
         finisher = new CallFinisher(state);
+        definitions = new ServiceDefinitions(state, finisher);
         starter = new AttemptStarter(state, finisher);
         observer = new AttemptObserver(state, finisher, starter);
     }
@@ -61,6 +60,9 @@
             case CallEvent.CallerGone e -> onCallerGone(e.callId(), e.nowMicros());
             case CallEvent.ConfigurationAccepted e -> onConfiguration(e.configuration(), e.nowMicros());
             case CallEvent.ReportsReceived e -> onReports(e.reports(), e.nowMicros());
+            case CallEvent.LoadAnswered e -> onLoadAnswered(e);
+            case CallEvent.ServersRegistered e -> onRegistered(e.servers(), e.nowMicros());
+            case CallEvent.FleetChanged e -> onFleet(e.hosts(), e.nowMicros());
             case CallEvent.LeavingChanged e -> onLeaving(e.servers(), e.source(), e.nowMicros());
             case CallEvent.SuspicionsReceived e -> e.suspicions().forEach(state.suspects()::merge);
             case CallEvent.IssuersChanged e -> state.setIssuers(e.issuers());
@@ -117,8 +119,7 @@
 
     private void admit(ActiveCall call, long nowMicros) {
         state.calls().put(call.callId(), call);
-        call.service().retries().earn();
-        call.service().hedges().earn();
+        call.service().earn(nowMicros);
         long deadline = call.request().deadlineMicros();
         state.timers().add(new EngineState.Timer(deadline, call.callId(), 0, EngineState.TimerKind.DEADLINE));
         starter.startOrQueue(call, AttemptStarter.Cause.FIRST, nowMicros);
@@ -172,67 +173,36 @@
     }
 
     private void onConfiguration(Configuration accepted, long nowMicros) {
-        if (!accepted.isNewerThan(state.configuration())) {
-            state.recorder()
-                    .record(
-                            nowMicros,
-                            "",
-                            new EventBody.ConfigurationRefused(
-                                    accepted.version(), state.configuration().version()));
-            return;
-        }
-        state.setConfiguration(accepted);
-        Set<String> names = new HashSet<>();
-        Set<String> servers = new HashSet<>();
-        accepted.services().forEach(s -> {
-            names.add(s.name());
-            s.servers().forEach(b -> servers.add(b.name()));
-            defineService(s, accepted.maxEntryHosts(), nowMicros);
-        });
-        dropServices(names, nowMicros);
-        state.servers().keySet().retainAll(servers);
-        state.recorder()
-                .record(nowMicros, "", new EventBody.ConfigurationInForce(accepted.version(), accepted.revisionId()));
-        state.services().values().forEach(s -> starter.startWaiting(s, nowMicros));
+        definitions.accept(accepted, nowMicros);
+        startWaiting(nowMicros);
     }
 
-    private void defineService(Service service, int maxEntryHosts, long nowMicros) {
-        List<ServerState> servers = new ArrayList<>();
-        service.servers().forEach(b -> servers.add(defineServer(b, maxEntryHosts, nowMicros)));
-        ServiceState known = state.services().get(service.name());
-        if (known == null) {
-            state.services()
-                    .put(
-                            service.name(),
-                            new ServiceState(service, servers, state.settings().zone()));
-        } else {
-            known.redefine(service, servers, state.settings().zone());
-        }
+    private void onRegistered(Map<String, List<RegisteredServer>> servers, long nowMicros) {
+        definitions.register(servers, nowMicros);
+        startWaiting(nowMicros);
     }
 
-    private ServerState defineServer(BackendServer server, int maxEntryHosts, long nowMicros) {
-        int limit = server.attemptLimit(maxEntryHosts);
-        ServerState known =
-                state.servers().computeIfAbsent(server.name(), n -> new ServerState(server.withDraining(false), limit));
-        boolean wasLeaving = known.isLeaving();
-        known.redefine(server, limit);
-        recordLeaving(known, wasLeaving, "operator", nowMicros);
-        return known;
+    private void onFleet(int hosts, long nowMicros) {
+        definitions.share(hosts, nowMicros);
+        startWaiting(nowMicros);
     }
 
-    /** Removes services; their waiting calls are answered at once, their running ones finish. */
-    private void dropServices(Set<String> kept, long nowMicros) {
-        List<ServiceState> dropped = state.services().values().stream()
-                .filter(s -> !kept.contains(s.service().name()))
-                .toList();
-        dropped.forEach(s -> {
-            state.services().remove(s.service().name());
-            state.calls().values().stream()
-                    .filter(c -> c.service() == s && c.attempts().isEmpty())
-                    .toList()
-                    .forEach(
-                            c -> finisher.answer(c, c.mayHaveRun() ? c.lastLoss() : Reason.UNKNOWN_SERVICE, nowMicros));
-        });
+    private void onLoadAnswered(CallEvent.LoadAnswered e) {
+        ServerState server = state.servers().get(e.server());
+        if (server != null) {
+            server.onAskAnswered(e.outcome() == CallEvent.AskOutcome.ACCEPTING, e.nowMicros());
+            e.report().ifPresent(server::onReport);
+            if (e.outcome() == CallEvent.AskOutcome.WRONG_INSTANCE) {
+                server.setMisdirected();
+                definitions.recordLeaving(server, false, "other-instance", e.nowMicros());
+            }
+        }
+        state.services().values().stream().filter(s -> s.round().isRunning()).forEach(s -> starter.rounds()
+                .onAnswer(s, e.server(), e.nowMicros()));
+    }
+
+    private void startWaiting(long nowMicros) {
+        state.services().values().forEach(s -> starter.startWaiting(s, nowMicros));
     }
 
     private void onReports(List<LoadReport> reports, long nowMicros) {
@@ -241,7 +211,7 @@
             if (server != null) {
                 boolean wasLeaving = server.isLeaving();
                 server.onReport(state.isOn(EngineFeature.DRAIN) ? r : r.withDraining(false));
-                recordLeaving(server, wasLeaving, "report", nowMicros);
+                definitions.recordLeaving(server, wasLeaving, "report", nowMicros);
             }
         });
     }
@@ -250,22 +220,16 @@
         state.servers().values().forEach(s -> {
             boolean wasLeaving = s.isLeaving();
             s.setLeaving(state.isOn(EngineFeature.DRAIN) && leaving.contains(s.name()));
-            recordLeaving(s, wasLeaving, source, nowMicros);
+            definitions.recordLeaving(s, wasLeaving, source, nowMicros);
         });
-        state.services().values().forEach(s -> starter.startWaiting(s, nowMicros));
-    }
-
-    private void recordLeaving(ServerState server, boolean wasLeaving, String source, long nowMicros) {
-        if (!wasLeaving && server.isLeaving()) {
-            state.recorder().record(nowMicros, "", new EventBody.ServerLeaving(server.name(), source));
-        }
+        startWaiting(nowMicros);
     }
 
     private void onTime(long nowMicros) {
         while (nextTimerMicros() <= nowMicros) {
             fire(state.timers().poll(), nowMicros);
         }
-        state.services().values().forEach(s -> starter.startWaiting(s, nowMicros));
+        startWaiting(nowMicros);
     }
 
     private void fire(EngineState.Timer timer, long nowMicros) {
@@ -276,6 +240,9 @@
         switch (timer.kind()) {
             case HEDGE -> starter.hedge(call, timer.attempt(), nowMicros);
             case DEADLINE -> onDeadline(call, nowMicros);
+            case ROUND -> {
+                // Calls that wait go on after all timers.
+            }
             default -> throw new IllegalStateException("no such timer: " + timer.kind());
         }
     }
--- a/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
@@ -1,10 +1,13 @@
 package org.hyssophitch.core.call;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.hyssophitch.core.atmostonce.IssuerView;
 import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.health.SuspectRegister.Suspicion;
 import org.hyssophitch.core.load.LoadReport;
 
@@ -32,6 +35,33 @@
     /** Load reports arrived, by answers' headers or from the agent. */
     record ReportsReceived(long nowMicros, List<LoadReport> reports) implements CallEvent {}
 
+    /**
+     * A backend server answered the question for its load, or failed to.
+     *
+     * @param report its load; empty when it told none
+     * @param outcome what the answer says about sending work there
+     */
+    record LoadAnswered(long nowMicros, String server, Optional<LoadReport> report, AskOutcome outcome)
+            implements CallEvent {}
+
+    /** What an answer to the question for a server's load says about sending work there. */
+    enum AskOutcome {
+        /** The server takes work. */
+        ACCEPTING,
+        /** The server says that it is unhealthy or leaving. */
+        REFUSING,
+        /** Another server has the address. */
+        WRONG_INSTANCE,
+        /** No answer came. */
+        FAILED
+    }
+
+    /** The backend servers that registered themselves changed; holds all of them, by the service's name. */
+    record ServersRegistered(long nowMicros, Map<String, List<RegisteredServer>> servers) implements CallEvent {}
+
+    /** The number of entry hosts that share the fleet's limits changed. */
+    record FleetChanged(long nowMicros, int hosts) implements CallEvent {}
+
     /** The set of leaving backend servers changed, as the platform or other entry hosts tell it. */
     record LeavingChanged(long nowMicros, Set<String> servers, String source) implements CallEvent {}
 
--- a/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
@@ -12,6 +12,10 @@
 
     private static final long MIN_RETRY_AFTER_MILLIS = 50;
     private static final long SHORT_RETRY_AFTER_MILLIS = 1_000;
+    /** Bounds in milliseconds of when callers return whose calls found no room; drawn, so that they spread. */
+    private static final long ROOM_RETRY_AFTER_MILLIS = 100;
+
+    private static final long ROOM_RETRY_SPREAD_MILLIS = 300;
     private static final int FIRST_SERVER_ERROR = 500;
     private static final long MICROS_PER_MILLI = 1_000;
 
@@ -25,6 +29,9 @@
     void answer(ActiveCall call, Reason reason, long nowMicros) {
         settleTicket(call, reason, 0);
         long retryAfter = retryAfterMillis(call.service(), reason);
+        if (reason == Reason.NO_ROOM) {
+            retryAfter += state.random().nextLong(ROOM_RETRY_SPREAD_MILLIS);
+        }
         if (!call.isCallerGone()) {
             state.emit(new CallAction.AnswerCaller(call.callId(), reason, retryAfter, ""));
         }
@@ -65,6 +72,7 @@
         return switch (reason) {
             case QUEUE_FULL, DEADLINE_TOO_SHORT, DEADLINE_PASSED_WAITING, ATTEMPTS_REFUSED ->
                 Math.max(MIN_RETRY_AFTER_MILLIS, service.estimatedWaitMicros() / MICROS_PER_MILLI);
+            case NO_ROOM -> ROOM_RETRY_AFTER_MILLIS;
             case NO_SERVER,
                     NO_CONFIGURATION,
                     ENGINE_BUSY,
--- a/core/src/main/java/org/hyssophitch/core/call/CallRequest.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallRequest.java
@@ -17,6 +17,7 @@
  * @param mayRetry whether no call above this one is a retry already
  * @param replayable whether the request's body can be sent more than once
  * @param fingerprint identity of the request's content, shared by repetitions of the same request
+ * @param terms what the call's route grants to it
  */
 public record CallRequest(
         long callId,
@@ -28,11 +29,38 @@
         int depth,
         boolean mayRetry,
         boolean replayable,
-        String fingerprint) {
+        String fingerprint,
+        CallTerms terms) {
 
     /** Deadline of a call that names none. */
     public static final long NO_DEADLINE = Long.MAX_VALUE;
 
+    /** Creates a request that no route matched, because its caller names the service. */
+    public CallRequest(
+            long callId,
+            String requestId,
+            String service,
+            boolean idempotent,
+            Optional<Ticket> ticket,
+            long deadlineMicros,
+            int depth,
+            boolean mayRetry,
+            boolean replayable,
+            String fingerprint) {
+        this(
+                callId,
+                requestId,
+                service,
+                idempotent,
+                ticket,
+                deadlineMicros,
+                depth,
+                mayRetry,
+                replayable,
+                fingerprint,
+                CallTerms.NONE);
+    }
+
     /** Returns this request with the deadline given, or this instance when nothing changes. */
     public CallRequest withDeadlineMicros(long value) {
         return value == deadlineMicros
@@ -47,6 +75,7 @@
                         depth,
                         mayRetry,
                         replayable,
-                        fingerprint);
+                        fingerprint,
+                        terms);
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/call/EngineState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/EngineState.java
@@ -6,10 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.random.RandomGenerator;
 
 import org.hyssophitch.core.atmostonce.IssuerView;
 import org.hyssophitch.core.atmostonce.TicketRegister;
 import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.health.SuspectRegister;
 import org.hyssophitch.core.routing.ServerSelector;
 import org.hyssophitch.core.routing.ServerState;
@@ -23,12 +25,15 @@
 
     enum TimerKind {
         DEADLINE,
-        HEDGE
+        HEDGE,
+        /** Wakes the engine for calls that wait for a server with room. */
+        ROUND
     }
 
     record Timer(long atMicros, long callId, int attempt, TimerKind kind) {}
 
     private final EngineSettings settings;
+    private final RandomGenerator random;
     private final ServerSelector selector;
     private final EventRecorder recorder;
     private final TicketRegister tickets;
@@ -41,11 +46,14 @@
     private Configuration configuration = Configuration.NONE;
     private IssuerView issuers = host -> IssuerView.GONE;
     private int bulkInFlight;
+    private int hosts = 1;
+    private Map<String, List<RegisteredServer>> registered = Map.of();
     private List<CallAction> actions = new ArrayList<>();
 
-    EngineState(EngineSettings settings, ServerSelector selector, EventRecorder recorder) {
+    EngineState(EngineSettings settings, RandomGenerator random, EventRecorder recorder) {
         this.settings = settings;
-        this.selector = selector;
+        this.random = random;
+        this.selector = new ServerSelector(random);
         this.recorder = recorder;
         this.tickets = new TicketRegister(settings.host(), settings.incarnation());
     }
@@ -62,6 +70,28 @@
         return selector;
     }
 
+    RandomGenerator random() {
+        return random;
+    }
+
+    /** Returns the number of entry hosts that share the fleet's limits. */
+    int hosts() {
+        return hosts;
+    }
+
+    void setHosts(int value) {
+        hosts = value;
+    }
+
+    /** Returns the backend servers that registered themselves, by the service's name. */
+    Map<String, List<RegisteredServer>> registered() {
+        return registered;
+    }
+
+    void setRegistered(Map<String, List<RegisteredServer>> value) {
+        registered = value;
+    }
+
     EventRecorder recorder() {
         return recorder;
     }
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
@@ -0,0 +1,224 @@
+package org.hyssophitch.core.call;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.hyssophitch.core.admission.CallQueue.Waiting;
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.routing.Choice;
+import org.hyssophitch.core.routing.LoadPlacement;
+import org.hyssophitch.core.routing.RoutingPolicy;
+import org.hyssophitch.core.routing.ServerSelector;
+import org.hyssophitch.core.routing.ServerState;
+import org.hyssophitch.core.timeline.EventBody;
+import org.hyssophitch.core.timeline.EventBody.CandidateView;
+
+/**
+ * Asks servers for their load when calls arrive, places the calls by the answers and lets the others wait. Not
+ * thread-safe.
+ *
+ * <p>Answers load that shifts within milliseconds: what a server said before is stale. Calls that arrive while a round
+ * of questions is under way share it, so the cost of asking per call falls as load rises. A call that no server has
+ * room for waits here, where it can still go to whichever server gets room first, instead of slowing down a full one.
+ * A call that has waited so long that it would miss its target is refused at once, so that its caller may return.
+ */
+final class LoadRounds {
+
+    /** Time in microseconds that a round waits for answers. */
+    private static final long ROUND_MICROS = 8_000;
+    /** Least time in microseconds between two rounds for calls that found no room, before jitter of the same length. */
+    private static final long PAUSE_MICROS = 12_000;
+    /** Age in microseconds up to which a report counts as an answer to the question. */
+    private static final long FRESH_MICROS = 40_000;
+    /** Part of a call's time to its target that it may wait for its first attempt. */
+    private static final double WAIT_SHARE = 0.5;
+    /** Least time in microseconds that a call may wait. */
+    private static final long LEAST_WAIT_MICROS = 60_000;
+    /** Time in microseconds that a call may wait when its route names no target. */
+    private static final long DEFAULT_WAIT_MICROS = 250_000;
+
+    private final EngineState state;
+    private final CallFinisher finisher;
+    private final AttemptStarter starter;
+
+    LoadRounds(EngineState state, CallFinisher finisher, AttemptStarter starter) {
+        this.state = state;
+        this.finisher = finisher;
+        this.starter = starter;
+    }
+
+    /** Lets a call take part in the next placement, or gives up on it at once. */
+    void join(ActiveCall call, long nowMicros) {
+        ServiceState service = call.service();
+        if (!service.hasServer()) {
+            finisher.answer(call, AttemptStarter.notRunReason(call, Reason.NO_SERVER), nowMicros);
+            return;
+        }
+        call.setWaitUntilMicros(waitUntil(call, nowMicros));
+        if (!service.queue().offer(call.waiting())) {
+            finisher.answer(call, AttemptStarter.notRunReason(call, Reason.QUEUE_FULL), nowMicros);
+            return;
+        }
+        advance(service, nowMicros);
+    }
+
+    /** Starts a round when calls wait and none is under way; refuses those that have waited too long. */
+    void advance(ServiceState service, long nowMicros) {
+        LoadRound round = service.round();
+        if (round.isOver(nowMicros)) {
+            round.end();
+            place(service, nowMicros);
+        }
+        if (service.queue().size() == 0 || round.isRunning()) {
+            return;
+        }
+        refuseLate(service, nowMicros);
+        if (service.queue().size() == 0) {
+            return;
+        }
+        if (nowMicros >= round.nextMicros()) {
+            start(service, nowMicros);
+        }
+        wakeFor(service, nowMicros);
+    }
+
+    /** Takes an answer into account, and places calls when it was the last one that the round waits for. */
+    void onAnswer(ServiceState service, String server, long nowMicros) {
+        service.round().onAnswer(server);
+        advance(service, nowMicros);
+    }
+
+    private void start(ServiceState service, long nowMicros) {
+        List<ServerState> asked = candidates(service, nowMicros);
+        if (asked.isEmpty()) {
+            service.round().postpone(nowMicros + pause());
+            place(service, nowMicros);
+            return;
+        }
+        Set<String> names = new HashSet<>();
+        List<BackendServer> servers = new ArrayList<>();
+        asked.forEach(s -> {
+            names.add(s.name());
+            servers.add(s.server());
+        });
+        service.round().start(names, nowMicros + ROUND_MICROS, nowMicros + pause());
+        state.emit(new CallAction.AskLoad(servers, service.service().healthPath()));
+    }
+
+    private long pause() {
+        return PAUSE_MICROS + state.random().nextLong(PAUSE_MICROS);
+    }
+
+    /** Returns the servers to ask: those that probably have room, the least used of this host's zone first. */
+    private List<ServerState> candidates(ServiceState service, long nowMicros) {
+        int most = service.policy() instanceof RoutingPolicy.AskedLoad a ? a.sampleSize() : 1;
+        String zone = state.settings().zone();
+        List<ServerState> usable = new ArrayList<>(service.servers().stream()
+                .filter(s -> s.isEligible(nowMicros) && s.inFlight() < LoadPlacement.knee(s))
+                .toList());
+        shuffle(usable);
+        usable.sort(Comparator.comparingInt(ServerState::inFlight)
+                .thenComparing(s -> !s.server().zone().equals(zone)));
+        return usable.stream().filter(s -> s.tryAsk(nowMicros)).limit(most).toList();
+    }
+
+    private void shuffle(List<ServerState> servers) {
+        for (int i = servers.size() - 1; i > 0; i--) {
+            servers.add(servers.remove(state.random().nextInt(i + 1)));
+        }
+    }
+
+    /** Places waiting calls in their order, until one finds no server with room. */
+    private void place(ServiceState service, long nowMicros) {
+        List<Waiting> left = new ArrayList<>();
+        Optional<Waiting> next = service.queue().poll();
+        while (next.isPresent()) {
+            ActiveCall call = state.calls().get(next.get().callId());
+            if (call != null && !placeOne(call, nowMicros)) {
+                left.add(next.get());
+            }
+            next = service.queue().poll();
+        }
+        left.forEach(service.queue()::offer);
+    }
+
+    private boolean placeOne(ActiveCall call, long nowMicros) {
+        LoadPlacement placement = new LoadPlacement(state.settings().zone(), nowMicros);
+        List<ServerState> untried = call.service().untried(call.tried()).stream()
+                .filter(s -> s.isEligible(nowMicros) && !s.isRefusing(nowMicros))
+                .toList();
+        List<ServerState> fresh = untried.stream()
+                .filter(s -> s.report()
+                        .filter(r -> r.ageMicros(nowMicros) <= FRESH_MICROS)
+                        .isPresent())
+                .toList();
+        Optional<ServerState> chosen = placement.choose(fresh.isEmpty() ? untried : fresh);
+        if (chosen.isEmpty()) {
+            return false;
+        }
+        Choice choice = new Choice(chosen.get(), views(untried, placement, chosen.get(), nowMicros));
+        return starter.startChosen(call, cause(call), choice, nowMicros);
+    }
+
+    private static AttemptStarter.Cause cause(ActiveCall call) {
+        if (call.attemptsStarted() == 0) {
+            return AttemptStarter.Cause.FIRST;
+        }
+        return call.attempts().isEmpty() ? AttemptStarter.Cause.RETRY : AttemptStarter.Cause.HEDGE;
+    }
+
+    private List<CandidateView> views(
+            List<ServerState> candidates, LoadPlacement placement, ServerState chosen, long nowMicros) {
+        if (!state.recorder().isDetailed()) {
+            return List.of();
+        }
+        return candidates.stream()
+                .map(s ->
+                        ServerSelector.view(s, placement.cost(s), s == chosen ? "chosen" : "scored-higher", nowMicros))
+                .toList();
+    }
+
+    private void refuseLate(ServiceState service, long nowMicros) {
+        List<ActiveCall> late = service.queue().waiting().stream()
+                .map(w -> state.calls().get(w.callId()))
+                .filter(c -> c != null && nowMicros >= c.waitUntilMicros())
+                .toList();
+        late.forEach(c -> giveUp(c, nowMicros));
+    }
+
+    /** Ends the wait of a call; an attempt that is under way goes on. */
+    private void giveUp(ActiveCall call, long nowMicros) {
+        call.service().queue().remove(call.waiting());
+        if (call.attempts().isEmpty()) {
+            finisher.answer(call, AttemptStarter.notRunReason(call, Reason.NO_ROOM), nowMicros);
+        } else {
+            state.record(
+                    nowMicros,
+                    call,
+                    new EventBody.CallQueued(
+                            call.service().service().name(),
+                            call.service().queue().size()));
+        }
+    }
+
+    private static long waitUntil(ActiveCall call, long nowMicros) {
+        long target = call.request().terms().targetMicros();
+        long allowed =
+                target == Long.MAX_VALUE ? DEFAULT_WAIT_MICROS : (long) ((target - call.arrivedMicros()) * WAIT_SHARE);
+        long until = Math.max(call.arrivedMicros() + allowed, nowMicros + LEAST_WAIT_MICROS);
+        return Math.min(until, call.request().deadlineMicros());
+    }
+
+    private void wakeFor(ServiceState service, long nowMicros) {
+        LoadRound round = service.round();
+        long at = round.isRunning() ? round.deadlineMicros() : round.nextMicros();
+        if (at > nowMicros && at != round.wakeMicros()) {
+            round.setWakeMicros(at);
+            state.timers().add(new EngineState.Timer(at, 0, 0, EngineState.TimerKind.ROUND));
+        }
+    }
+}
--- a/core/src/main/java/org/hyssophitch/core/call/Reason.java
+++ b/core/src/main/java/org/hyssophitch/core/call/Reason.java
@@ -9,10 +9,15 @@
 
     UNKNOWN_SERVICE(Outcome.NOT_RUN, 404),
     BAD_REQUEST(Outcome.NOT_RUN, 400),
+    NO_ROUTE(Outcome.NOT_RUN, 404),
+    HEAD_TOO_LARGE(Outcome.NOT_RUN, 431),
+    BODY_TOO_LARGE(Outcome.NOT_RUN, 413),
     NO_CONFIGURATION(Outcome.NOT_RUN, 503),
     QUEUE_FULL(Outcome.NOT_RUN, 503),
+    /** No server got room while waiting was of use to the caller. */
+    NO_ROOM(Outcome.NOT_RUN, 503),
     DEADLINE_TOO_SHORT(Outcome.NOT_RUN, 503),
-    DEADLINE_PASSED_WAITING(Outcome.NOT_RUN, 504),
+    DEADLINE_PASSED_WAITING(Outcome.NOT_RUN, 503),
     NO_SERVER(Outcome.NOT_RUN, 503),
     ATTEMPTS_REFUSED(Outcome.NOT_RUN, 503),
     TICKET_REQUIRED(Outcome.NOT_RUN, 428),
--- a/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
@@ -2,10 +2,13 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 
 import org.hyssophitch.core.admission.CallQueue;
 import org.hyssophitch.core.configuration.Service;
+import org.hyssophitch.core.retry.AttemptBudget;
 import org.hyssophitch.core.retry.RatioBudget;
+import org.hyssophitch.core.retry.WindowBudget;
 import org.hyssophitch.core.routing.RoutingPolicy;
 import org.hyssophitch.core.routing.ServerState;
 
@@ -21,11 +24,19 @@
     private RoutingPolicy policy;
     private List<ServerState> servers;
     private CallQueue queue;
-    private RatioBudget retries;
-    private RatioBudget hedges;
+    private AttemptBudget retries;
+    private AttemptBudget hedges;
+    private final Optional<WindowBudget> shared;
+    private final LoadRound round = new LoadRound();
     private final LatencyTracker latency = new LatencyTracker();
 
-    ServiceState(Service service, List<ServerState> servers, String zone) {
+    /**
+     * Creates the state of a service.
+     *
+     * @param shared budget of further attempts that all entry hosts share; empty when the service has its own
+     */
+    ServiceState(Service service, List<ServerState> servers, String zone, Optional<WindowBudget> shared) {
+        this.shared = shared;
         this.service = service;
         this.servers = servers;
         this.policy = RoutingPolicy.of(service, zone);
@@ -64,14 +75,31 @@
         return queue;
     }
 
-    RatioBudget retries() {
+    AttemptBudget retries() {
         return retries;
     }
 
-    RatioBudget hedges() {
+    AttemptBudget hedges() {
         return hedges;
     }
 
+    /** Earns the share of one call in every budget of the service. */
+    void earn(long nowMicros) {
+        retries.earn(nowMicros);
+        if (hedges != retries) {
+            hedges.earn(nowMicros);
+        }
+    }
+
+    /** Changes this host's part of the budget that all entry hosts share. */
+    void setSharedAllowance(double value) {
+        shared.ifPresent(b -> b.setAllowance(value));
+    }
+
+    LoadRound round() {
+        return round;
+    }
+
     LatencyTracker latency() {
         return latency;
     }
@@ -110,7 +138,9 @@
     }
 
     private void resetBudgets() {
-        retries = new RatioBudget(service.retry().retryRatio(), RETRY_BURST);
-        hedges = new RatioBudget(service.retry().hedgeRatio(), HEDGE_BURST);
+        retries = shared.<AttemptBudget>map(b -> b)
+                .orElseGet(() -> new RatioBudget(service.retry().retryRatio(), RETRY_BURST));
+        hedges = shared.<AttemptBudget>map(b -> b)
+                .orElseGet(() -> new RatioBudget(service.retry().hedgeRatio(), HEDGE_BURST));
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/configuration/Configuration.java
+++ b/core/src/main/java/org/hyssophitch/core/configuration/Configuration.java
@@ -16,6 +16,8 @@
  * @param measuring budget for measuring load
  * @param addresses rule for the address answers to callers
  * @param services the services, in the order of the document
+ * @param routes which requests go to which service, by host name and path
+ * @param limits bounds on what callers may send
  */
 public record Configuration(
         long version,
@@ -23,36 +25,52 @@
         int maxEntryHosts,
         MeasuringBudget measuring,
         AddressRule addresses,
-        List<Service> services) {
+        List<Service> services,
+        List<Route> routes,
+        CallerLimits limits) {
 
     /** Configuration of a process that has not learnt one yet; it holds no services. */
     public static final Configuration NONE =
             new Configuration(0, "", 1, MeasuringBudget.DEFAULT, AddressRule.DEFAULT, List.of());
 
+    /** Checks that nothing is missing. */
     public Configuration {
         Objects.requireNonNull(revisionId, "revisionId");
+        Objects.requireNonNull(limits, "limits");
         services = List.copyOf(services);
+        routes = List.copyOf(routes);
+    }
+
+    /** Creates a configuration whose callers name the service in the path, so that it needs no routes. */
+    public Configuration(
+            long version,
+            String revisionId,
+            int maxEntryHosts,
+            MeasuringBudget measuring,
+            AddressRule addresses,
+            List<Service> services) {
+        this(version, revisionId, maxEntryHosts, measuring, addresses, services, List.of(), CallerLimits.DEFAULT);
     }
 
     /** Returns this configuration with the version given, or this instance when nothing changes. */
     public Configuration withVersion(long value) {
         return value == version
                 ? this
-                : new Configuration(value, revisionId, maxEntryHosts, measuring, addresses, services);
+                : new Configuration(value, revisionId, maxEntryHosts, measuring, addresses, services, routes, limits);
     }
 
     /** Returns this configuration with the revision id given, or this instance when nothing changes. */
     public Configuration withRevisionId(String value) {
         return value.equals(revisionId)
                 ? this
-                : new Configuration(version, value, maxEntryHosts, measuring, addresses, services);
+                : new Configuration(version, value, maxEntryHosts, measuring, addresses, services, routes, limits);
     }
 
     /** Returns this configuration with other services, or this instance when nothing changes. */
     public Configuration withServices(List<Service> value) {
         return value.equals(services)
                 ? this
-                : new Configuration(version, revisionId, maxEntryHosts, measuring, addresses, value);
+                : new Configuration(version, revisionId, maxEntryHosts, measuring, addresses, value, routes, limits);
     }
 
     /** Returns whether this configuration replaces the other. */
--- a/core/src/main/java/org/hyssophitch/core/configuration/RoutingKind.java
+++ b/core/src/main/java/org/hyssophitch/core/configuration/RoutingKind.java
@@ -7,5 +7,6 @@
     LEAST_IN_FLIGHT,
     POWER_OF_TWO,
     POWER_OF_D,
-    ESTIMATED_DELAY
+    ESTIMATED_DELAY,
+    ASKED_LOAD
 }
--- a/core/src/main/java/org/hyssophitch/core/configuration/Service.java
+++ b/core/src/main/java/org/hyssophitch/core/configuration/Service.java
@@ -16,6 +16,8 @@
     private final int sampleSize;
     private final RetryRule retry;
     private final QueueRule queue;
+    private final String healthPath;
+    private final int connectionLimit;
     private final List<BackendServer> servers;
 
     private Service(Builder b) {
@@ -25,6 +27,8 @@
         sampleSize = b.sampleSize;
         retry = b.retry;
         queue = b.queue;
+        healthPath = b.healthPath;
+        connectionLimit = b.connectionLimit;
         servers = List.copyOf(b.servers);
     }
 
@@ -73,6 +77,16 @@
         return queue;
     }
 
+    /** Returns the path at which a backend server tells its health and load. */
+    public String healthPath() {
+        return healthPath;
+    }
+
+    /** Returns the connections that each server accepts in total, for servers that register themselves. */
+    public int connectionLimit() {
+        return connectionLimit;
+    }
+
     public List<BackendServer> servers() {
         return servers;
     }
@@ -85,6 +99,8 @@
                 .sampleSize(sampleSize)
                 .retry(retry)
                 .queue(queue)
+                .healthPath(healthPath)
+                .connectionLimit(connectionLimit)
                 .servers(servers);
     }
 
@@ -97,17 +113,21 @@
                 && sampleSize == s.sampleSize
                 && retry.equals(s.retry)
                 && queue.equals(s.queue)
+                && healthPath.equals(s.healthPath)
+                && connectionLimit == s.connectionLimit
                 && servers.equals(s.servers);
     }
 
     @Override
     public int hashCode() {
-        return Objects.hash(name, criticality, routing, sampleSize, retry, queue, servers);
+        return Objects.hash(name, criticality, routing, sampleSize, retry, queue, healthPath, connectionLimit, servers);
     }
 
     /** Builder of {@link Service}; not thread-safe. */
     public static final class Builder {
         private static final int DEFAULT_SAMPLE_SIZE = 32;
+        private static final int DEFAULT_CONNECTION_LIMIT = 220;
+        private static final String DEFAULT_HEALTH_PATH = "/health";
 
         private final String name;
         private Criticality criticality = Criticality.CRITICAL;
@@ -115,6 +135,8 @@
         private int sampleSize = DEFAULT_SAMPLE_SIZE;
         private RetryRule retry = RetryRule.DEFAULT;
         private QueueRule queue = QueueRule.DEFAULT;
+        private String healthPath = DEFAULT_HEALTH_PATH;
+        private int connectionLimit = DEFAULT_CONNECTION_LIMIT;
         private List<BackendServer> servers = List.of();
 
         private Builder(String name) {
@@ -146,6 +168,16 @@
             return this;
         }
 
+        public Builder healthPath(String value) {
+            healthPath = value;
+            return this;
+        }
+
+        public Builder connectionLimit(int value) {
+            connectionLimit = value;
+            return this;
+        }
+
         public Builder servers(List<BackendServer> value) {
             servers = value;
             return this;
--- a/core/src/main/java/org/hyssophitch/core/control/NewsBuffer.java
+++ b/core/src/main/java/org/hyssophitch/core/control/NewsBuffer.java
@@ -11,25 +11,30 @@
  *
  * @param <T> kind of news
  */
-final class NewsBuffer<T> {
+public final class NewsBuffer<T> {
 
     private record Item<T>(T value, int timesLeft) {}
 
     private final Map<String, Item<T>> items = new LinkedHashMap<>();
     private final int repetitions;
 
-    NewsBuffer(int repetitions) {
+    /**
+     * Creates an empty buffer.
+     *
+     * @param repetitions number of datagrams that carry each item
+     */
+    public NewsBuffer(int repetitions) {
         this.repetitions = repetitions;
     }
 
     /** Adds news, or replaces older news of the same key. */
-    void add(String key, T value) {
+    public void add(String key, T value) {
         items.remove(key);
         items.put(key, new Item<>(value, repetitions));
     }
 
     /** Returns the news to put into one datagram, the least repeated first, and counts the repetition. */
-    List<T> take(int most) {
+    public List<T> take(int most) {
         List<Map.Entry<String, Item<T>>> chosen = new ArrayList<>(items.entrySet());
         chosen.sort(Comparator.comparingInt(e -> -e.getValue().timesLeft()));
         List<T> taken = new ArrayList<>();
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/entry/EntrySettings.java
@@ -0,0 +1,57 @@
+package org.hyssophitch.core.entry;
+
+import java.util.Map;
+
+/**
+ * Settings of one entry host. Immutable.
+ *
+ * @param host name of the entry host
+ * @param zone availability zone
+ * @param region region of the zone
+ * @param regions region of each zone
+ * @param addresses addresses to listen at
+ * @param storeAddress address of the platform's store, {@code ip:port}
+ * @param bounds bounds that the operator sets
+ */
+public record EntrySettings(
+        String host,
+        String zone,
+        String region,
+        Map<String, String> regions,
+        Addresses addresses,
+        String storeAddress,
+        Bounds bounds) {
+
+    /**
+     * Addresses to listen at, each {@code ip:port}; empty where the host doesn't offer it.
+     *
+     * @param front for callers' requests
+     * @param readiness for the platform's checks
+     * @param directory for callers that ask which address to use
+     * @param peers for datagrams of the other entry hosts
+     * @param metrics for metrics
+     */
+    public record Addresses(String front, String readiness, String directory, String peers, String metrics) {}
+
+    /**
+     * Bounds that the operator sets.
+     *
+     * @param graceMillis time in milliseconds from the request to stop until the process is killed
+     * @param repeatRatio attempts beyond the first per request, over all entry hosts
+     * @param repeatSlack attempts beyond the first per window whatever the load, over all entry hosts
+     * @param repeatWindowMillis length of that window in milliseconds
+     * @param asksPerSecond questions for its load that a backend server may get per second, from all entry hosts
+     * @param keepSeconds longest time in seconds for which callers may keep an address answer
+     */
+    public record Bounds(
+            int graceMillis,
+            double repeatRatio,
+            double repeatSlack,
+            int repeatWindowMillis,
+            double asksPerSecond,
+            int keepSeconds) {}
+
+    public EntrySettings {
+        regions = Map.copyOf(regions);
+    }
+}
--- a/core/src/main/java/org/hyssophitch/core/retry/RatioBudget.java
+++ b/core/src/main/java/org/hyssophitch/core/retry/RatioBudget.java
@@ -4,7 +4,7 @@
  * Budget that earns a fraction of a token per call, so that extra attempts stay a fixed share of the load. Not
  * thread-safe; owned by the call engine.
  */
-public final class RatioBudget {
+public final class RatioBudget implements AttemptBudget {
 
     private final double ratio;
     private final double capacity;
@@ -22,13 +22,13 @@
         this.tokens = ratio > 0 ? capacity : 0;
     }
 
-    /** Earns the share of one call. */
-    public void earn() {
+    @Override
+    public void earn(long nowMicros) {
         tokens = Math.min(capacity, tokens + ratio);
     }
 
-    /** Takes one token when there is one, and returns whether it did. */
-    public boolean trySpend() {
+    @Override
+    public boolean trySpend(long nowMicros) {
         if (tokens < 1) {
             return false;
         }
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/retry/WindowBudget.java
@@ -0,0 +1,82 @@
+package org.hyssophitch.core.retry;
+
+/**
+ * Budget that bounds further attempts within any window of time, so that the budgets of all entry hosts sum up to one
+ * bound for the whole system. Not thread-safe; owned by the call engine.
+ *
+ * <p>In any window a host sends at most {@code ratio} times the calls that arrived at it in that window, plus its part
+ * of an allowance that doesn't depend on load. A process that starts gets that part over the course of one window, so
+ * that restarts gain nothing.
+ */
+public final class WindowBudget implements AttemptBudget {
+
+    private static final int BUCKETS = 40;
+
+    private final double ratio;
+    private final long bucketMicros;
+    private final long startMicros;
+    private final int[] calls = new int[BUCKETS];
+    private final int[] spent = new int[BUCKETS];
+    private double allowance;
+    private long bucket;
+
+    /**
+     * Creates a budget.
+     *
+     * @param ratio further attempts per call
+     * @param allowance further attempts per window whatever the load
+     * @param windowMicros length of the window in microseconds
+     * @param nowMicros time at which the process started
+     */
+    public WindowBudget(double ratio, double allowance, long windowMicros, long nowMicros) {
+        this.ratio = ratio;
+        this.allowance = allowance;
+        // One bucket more than the window needs, so that attempts of a partly passed bucket still count.
+        this.bucketMicros = Math.max(1, windowMicros / (BUCKETS - 1));
+        this.startMicros = nowMicros;
+        this.bucket = nowMicros / bucketMicros;
+    }
+
+    /** Changes this host's part of the allowance. */
+    public void setAllowance(double value) {
+        allowance = value;
+    }
+
+    @Override
+    public void earn(long nowMicros) {
+        calls[advance(nowMicros)]++;
+    }
+
+    @Override
+    public boolean trySpend(long nowMicros) {
+        int index = advance(nowMicros);
+        if (sum(spent) + 1 > room(nowMicros)) {
+            return false;
+        }
+        spent[index]++;
+        return true;
+    }
+
+    private double room(long nowMicros) {
+        double age = (double) (nowMicros - startMicros) / (bucketMicros * (BUCKETS - 1));
+        return ratio * sum(calls) + allowance * Math.min(1, Math.max(0, age));
+    }
+
+    private int advance(long nowMicros) {
+        long current = Math.max(bucket, nowMicros / bucketMicros);
+        for (long b = Math.max(bucket + 1, current - BUCKETS + 1); b <= current; b++) {
+            calls[(int) (b % BUCKETS)] = 0;
+            spent[(int) (b % BUCKETS)] = 0;
+        }
+        bucket = current;
+        return (int) (current % BUCKETS);
+    }
+
+    private static int sum(int[] values) {
+        int total = 0;
+        for (int v : values) {
+            total += v;
+        }
+        return total;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/routing/LoadPlacement.java
@@ -0,0 +1,87 @@
+package org.hyssophitch.core.routing;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.hyssophitch.core.load.LoadReport;
+
+/**
+ * Places a call by load that was asked for when the call arrived. Stateless.
+ *
+ * <p>Answers the load of servers whose speed changes several times a second because they share their machines, and
+ * which slow down when nearly all of their slots are taken: a call goes to the server that will finish it first, and
+ * rather waits at the entry host than filling a server beyond the point from which all of its work gets slower.
+ */
+public final class LoadPlacement {
+
+    /** Part of a server's slots from which on it slows down. */
+    private static final double KNEE = 0.8;
+    /** Slow-down of a server that is filled beyond that point. */
+    private static final double KNEE_SLOWDOWN = 1.7;
+    /** Slow-down of a server that started a short time ago. */
+    private static final double COLD_SLOWDOWN = 2;
+    /** Added relative cost of a server in another availability zone, as bytes between zones are priced. */
+    private static final double ZONE_COST = 0.05;
+    /** Age in microseconds up to which a report still tells a server's speed. */
+    private static final long SPEED_AGE_MICROS = 150_000;
+
+    private final String zone;
+    private final long nowMicros;
+
+    /**
+     * Creates a placement for one moment.
+     *
+     * @param zone availability zone of this entry host
+     * @param nowMicros current time in microseconds
+     */
+    public LoadPlacement(String zone, long nowMicros) {
+        this.zone = zone;
+        this.nowMicros = nowMicros;
+    }
+
+    /** Returns the number of calls up to which the server doesn't slow down; at least one. */
+    public static int knee(ServerState s) {
+        return Math.max(1, (int) (s.server().slots() * KNEE));
+    }
+
+    /** Returns the calls that are probably at the server now: own ones, and the others' as last reported. */
+    public static int present(ServerState s) {
+        return s.inFlight() + Math.max(0, s.othersAtReport());
+    }
+
+    /** Returns whether one more call leaves the server below the point where it slows down. */
+    public static boolean hasRoom(ServerState s) {
+        return present(s) < knee(s);
+    }
+
+    /** Returns the time that a call needs at the server, relative to an idle server of usual speed. */
+    public double cost(ServerState s) {
+        int slots = Math.max(1, s.server().slots());
+        double waiting = Math.max(0, present(s) + 1 - slots) / (double) slots;
+        double knee = hasRoom(s) ? 1 : KNEE_SLOWDOWN;
+        double cold = s.isCold(nowMicros) ? COLD_SLOWDOWN : 1;
+        double zoneCost = s.server().zone().equals(zone) ? 0 : ZONE_COST;
+        return speed(s) * cold * (knee + waiting) + zoneCost + present(s) * ZONE_COST / slots;
+    }
+
+    /** Finds the server with room at which the call ends first. */
+    public Optional<ServerState> choose(List<ServerState> candidates) {
+        ServerState best = null;
+        double least = Double.MAX_VALUE;
+        for (ServerState s : candidates) {
+            double cost = hasRoom(s) ? cost(s) : Double.MAX_VALUE;
+            if (cost < least) {
+                least = cost;
+                best = s;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private double speed(ServerState s) {
+        return s.report()
+                .filter(r -> r.ageMicros(nowMicros) <= SPEED_AGE_MICROS)
+                .map(LoadReport::slowdown)
+                .orElse(1.0);
+    }
+}
--- a/core/src/main/java/org/hyssophitch/core/routing/RoutingPolicy.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/RoutingPolicy.java
@@ -32,6 +32,15 @@
      */
     record EstimatedDelay(int sampleSize, String zone) implements RoutingPolicy {}
 
+    /**
+     * The one of several candidates that will finish first by the load that each tells when it is asked, at the moment
+     * at which the call arrives; the call waits while none has room.
+     *
+     * @param sampleSize number of candidates asked
+     * @param zone availability zone of this entry host
+     */
+    record AskedLoad(int sampleSize, String zone) implements RoutingPolicy {}
+
     /**
      * Returns the policy that a service's rule names.
      *
@@ -46,9 +55,13 @@
             case POWER_OF_TWO -> new PowerOfTwo();
             case POWER_OF_D -> new PowerOfD(Math.min(POWER_OF_D_SAMPLES, service.sampleSize()));
             case ESTIMATED_DELAY -> new EstimatedDelay(service.sampleSize(), zone);
+            case ASKED_LOAD -> new AskedLoad(Math.min(ASKED_LOAD_SAMPLES, service.sampleSize()), zone);
         };
     }
 
     /** Number of candidates that {@link PowerOfD} compares by default. */
     int POWER_OF_D_SAMPLES = 3;
+
+    /** Number of candidates that {@link AskedLoad} asks by default. */
+    int ASKED_LOAD_SAMPLES = 6;
 }
--- a/core/src/main/java/org/hyssophitch/core/routing/ServerSelector.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerSelector.java
@@ -62,6 +62,7 @@
             case RoutingPolicy.PowerOfTwo p -> draw(all, 2, nowMicros);
             case RoutingPolicy.PowerOfD p -> draw(all, p.sampleSize(), nowMicros);
             case RoutingPolicy.EstimatedDelay e -> draw(all, e.sampleSize(), nowMicros);
+            case RoutingPolicy.AskedLoad a -> draw(all, a.sampleSize(), nowMicros);
         };
     }
 
@@ -81,6 +82,7 @@
             case RoutingPolicy.PowerOfTwo p -> ServerState::inFlight;
             case RoutingPolicy.PowerOfD p -> s -> s.inFlight() + fadedReport(s, nowMicros);
             case RoutingPolicy.EstimatedDelay e -> new DelayEstimator(e.zone(), compared, nowMicros)::estimate;
+            case RoutingPolicy.AskedLoad a -> new LoadPlacement(a.zone(), nowMicros)::cost;
         };
     }
 
@@ -147,7 +149,8 @@
         return Stream.concat(views.stream(), refused).limit(MAX_VIEWS).toList();
     }
 
-    private static CandidateView view(ServerState s, double score, String verdict, long nowMicros) {
+    /** Returns what was known of a server when a choice was made. */
+    public static CandidateView view(ServerState s, double score, String verdict, long nowMicros) {
         int reported = s.report().map(LoadReport::inFlight).orElse(-1);
         long age = s.report().map(r -> r.ageMicros(nowMicros)).orElse(-1L);
         return new CandidateView(s.name(), s.inFlight(), reported, age, score, verdict);
--- a/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
@@ -8,12 +8,17 @@
 import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.health.OutlierDetector;
 import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.core.load.TokenBucket;
 
 /**
  * What this entry host knows of one backend server. Not thread-safe; owned by the call engine.
  */
 public final class ServerState {
 
+    /** Time in microseconds for which a server that was just learnt of has earned questions. */
+    private static final long ASK_HEAD_START_MICROS = 1_000_000;
+    /** Time in microseconds for which a server gets no work after it refused or failed to answer. */
+    private static final long REFUSAL_MICROS = 250_000;
     /** Weight of a new latency sample in the moving average. */
     private static final double LATENCY_WEIGHT = 0.2;
 
@@ -27,6 +32,10 @@
     private double serviceMicros;
     private boolean isLeaving;
     private long lastAnswerMicros;
+    private long coldUntilMicros;
+    private boolean isMisdirected;
+    private long refusingUntilMicros;
+    private TokenBucket asks;
 
     /**
      * Creates the state of a server that nothing is known of.
@@ -71,7 +80,7 @@
 
     /** Returns whether the server gets no new work: by its own word, the platform's or the operator's. */
     public boolean isLeaving() {
-        return isLeaving || server.draining() || report != null && report.draining();
+        return isLeaving || isMisdirected || server.draining() || report != null && report.draining();
     }
 
     /** Sets whether a source other than the configuration says that the server is leaving. */
@@ -105,6 +114,45 @@
         }
     }
 
+    /** Notes that the server's address answered as another server: nothing may be sent there any more. */
+    public void setMisdirected() {
+        isMisdirected = true;
+    }
+
+    /** Notes whether the server said, when it was asked, that it takes work. */
+    public void onAskAnswered(boolean isAccepting, long nowMicros) {
+        refusingUntilMicros = isAccepting ? 0 : nowMicros + REFUSAL_MICROS;
+    }
+
+    /** Returns whether the server said a short time ago that it takes no work, or did not answer. */
+    public boolean isRefusing(long nowMicros) {
+        return nowMicros < refusingUntilMicros;
+    }
+
+    /** Returns whether the server started so short a time ago that it is still slow. */
+    public boolean isCold(long nowMicros) {
+        return nowMicros < coldUntilMicros;
+    }
+
+    /** Sets until when the server is slow after its start, in microseconds. */
+    public void setColdUntilMicros(long value) {
+        coldUntilMicros = value;
+    }
+
+    /** Sets how many questions for its load the server may get from this host per second. */
+    public void setAskRate(double perSecond, double burst, long nowMicros) {
+        if (asks == null) {
+            asks = new TokenBucket(perSecond, burst, nowMicros - ASK_HEAD_START_MICROS);
+        } else {
+            asks.setRate(perSecond, burst, nowMicros);
+        }
+    }
+
+    /** Takes one question out of the server's budget when there is one left, and returns whether it did. */
+    public boolean tryAsk(long nowMicros) {
+        return asks != null && asks.tryTake(1, nowMicros);
+    }
+
     /** Notes that an attempt starts. */
     public void onStart(long attemptKey, long nowMicros) {
         startedMicros.put(attemptKey, nowMicros);
--- /dev/null
+++ b/entry/src/main/java/org/hyssophitch/entry/ConfigurationListener.java
@@ -0,0 +1,60 @@
+package org.hyssophitch.entry;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.store.KindFollower;
+import org.hyssophitch.core.store.StoreChanges.Change;
+import org.hyssophitch.core.store.StoredObject;
+import org.hyssophitch.core.timeline.EventBody;
+import org.hyssophitch.wire.duty.WallClock;
+
+/** Passes on each configuration that the store gives out. Not thread-safe; lives on the event loop. */
+final class ConfigurationListener implements KindFollower.Listener<Configuration> {
+
+    private final String name;
+    private final Consumer<Configuration> onConfiguration;
+    private final EventLog log;
+
+    /**
+     * Creates a listener.
+     *
+     * @param name name of the object that holds the configuration in force
+     * @param onConfiguration takes each configuration
+     * @param log where lost and regained reach is recorded
+     */
+    ConfigurationListener(String name, Consumer<Configuration> onConfiguration, EventLog log) {
+        this.name = name;
+        this.onConfiguration = onConfiguration;
+        this.log = log;
+    }
+
+    @Override
+    public void onListed(Map<String, StoredObject<Configuration>> objects, boolean hadOutage) {
+        take(objects.get(name));
+    }
+
+    @Override
+    public void onChanged(List<Change<Configuration>> changes) {
+        changes.stream()
+                .filter(c -> !c.isDeleted() && c.object().name().equals(name))
+                .reduce((earlier, later) -> later)
+                .ifPresent(c -> take(c.object()));
+    }
+
+    @Override
+    public void onReachable(boolean isReachable, String detail) {
+        log.record(
+                WallClock.nowMicros(),
+                "",
+                new EventBody.PlatformState((isReachable ? "reachable " : "unreachable ") + detail));
+    }
+
+    private void take(StoredObject<Configuration> object) {
+        if (object != null) {
+            object.value().ifPresent(onConfiguration);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMain.java
@@ -0,0 +1,36 @@
+package org.hyssophitch.entry;
+
+import java.nio.file.Path;
+
+import org.hyssophitch.core.entry.EntrySettings;
+import org.hyssophitch.platform.PlatformSettings;
+import org.hyssophitch.wire.duty.Lifecycle;
+import org.tinylog.Logger;
+
+/** Starts the program of an entry host. */
+public final class EntryMain {
+
+    /** Port at which metrics are served; the deploy file names it too. */
+    private static final int METRICS_PORT = 9_464;
+
+    private static final int EXIT_SETTINGS = 65;
+
+    private EntryMain() {}
+
+    /** Runs until the process is asked to stop. */
+    public static void main(String[] arguments) {
+        System.setProperty("tinylog.configuration", "tinylog-entry.properties");
+        Path path = PlatformSettings.path();
+        try {
+            EntrySettings settings = PlatformSettings.read(path, METRICS_PORT);
+            EntryProgram program = new EntryProgram(settings);
+            program.start();
+            new SettingsWatch(path, METRICS_PORT, settings, program::onSettings).start();
+            Lifecycle.stopOnSignal(program::stop);
+            Lifecycle.awaitEnd();
+        } catch (PlatformSettings.SettingsException e) {
+            Logger.error(e, "not started");
+            System.exit(EXIT_SETTINGS);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
@@ -0,0 +1,64 @@
+package org.hyssophitch.entry;
+
+import java.util.function.DoubleSupplier;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.hyssophitch.core.call.Reason;
+
+/** Metrics of one entry host. Thread-safe. */
+final class EntryMetrics {
+
+    private static final double MICROS_PER_SECOND = 1_000_000.0;
+    private static final double[] BOUNDS_SECONDS = {0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.5, 5};
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter requests = Counter.builder()
+            .name("hyssophitch_requests_total")
+            .help("requests by outcome and reason")
+            .labelNames("outcome", "reason")
+            .register(registry);
+    private final Histogram duration = Histogram.builder()
+            .name("hyssophitch_request_duration_seconds")
+            .help("time from a request's arrival to its final answer")
+            .classicOnly()
+            .classicUpperBounds(BOUNDS_SECONDS)
+            .register(registry);
+    private final Counter events = Counter.builder()
+            .name("hyssophitch_events_total")
+            .help("events of the time line by type")
+            .labelNames("type")
+            .register(registry);
+    private final Counter droppedLines = Counter.builder()
+            .name("hyssophitch_log_lines_dropped_total")
+            .help("log lines left out to bound their volume")
+            .register(registry);
+
+    PrometheusRegistry registry() {
+        return registry;
+    }
+
+    /** Adds a value that is read when metrics are fetched. */
+    void gauge(String name, String help, DoubleSupplier value) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(c -> c.call(value.getAsDouble()))
+                .register(registry);
+    }
+
+    void onAnswered(Reason reason, long elapsedMicros) {
+        requests.labelValues(reason.outcome().wireName(), reason.wireName()).inc();
+        duration.observe(elapsedMicros / MICROS_PER_SECOND);
+    }
+
+    void onEvent(String type) {
+        events.labelValues(type).inc();
+    }
+
+    void onDroppedLine() {
+        droppedLines.inc();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -0,0 +1,239 @@
+package org.hyssophitch.entry;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import org.hyssophitch.core.call.CallEngine;
+import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.EngineSettings;
+import org.hyssophitch.core.call.FleetLimits;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.QueueRule;
+import org.hyssophitch.core.configuration.RetryRule;
+import org.hyssophitch.core.configuration.RoutingKind;
+import org.hyssophitch.core.configuration.Service;
+import org.hyssophitch.core.entry.EntryHost;
+import org.hyssophitch.core.entry.EntrySettings;
+import org.hyssophitch.core.entry.RequestRouter;
+import org.hyssophitch.core.health.SuspectRegister.Suspicion;
+import org.hyssophitch.core.store.KindFollower;
+import org.hyssophitch.core.store.ObjectStore;
+import org.hyssophitch.core.timeline.EventBody;
+import org.hyssophitch.http.CallCarrier;
+import org.hyssophitch.http.FrontListener;
+import org.hyssophitch.http.KeepAlive;
+import org.hyssophitch.platform.ConfigurationKind;
+import org.hyssophitch.platform.EntryHostKind;
+import org.hyssophitch.platform.PlatformEndpoints;
+import org.hyssophitch.platform.PlatformHeaders;
+import org.hyssophitch.platform.PlatformStore;
+import org.hyssophitch.platform.ServerKind;
+import org.hyssophitch.wire.duty.Pause;
+import org.hyssophitch.wire.duty.WallClock;
+import org.hyssophitch.wire.net.Addresses;
+import org.hyssophitch.wire.net.EventLoops;
+import org.hyssophitch.wire.net.HttpCaller;
+import org.hyssophitch.wire.net.HttpEndpoint;
+import org.hyssophitch.wire.net.HttpQuery;
+import org.hyssophitch.wire.net.HttpReply;
+import org.hyssophitch.wire.report.MetricsText;
+import org.tinylog.Logger;
+
+/**
+ * The program of one entry host. {@link #start} and {@link #stop} are called from outside; all else happens on one
+ * event loop.
+ */
+final class EntryProgram {
+
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    /** Time in seconds for which callers keep an address answer. */
+    private static final int KEEP_SECONDS = 2;
+    /** Part of the time for a planned stop in which new requests are still taken. */
+    private static final double TAKING_PART = 0.55;
+    /** Part of the time for a planned stop after which the process ends in any case. */
+    private static final double ENDING_PART = 0.95;
+
+    private static final long POLL_MILLIS = 50;
+    private static final int STORE_CONNECT_MILLIS = 800;
+    private static final QueueRule QUEUE = new QueueRule(256, 10_000, 0);
+    private static final int LEAST_HOSTS = 13;
+
+    private final EntrySettings settings;
+    private final long incarnation = WallClock.nowMicros();
+    private final EventLoopGroup group = EventLoops.create(1);
+    private final EventLoop loop = (EventLoop) group.next();
+    private final EntryMetrics metrics = new EntryMetrics();
+    private final EventLog log = new EventLog(metrics);
+    private final SplittableRandom random = new SplittableRandom();
+    private final RequestRouter router = new RequestRouter(random.split());
+    private final CallCarrier carrier;
+    private final FrontListener front;
+    private final Peers peers;
+    private final ServerBeliefs servers;
+    private final KindFollower<Configuration> configurations;
+    private final Registration registration;
+    private volatile boolean isStopping;
+
+    EntryProgram(EntrySettings settings) {
+        this.settings = settings;
+        EngineSettings engine = new EngineSettings(settings.host(), settings.zone(), incarnation).withFleet(fleet());
+        carrier = new CallCarrier(
+                new CallEngine(engine, random.split(), log), loop, new PlatformHeaders(), s -> share(s.suspicions()));
+        front = new FrontListener(carrier, new EntryRules(router, metrics, log));
+        peers = new Peers(
+                settings,
+                incarnation,
+                loop,
+                random.split(),
+                log,
+                router::version,
+                this::isReady,
+                s -> carrier.handle(new CallEvent.SuspicionsReceived(WallClock.nowMicros(), s)),
+                n -> carrier.handle(new CallEvent.FleetChanged(WallClock.nowMicros(), n)));
+        LoopTimers timers = new LoopTimers(loop);
+        ObjectStore store = new PlatformStore(new HttpCaller(
+                loop, Addresses.parse(settings.storeAddress()), STORE_CONNECT_MILLIS, KeepAlive::enable));
+        servers = new ServerBeliefs(store, new ServerKind(), timers, random.split(), carrier, log);
+        configurations = new KindFollower<>(
+                store,
+                new ConfigurationKind(),
+                timers,
+                random.split(),
+                new ConfigurationListener(ConfigurationKind.CURRENT, this::onConfiguration, log));
+        registration = new Registration(store, new EntryHostKind(), self(), timers, peers, random.split());
+        metrics.gauge("hyssophitch_calls_in_flight", "requests without a final answer", carrier::activeCalls);
+        metrics.gauge("hyssophitch_backend_connections", "connections to backend servers", carrier::backendConnections);
+        metrics.gauge("hyssophitch_caller_connections", "connections of callers", front::connections);
+        metrics.gauge("hyssophitch_configuration_version", "version of the configuration in force", router::version);
+    }
+
+    /** Listens and begins to follow what is in the store. */
+    void start() {
+        EntrySettings.Addresses a = settings.addresses();
+        front.open(group, Addresses.parse(a.front()));
+        open(a.readiness(), q -> reply(this::readiness));
+        open(a.directory(), q -> reply(() -> directory(q)));
+        open(a.metrics(), q -> reply(() -> HttpReply.text(MetricsText.of(metrics.registry()))));
+        peers.open(group);
+        onLoop(() -> {
+            peers.start();
+            configurations.start();
+            servers.start();
+            registration.start();
+            record("started");
+        });
+    }
+
+    /**
+     * Stops as planned: callers aren't sent here any more, those that still come are served for a part of the time, and
+     * every request that was taken is finished.
+     */
+    void stop() {
+        long startNanos = System.nanoTime();
+        isStopping = true;
+        onLoop(this::beginStop);
+        double grace = settings.bounds().graceMillis();
+        Pause.millis((long) (grace * TAKING_PART));
+        onLoop(front::stopListening);
+        while (carrier.activeCalls() > 0 && elapsedMillis(startNanos) < grace * ENDING_PART) {
+            Pause.millis(POLL_MILLIS);
+        }
+        onLoop(() -> {
+            peers.leave();
+            record("stopped");
+        });
+        Pause.millis(POLL_MILLIS);
+    }
+
+    /** Takes over settings that changed while the process runs; addresses stay as they are until the next start. */
+    void onSettings(EntrySettings changed) {
+        Logger.info("settings of {} are in force from now on where they don't need a start", changed.host());
+    }
+
+    private void beginStop() {
+        record("stopping");
+        front.beginStop();
+        peers.refreshReadiness();
+        registration.stop();
+    }
+
+    private void open(String address, Function<HttpQuery, CompletionStage<HttpReply>> handler) {
+        if (!address.isEmpty()) {
+            new HttpEndpoint(group, Addresses.parse(address), handler);
+        }
+    }
+
+    private static CompletionStage<HttpReply> reply(Supplier<HttpReply> answer) {
+        return CompletableFuture.completedFuture(answer.get());
+    }
+
+    private HttpReply readiness() {
+        return HttpReply.empty(isReady() ? OK : UNAVAILABLE);
+    }
+
+    private boolean isReady() {
+        return !isStopping && router.version() > 0 && servers.isListed();
+    }
+
+    private HttpReply directory(HttpQuery query) {
+        List<String> addresses = Directory.addresses(peers.accepting(), PlatformEndpoints.callerZone(query));
+        int keep = Math.min(KEEP_SECONDS, settings.bounds().keepSeconds());
+        return addresses.isEmpty()
+                ? HttpReply.empty(UNAVAILABLE)
+                : HttpReply.json(OK, PlatformEndpoints.directoryAnswer(addresses, keep));
+    }
+
+    private void onConfiguration(Configuration accepted) {
+        List<Service> services = accepted.services().stream()
+                .map(s -> s.toBuilder()
+                        .routing(RoutingKind.ASKED_LOAD)
+                        .retry(RetryRule.DEFAULT)
+                        .queue(QUEUE)
+                        .build())
+                .toList();
+        Configuration completed = accepted.withServices(services);
+        if (router.accept(completed)) {
+            carrier.handle(new CallEvent.ConfigurationAccepted(WallClock.nowMicros(), completed));
+        }
+        peers.refreshReadiness();
+    }
+
+    private void share(List<Suspicion> suspicions) {
+        peers.share(suspicions);
+    }
+
+    private FleetLimits fleet() {
+        EntrySettings.Bounds b = settings.bounds();
+        return new FleetLimits(
+                b.repeatRatio(),
+                b.repeatSlack(),
+                TimeUnit.MILLISECONDS.toMicros(b.repeatWindowMillis()),
+                b.asksPerSecond(),
+                LEAST_HOSTS);
+    }
+
+    private EntryHost self() {
+        EntrySettings.Addresses a = settings.addresses();
+        return new EntryHost(settings.host(), incarnation, settings.zone(), a.peers(), a.front());
+    }
+
+    private void record(String stage) {
+        log.record(WallClock.nowMicros(), "", new EventBody.ProcessStage(stage));
+    }
+
+    private void onLoop(Runnable step) {
+        loop.submit(step).syncUninterruptibly();
+    }
+
+    private static long elapsedMillis(long startNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hyssophitch/entry/EventLog.java
@@ -0,0 +1,73 @@
+package org.hyssophitch.entry;
+
+import org.hyssophitch.core.call.Reason;
+import org.hyssophitch.core.load.TokenBucket;
+import org.hyssophitch.core.timeline.EventBody;
+import org.hyssophitch.core.timeline.EventRecorder;
+import org.hyssophitch.wire.duty.WallClock;
+import org.hyssophitch.wire.report.TimelineJson;
+import org.tinylog.Logger;
+
+/**
+ * Writes what the entry host decides and comes to believe as log lines. Not thread-safe; lives on the event loop.
+ *
+ * <p>Lines on single requests are bounded in number per second, those of requests that went well first; changes of
+ * belief are always written. What is left out is counted.
+ */
+final class EventLog implements EventRecorder {
+
+    /** Lines per second on requests that went well, and on all requests. */
+    private static final double LINES_PER_SECOND = 40;
+
+    private static final double TROUBLE_LINES_PER_SECOND = 60;
+    private static final double BURST_SECONDS = 3;
+
+    /** One line on a request's final answer. */
+    record Answered(String event, String request, String reason, int status, long millis, long configuration) {}
+
+    /** One line on an event of the time line. */
+    record Line(String event, String request, EventBody body) {}
+
+    private final EntryMetrics metrics;
+    private final TokenBucket usual;
+    private final TokenBucket trouble;
+
+    EventLog(EntryMetrics metrics) {
+        this.metrics = metrics;
+        long now = WallClock.nowMicros();
+        this.usual = new TokenBucket(LINES_PER_SECOND, LINES_PER_SECOND * BURST_SECONDS, now);
+        this.trouble = new TokenBucket(TROUBLE_LINES_PER_SECOND, TROUBLE_LINES_PER_SECOND * BURST_SECONDS, now);
+    }
+
+    @Override
+    public void record(long nowMicros, String requestId, EventBody body) {
+        metrics.onEvent(body.type());
+        boolean isWanted =
+                switch (body) {
+                    case EventBody.CallArrived b -> false;
+                    case EventBody.CallAnswered b -> false;
+                    case EventBody.CallQueued b -> usual.tryTake(1, nowMicros);
+                    case EventBody.ServerChosen b -> usual.tryTake(1, nowMicros);
+                    case EventBody.AttemptEnded b ->
+                        b.result().equals("completed") ? usual.tryTake(1, nowMicros) : trouble.tryTake(1, nowMicros);
+                    default -> true;
+                };
+        if (isWanted) {
+            Logger.info(TimelineJson.record(new Line(body.type(), requestId, body)));
+        } else {
+            metrics.onDroppedLine();
+        }
+    }
+
+    /** Writes the final answer of a request. */
+    void answered(String requestId, Reason reason, int status, long elapsedMicros, long version) {
+        long now = WallClock.nowMicros();
+        boolean isUsual = reason == Reason.ANSWERED && status < 500;
+        if (isUsual ? usual.tryTake(1, now) : trouble.tryTake(1, now)) {
+            Logger.info(TimelineJson.record(new Answered(
+                    "RequestAnswered", requestId, reason.wireName(), status, elapsedMicros / 1_000, version)));
+        } else {
+            metrics.onDroppedLine();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hyssophitch/entry/LoopTimers.java
@@ -0,0 +1,27 @@
+package org.hyssophitch.entry;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.hyssophitch.core.store.Timers;
+import org.hyssophitch.wire.duty.WallClock;
+
+/** Timers of an event loop. Thread-safe. */
+final class LoopTimers implements Timers {
+
+    private final EventLoop loop;
+
+    LoopTimers(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    @Override
+    public long nowMicros() {
+        return WallClock.nowMicros();
+    }
+
+    @Override
+    public void after(long micros, Runnable step) {
+        loop.schedule(step, micros, TimeUnit.MICROSECONDS);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -0,0 +1,230 @@
+package org.hyssophitch.entry;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import org.hyssophitch.core.control.AgentMessage;
+import org.hyssophitch.core.control.NewsBuffer;
+import org.hyssophitch.core.entry.EntryHost;
+import org.hyssophitch.core.entry.EntrySettings;
+import org.hyssophitch.core.health.SuspectRegister.Suspicion;
+import org.hyssophitch.core.membership.Heartbeat;
+import org.hyssophitch.core.membership.Member;
+import org.hyssophitch.core.membership.MemberState;
+import org.hyssophitch.core.membership.MembershipEngine;
+import org.hyssophitch.core.store.StoredObject;
+import org.hyssophitch.core.timeline.EventBody;
+import org.hyssophitch.core.timeline.EventRecorder;
+import org.hyssophitch.core.timeline.HybridClock;
+import org.hyssophitch.wire.codec.AgentMessageCodec;
+import org.hyssophitch.wire.duty.WallClock;
+import org.hyssophitch.wire.generated.Wire;
+import org.hyssophitch.wire.net.Addresses;
+import org.hyssophitch.wire.net.DatagramEndpoint;
+import org.tinylog.Logger;
+
+/**
+ * The other entry hosts: learnt from the store, watched by heartbeats among themselves. Not thread-safe; lives on the
+ * event loop.
+ */
+final class Peers {
+
+    private static final long TICK_MILLIS = 250;
+    /** Datagrams that carry each piece of news. */
+    private static final int NEWS_REPETITIONS = 6;
+
+    private static final int NEWS_PER_DATAGRAM = 8;
+    /** Members that get urgent news at once. */
+    private static final int URGENT_RECEIVERS = 3;
+
+    private final EventLoop loop;
+    private final HybridClock clock = new HybridClock();
+    private final MembershipEngine membership;
+    private final NewsBuffer<Member> memberNews = new NewsBuffer<>(NEWS_REPETITIONS);
+    private final NewsBuffer<Suspicion> suspicionNews = new NewsBuffer<>(NEWS_REPETITIONS);
+    private final EventRecorder recorder;
+    private final RandomGenerator random;
+    private final LongSupplier configurationVersion;
+    private final BooleanSupplier ready;
+    private final Consumer<List<Suspicion>> onSuspicions;
+    private final Consumer<Integer> onFleet;
+    private DatagramEndpoint endpoint;
+    private boolean isAccepting;
+    private int mostLive = 1;
+
+    Peers(
+            EntrySettings settings,
+            long incarnation,
+            EventLoop loop,
+            RandomGenerator random,
+            EventRecorder recorder,
+            LongSupplier configurationVersion,
+            BooleanSupplier ready,
+            Consumer<List<Suspicion>> onSuspicions,
+            Consumer<Integer> onFleet) {
+        this.loop = loop;
+        this.random = random;
+        this.recorder = recorder;
+        this.configurationVersion = configurationVersion;
+        this.ready = ready;
+        this.onSuspicions = onSuspicions;
+        this.onFleet = onFleet;
+        Member self = new Member(
+                settings.host(),
+                incarnation,
+                0,
+                MemberState.ALIVE,
+                settings.zone(),
+                settings.addresses().peers(),
+                settings.addresses().front(),
+                incarnation,
+                false,
+                0,
+                0);
+        this.membership = new MembershipEngine(self, random, this::onNews);
+    }
+
+    /** Opens the address for datagrams; not to be called on the event loop. */
+    void open(EventLoopGroup group) {
+        String local = membership.self().agentAddress();
+        endpoint = new DatagramEndpoint(group, Addresses.parse(local), this::onDatagram);
+    }
+
+    /** Begins to send heartbeats. */
+    void start() {
+        loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes over the entry hosts that the store lists. */
+    void onListed(Map<String, StoredObject<EntryHost>> objects) {
+        long now = WallClock.nowMicros();
+        objects.values().stream().flatMap(o -> o.value().stream()).forEach(h -> membership.merge(member(h), now));
+        countFleet();
+    }
+
+    /** Tells the others whether callers may be sent here, when that changed. */
+    void refreshReadiness() {
+        boolean isReady = ready.getAsBoolean();
+        if (isReady != isAccepting) {
+            isAccepting = isReady;
+            stateSelf();
+            urgent();
+        }
+    }
+
+    /** Tells the others that this process ends. */
+    void leave() {
+        membership.stateSelf(membership.self().withState(MemberState.LEFT));
+        urgent();
+    }
+
+    /** Passes suspicions on to the other entry hosts. */
+    void share(List<Suspicion> suspicions) {
+        suspicions.forEach(s -> suspicionNews.add(s.fingerprint() + '|' + s.server(), s));
+        urgent();
+    }
+
+    /** Returns the entry hosts that callers may be sent to, this one included. */
+    List<Member> accepting() {
+        return membership.live().stream().filter(Member::isAccepting).toList();
+    }
+
+    /** Returns the members that are known not to run any more. */
+    List<Member> dead() {
+        return membership.members().stream().filter(m -> !m.isLive()).toList();
+    }
+
+    private static Member member(EntryHost h) {
+        return new Member(
+                h.host(),
+                h.incarnation(),
+                0,
+                MemberState.ALIVE,
+                h.zone(),
+                h.peerAddress(),
+                h.frontAddress(),
+                h.incarnation(),
+                false,
+                0,
+                0);
+    }
+
+    private void onNews(Member m) {
+        memberNews.add(m.host(), m);
+        recorder.record(
+                WallClock.nowMicros(),
+                "",
+                new EventBody.MemberChanged(m.host(), m.incarnation(), m.state().name()));
+    }
+
+    private void stateSelf() {
+        membership.stateSelf(membership
+                .self()
+                .withConfigurationVersion(configurationVersion.getAsLong())
+                .withProxy(membership.self().proxyIncarnation(), isAccepting, 0));
+    }
+
+    private void tick() {
+        refreshReadiness();
+        membership.stateSelfQuietly(membership.self().withConfigurationVersion(configurationVersion.getAsLong()));
+        membership.onTime(WallClock.nowMicros()).forEach(h -> send(h.to(), Optional.of(h)));
+        countFleet();
+    }
+
+    /** The largest number seen counts, so that hosts which see fewer of the others stay within their part. */
+    private void countFleet() {
+        int live = (int) membership.members().stream().filter(Member::isLive).count();
+        if (live > mostLive) {
+            mostLive = live;
+            onFleet.accept(mostLive);
+        }
+    }
+
+    private void urgent() {
+        List<Member> others = membership.live().stream()
+                .filter(m -> !m.host().equals(membership.self().host()))
+                .toList();
+        Stream.generate(() -> others.get(random.nextInt(others.size())))
+                .limit(others.isEmpty() ? 0 : URGENT_RECEIVERS)
+                .distinct()
+                .forEach(m -> send(m.agentAddress(), Optional.empty()));
+    }
+
+    private void send(String to, Optional<Heartbeat> heartbeat) {
+        AgentMessage message = new AgentMessage(
+                membership.self(),
+                heartbeat,
+                memberNews.take(NEWS_PER_DATAGRAM),
+                List.of(),
+                List.of(),
+                suspicionNews.take(NEWS_PER_DATAGRAM));
+        endpoint.send(to, AgentMessageCodec.encode(message, clock.tick(WallClock.nowMicros())));
+    }
+
+    private void onDatagram(Wire.AgentDatagram datagram) {
+        long now = WallClock.nowMicros();
+        AgentMessage message = AgentMessageCodec.decode(datagram);
+        if (message.sender().host().isEmpty()) {
+            Logger.warn("dropped a datagram without a sender");
+            return;
+        }
+        membership.merge(message.sender(), now);
+        membership.refresh(message.sender());
+        message.members().forEach(m -> membership.merge(m, now));
+        if (!message.suspicions().isEmpty()) {
+            onSuspicions.accept(message.suspicions());
+        }
+        message.heartbeat().ifPresent(h -> membership
+                .onHeartbeat(h, message.sender().agentAddress(), now)
+                .forEach(a -> send(a.to(), Optional.of(a))));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hyssophitch/entry/ServerBeliefs.java
@@ -0,0 +1,88 @@
+package org.hyssophitch.entry;
+
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.configuration.RegisteredServer;
+import org.hyssophitch.core.entry.ServerRegistry;
+import org.hyssophitch.core.store.KindFollower;
+import org.hyssophitch.core.store.ObjectKind;
+import org.hyssophitch.core.store.ObjectStore;
+import org.hyssophitch.core.store.StoreChanges.Change;
+import org.hyssophitch.core.store.StoredObject;
+import org.hyssophitch.core.store.Timers;
+import org.hyssophitch.core.timeline.EventBody;
+import org.hyssophitch.http.CallCarrier;
+
+/** Keeps the engine's backend servers as the store tells them. Not thread-safe; lives on the event loop. */
+final class ServerBeliefs implements KindFollower.Listener<RegisteredServer> {
+
+    private final ServerRegistry registry = new ServerRegistry();
+    private final KindFollower<RegisteredServer> follower;
+    private final Timers timers;
+    private final CallCarrier carrier;
+    private final EventLog log;
+    private boolean isListed;
+
+    ServerBeliefs(
+            ObjectStore store,
+            ObjectKind<RegisteredServer> kind,
+            Timers timers,
+            RandomGenerator random,
+            CallCarrier carrier,
+            EventLog log) {
+        this.timers = timers;
+        this.carrier = carrier;
+        this.log = log;
+        this.follower = new KindFollower<>(store, kind, timers, random, this);
+    }
+
+    void start() {
+        follower.start();
+    }
+
+    /** Returns whether the servers were listed since the process started. */
+    boolean isListed() {
+        return isListed;
+    }
+
+    @Override
+    public void onListed(Map<String, StoredObject<RegisteredServer>> objects, boolean hadOutage) {
+        isListed = true;
+        registry.onListed(objects, timers.nowMicros());
+        publish();
+    }
+
+    @Override
+    public void onChanged(List<Change<RegisteredServer>> changes) {
+        registry.onChanged(changes, timers.nowMicros());
+        publish();
+    }
+
+    @Override
+    public void onReachable(boolean isReachable, String detail) {
+        if (isReachable) {
+            registry.onStoreReturned(timers.nowMicros());
+        }
+        log.record(
+                timers.nowMicros(),
+                "",
+                new EventBody.PlatformState((isReachable ? "reachable " : "unreachable ") + detail));
+    }
+
+    private void publish() {
+        carrier.handle(new CallEvent.ServersRegistered(timers.nowMicros(), registry.byService()));
+        long next = registry.nextExpiryMicros();
+        if (next != Long.MAX_VALUE) {
+            timers.after(Math.max(1, next - timers.nowMicros()), this::expire);
+        }
+    }
+
+    private void expire() {
+        if (registry.expire(timers.nowMicros())) {
+            publish();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/hyssophitch/entry/SettingsWatch.java
@@ -0,0 +1,59 @@
+package org.hyssophitch.entry;
+
+import java.nio.file.Path;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.hyssophitch.core.entry.EntrySettings;
+import org.hyssophitch.platform.PlatformSettings;
+import org.tinylog.Logger;
+import sun.misc.Signal;
+
+/**
+ * Reads the settings file again on SIGHUP, and now and then, as it may change without a signal. Thread-safe; runs as
+ * long as the process.
+ */
+final class SettingsWatch {
+
+    private static final long PERIOD_SECONDS = 5;
+    private static final String RELOAD_SIGNAL = "HUP";
+
+    private final Path path;
+    private final int metricsPort;
+    private final Consumer<EntrySettings> onChange;
+    private final ScheduledExecutorService reader = Executors.newSingleThreadScheduledExecutor(r -> {
+        Thread t = new Thread(r, "settings");
+        t.setDaemon(true);
+        return t;
+    });
+    private EntrySettings known;
+
+    SettingsWatch(Path path, int metricsPort, EntrySettings known, Consumer<EntrySettings> onChange) {
+        this.path = path;
+        this.metricsPort = metricsPort;
+        this.known = known;
+        this.onChange = onChange;
+    }
+
+    void start() {
+        Signal.handle(new Signal(RELOAD_SIGNAL), s -> reader.execute(() -> reload("signal")));
+        reader.scheduleWithFixedDelay(() -> reload("period"), PERIOD_SECONDS, PERIOD_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private void reload(String cause) {
+        try {
+            EntrySettings read = PlatformSettings.read(path, metricsPort);
+            if (!read.equals(known)) {
+                known = read;
+                Logger.info("settings changed, read on {}", cause);
+                onChange.accept(read);
+            } else if (cause.equals(RELOAD_SIGNAL)) {
+                Logger.info("settings read on signal, nothing changed");
+            }
+        } catch (PlatformSettings.SettingsException e) {
+            Logger.warn(e, "settings kept as they were");
+        }
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -0,0 +1,367 @@
+package org.hyssophitch.http;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.hyssophitch.core.call.Reason;
+import org.hyssophitch.core.configuration.CallerLimits;
+import org.tinylog.Logger;
+
+/**
+ * One connection of a caller. Not thread-safe; lives on one event loop.
+ *
+ * <p>Requests that the caller sends behind one another are carried at the same time and answered in their order.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+
+    /** Requests of one connection that are carried at the same time. */
+    private static final int MAX_PIPELINED = 16;
+    /** Time in milliseconds for which a closing connection still takes the caller's bytes, so that it isn't reset. */
+    private static final long LINGER_MILLIS = 500;
+
+    private final CallCarrier carrier;
+    private final RequestRules rules;
+    private final FrontListener listener;
+    private final Deque<CallerExchange> exchanges = new ArrayDeque<>();
+    private ChannelHandlerContext context;
+    private CallerExchange receiving;
+    private ScheduledFuture<?> headTimer;
+    private ScheduledFuture<?> idleTimer;
+    private long idleSinceNanos;
+    private int idleMillis;
+    private boolean isClosing;
+    private boolean takesRequests = true;
+    private boolean isFlushing;
+    private boolean closesAfterAnswer;
+
+    CallerConnection(CallCarrier carrier, RequestRules rules, FrontListener listener) {
+        this.carrier = carrier;
+        this.rules = rules;
+        this.listener = listener;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext active) {
+        listener.onOpen(this);
+        startIdle();
+    }
+
+    /** Notes that bytes of a caller arrived, and limits the time that a new request's head may take. */
+    void onBytes() {
+        if (receiving == null && headTimer == null && !isClosing) {
+            int millis = rules.limits().headerTimeoutMillis();
+            headTimer = context.executor().schedule(this::onHeadTimeout, millis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext c, Object message) {
+        if (isClosing || !(message instanceof HttpObject part)) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        if (part.decoderResult().isFailure()) {
+            ReferenceCountUtil.release(message);
+            onMalformed(part.decoderResult().cause());
+            return;
+        }
+        if (part instanceof HttpRequest && !takesRequests) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        if (part instanceof HttpRequest request) {
+            onHead(request);
+        }
+        if (part instanceof HttpContent content) {
+            onContent(content);
+        }
+    }
+
+    private void onHead(HttpRequest request) {
+        stopTimer(headTimer);
+        headTimer = null;
+        stopTimer(idleTimer);
+        String requestId = carrier.dialect().requestId(request.headers());
+        CallerExchange exchange =
+                new CallerExchange(this, carrier, request, RequestTarget.of(request.uri()), requestId);
+        exchanges.add(exchange);
+        receiving = exchange;
+        if (exchanges.size() == MAX_PIPELINED) {
+            pauseReading();
+        }
+        judge(exchange, request);
+        if (exchange.isAccepted() && HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    private void judge(CallerExchange exchange, HttpRequest request) {
+        CallerLimits limits = rules.limits();
+        List<String> hosts = request.headers().getAll(HttpHeaderNames.HOST);
+        if (hosts.size() != 1 || !exchange.target().startsWith("/")) {
+            exchange.refuse(Reason.BAD_REQUEST, 0);
+            return;
+        }
+        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+            exchange.refuse(Reason.BODY_TOO_LARGE, 0);
+            return;
+        }
+        long deadline = carrier.dialect().deadlineMillis(request.headers()).orElse(0);
+        RequestRules.RequestHead head = new RequestRules.RequestHead(
+                RequestTarget.hostName(hosts.get(0)),
+                RequestTarget.path(exchange.target()),
+                exchange.requestId(),
+                deadline,
+                request.method().name());
+        switch (rules.judge(head)) {
+            case RequestRules.Verdict.Refused r -> exchange.refuse(r.reason(), listener.retryAfterMillis(r.reason()));
+            case RequestRules.Verdict.Accepted a -> exchange.accept(a);
+        }
+    }
+
+    private void onContent(HttpContent content) {
+        CallerExchange exchange = receiving;
+        if (exchange == null) {
+            content.release();
+            return;
+        }
+        boolean isLast = content instanceof LastHttpContent;
+        if (isLast) {
+            receiving = null;
+        }
+        if (exchange.isAnswered()) {
+            content.release();
+            return;
+        }
+        exchange.body().add(content.content());
+        if (exchange.body().size() > rules.limits().maxBodyBytes()) {
+            exchange.refuse(Reason.BODY_TOO_LARGE, 0);
+            return;
+        }
+        if (isLast) {
+            exchange.body().complete();
+        } else if (exchange.body().isLarge()) {
+            pauseReading();
+        }
+        exchange.onBody();
+    }
+
+    private void onMalformed(Throwable cause) {
+        boolean isTooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        Reason reason = isTooLong ? Reason.HEAD_TOO_LARGE : Reason.BAD_REQUEST;
+        Logger.debug("malformed request from {}: {}", context.channel().remoteAddress(), cause.toString());
+        if (receiving != null && !receiving.isAnswered()) {
+            receiving.refuse(reason, 0);
+            return;
+        }
+        answerAndClose(reason.status());
+    }
+
+    private void onHeadTimeout() {
+        headTimer = null;
+        if (exchanges.isEmpty()) {
+            answerAndClose(HttpResponseStatus.REQUEST_TIMEOUT.code());
+        }
+    }
+
+    private void answerAndClose(int status) {
+        if (isClosing || !exchanges.isEmpty()) {
+            abort();
+            return;
+        }
+        DefaultFullHttpResponse answer = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.EMPTY_BUFFER);
+        answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0);
+        context.write(answer);
+        closeGently();
+    }
+
+    /** Writes what the exchange at the front of the line has ready, and then of those behind it. */
+    void flushOutput() {
+        if (isFlushing) {
+            return;
+        }
+        isFlushing = true;
+        boolean hasWritten = false;
+        while (!isClosing && !exchanges.isEmpty() && context.channel().isWritable()) {
+            CallerExchange first = exchanges.peek();
+            HttpObject part = first.pollOutput();
+            if (part == null) {
+                break;
+            }
+            hasWritten = true;
+            boolean isLast = first.isOutputComplete();
+            boolean mustClose = part instanceof HttpResponse head && prepare(first, head);
+            closesAfterAnswer |= mustClose;
+            context.write(part);
+            if (isLast) {
+                onAnswerWritten();
+            }
+        }
+        isFlushing = false;
+        if (hasWritten) {
+            context.flush();
+        }
+    }
+
+    /** States in an answer's head whether the connection is kept; returns whether it is closed. */
+    private boolean prepare(CallerExchange exchange, HttpResponse head) {
+        boolean isReceived = receiving != exchange || !exchange.hasBody();
+        boolean isStopping = listener.isStopping() && exchanges.size() == 1;
+        boolean isKept = isReceived && HttpUtil.isKeepAlive(exchange.request()) && !isStopping;
+        HttpUtil.setKeepAlive(head.headers(), exchange.request().protocolVersion(), isKept && !closesAfterAnswer);
+        boolean isOld = !exchange.request().protocolVersion().isKeepAliveDefault();
+        boolean isUnframed = isOld && HttpUtil.isTransferEncodingChunked(head);
+        if (isUnframed) {
+            head.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
+        }
+        return !isKept || isUnframed;
+    }
+
+    private void onAnswerWritten() {
+        exchanges.poll();
+        if (closesAfterAnswer) {
+            closeGently();
+            return;
+        }
+        if (exchanges.size() == MAX_PIPELINED - 1) {
+            resumeReading();
+        }
+        if (exchanges.isEmpty()) {
+            startIdle();
+        }
+    }
+
+    /** Frames an answer of unknown length. */
+    void frameByChunks(HttpResponse head) {
+        HttpUtil.setTransferEncodingChunked(head, true);
+    }
+
+    void pauseReading() {
+        context.channel().config().setAutoRead(false);
+    }
+
+    void resumeReading() {
+        context.channel().config().setAutoRead(true);
+    }
+
+    void onAnswered(CallerExchange exchange, Reason reason, int status, long elapsedMicros) {
+        rules.onAnswered(exchange.requestId(), reason, status, elapsedMicros);
+    }
+
+    /** Closes the connection at once, so that an incomplete answer can't look complete. */
+    void abort() {
+        isClosing = true;
+        Channel channel = context.channel();
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        channel.close();
+    }
+
+    /** Takes no further request, and closes the connection after the last answer; at once when none is due. */
+    void closeWhenIdle() {
+        if (exchanges.isEmpty() && receiving == null && headTimer == null) {
+            closeGently();
+        } else {
+            takesRequests = false;
+        }
+    }
+
+    /** Ends the answers' side first and takes what the caller still sends, so that its last answer isn't lost. */
+    private void closeGently() {
+        isClosing = true;
+        context.flush();
+        cancelAll();
+        if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
+            context.channel().config().setAutoRead(true);
+            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> socket.shutdownOutput());
+            context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+            context.close();
+        }
+    }
+
+    private void startIdle() {
+        idleSinceNanos = System.nanoTime();
+        idleMillis = rules.limits().idleTimeoutMillis();
+        stopTimer(idleTimer);
+        idleTimer = context.executor().schedule(this::onIdle, idleMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Callers may go by the limit at their last answer or by the one in force now, so the longer one counts. */
+    private void onIdle() {
+        long allowed = Math.max(idleMillis, rules.limits().idleTimeoutMillis());
+        long left = allowed - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSinceNanos);
+        if (!exchanges.isEmpty() || receiving != null || isClosing) {
+            return;
+        }
+        if (left > 0) {
+            idleTimer = context.executor().schedule(this::onIdle, left, TimeUnit.MILLISECONDS);
+        } else {
+            closeGently();
+        }
+    }
+
+    private void cancelAll() {
+        List<CallerExchange> left = List.copyOf(exchanges);
+        exchanges.clear();
+        left.forEach(CallerExchange::onCallerGone);
+    }
+
+    private static void stopTimer(ScheduledFuture<?> timer) {
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext c) {
+        if (c.channel().isWritable()) {
+            flushOutput();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
+        Logger.debug("connection of caller {}: {}", c.channel().remoteAddress(), cause.toString());
+        c.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext c) {
+        isClosing = true;
+        stopTimer(headTimer);
+        stopTimer(idleTimer);
+        listener.onClose(this);
+        cancelAll();
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/hyssophitch/http/CallerExchange.java
@@ -0,0 +1,255 @@
+package org.hyssophitch.http;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.hyssophitch.core.call.CallAction;
+import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.Reason;
+import org.hyssophitch.wire.duty.WallClock;
+
+/**
+ * One request of a caller and its answer. Not thread-safe; lives on one event loop from the request's head to the last
+ * byte of the answer.
+ */
+final class CallerExchange {
+
+    /** Bytes of an answer that wait for the caller before the server's answer is read on. */
+    private static final int MAX_WAITING_BYTES = 131_072;
+
+    private final CallerConnection connection;
+    private final CallCarrier carrier;
+    private final HttpRequest request;
+    private final String target;
+    private final String requestId;
+    private final long callId;
+    private final long arrivedMicros = WallClock.nowMicros();
+    private final RequestBody body = new RequestBody();
+    private final Map<Integer, BackendAttempt> attempts = new HashMap<>();
+    private final Deque<HttpObject> output = new ArrayDeque<>();
+    private RequestRules.Verdict.Accepted verdict;
+    private BackendAttempt relayed;
+    private int waitingBytes;
+    private int status;
+    private boolean isArrived;
+    private boolean isAnswered;
+    private boolean isBroken;
+    private boolean isOutputComplete;
+
+    CallerExchange(
+            CallerConnection connection, CallCarrier carrier, HttpRequest request, String target, String requestId) {
+        this.connection = connection;
+        this.carrier = carrier;
+        this.request = request;
+        this.target = target;
+        this.requestId = requestId;
+        this.callId = carrier.nextCallId();
+    }
+
+    long callId() {
+        return callId;
+    }
+
+    HttpRequest request() {
+        return request;
+    }
+
+    /** Returns the path and query of the request. */
+    String target() {
+        return target;
+    }
+
+    String requestId() {
+        return requestId;
+    }
+
+    boolean isIdempotent() {
+        return verdict.idempotent();
+    }
+
+    RequestBody body() {
+        return body;
+    }
+
+    boolean isAnswered() {
+        return isAnswered;
+    }
+
+    /** Returns whether the request announces a body. */
+    boolean hasBody() {
+        return HttpUtil.isTransferEncodingChunked(request) || HttpUtil.getContentLength(request, 0L) > 0;
+    }
+
+    /** Notes that the request is for a service. */
+    void accept(RequestRules.Verdict.Accepted accepted) {
+        verdict = accepted;
+    }
+
+    boolean isAccepted() {
+        return verdict != null;
+    }
+
+    /** Gives the call to the engine once its body is known or too large to be kept. */
+    void onBody() {
+        if (isArrived || isAnswered || verdict == null || !body.isComplete() && !body.isLarge()) {
+            return;
+        }
+        isArrived = true;
+        String fingerprint = request.method().name() + ' ' + target + '#' + Long.toHexString(body.checksum());
+        carrier.register(this);
+        carrier.handle(new CallEvent.CallArrived(
+                WallClock.nowMicros(), verdict.plan().call(callId, body.isReplayable(), fingerprint, arrivedMicros)));
+    }
+
+    void startAttempt(CallAction.StartAttempt action, BackendPools pools) {
+        BackendAttempt attempt = new BackendAttempt(this, action, carrier);
+        attempts.put(action.attempt(), attempt);
+        attempt.start(pools);
+    }
+
+    void cancelAttempt(int number) {
+        BackendAttempt attempt = attempts.remove(number);
+        if (attempt != null) {
+            attempt.cancel();
+        }
+    }
+
+    void sendBody(BackendAttempt attempt) {
+        if (body.isReplayable()) {
+            body.replayTo(attempt);
+        } else {
+            body.streamTo(attempt);
+            connection.resumeReading();
+        }
+    }
+
+    void pauseBody() {
+        connection.pauseReading();
+    }
+
+    void resumeBody() {
+        connection.resumeReading();
+    }
+
+    void relay(int number) {
+        relayed = attempts.get(number);
+        isAnswered = true;
+        relayed.relay();
+    }
+
+    /** Begins to relay a server's answer. */
+    void beginAnswer(HttpResponse head) {
+        status = head.status().code();
+        DefaultHttpResponse copy = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
+        HopByHop.copyEndToEnd(head.headers(), copy.headers());
+        boolean isHead = HttpMethod.HEAD.equals(request.method());
+        String length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+        if (length != null && !HttpUtil.isTransferEncodingChunked(head)) {
+            copy.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+        } else if (!isHead && head.status().code() != HttpResponseStatus.NO_CONTENT.code()) {
+            connection.frameByChunks(copy);
+        }
+        add(copy);
+    }
+
+    /** Relays a piece of a server's answer. */
+    void answer(HttpContent content) {
+        boolean isLast = content instanceof LastHttpContent;
+        if (isBroken) {
+            content.release();
+            return;
+        }
+        waitingBytes += content.content().readableBytes();
+        if (!isLast || content.content().isReadable()) {
+            add(isLast ? new DefaultHttpContent(content.content()) : content);
+        }
+        if (waitingBytes > MAX_WAITING_BYTES) {
+            relayed.setReading(false);
+        }
+        connection.flushOutput();
+    }
+
+    /** Ends a relayed answer. */
+    void endAnswer() {
+        finish(Reason.ANSWERED);
+    }
+
+    /** Gives the caller the system's own final answer. */
+    void refuse(Reason reason, long retryAfterMillis) {
+        if (isAnswered) {
+            return;
+        }
+        isAnswered = true;
+        status = reason.status();
+        DefaultHttpResponse answer =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reason.status()));
+        carrier.dialect().prepareRefusal(answer.headers(), reason, retryAfterMillis);
+        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        add(answer);
+        finish(reason);
+    }
+
+    /** Breaks the connection, because an answer that has begun can't be completed. */
+    void breakAnswer(Reason reason) {
+        isBroken = true;
+        connection.onAnswered(this, reason, status, WallClock.nowMicros() - arrivedMicros);
+        carrier.unregister(this);
+        connection.abort();
+    }
+
+    /** Ends everything that still goes on for a caller that has left. */
+    void onCallerGone() {
+        body.release();
+        output.forEach(ReferenceCountUtil::release);
+        output.clear();
+        if (isArrived && !isOutputComplete) {
+            attempts.values().forEach(BackendAttempt::cancel);
+            carrier.unregister(this);
+            carrier.handle(new CallEvent.CallerGone(WallClock.nowMicros(), callId));
+        }
+    }
+
+    /** Returns the next part of the answer that may be written, or null. */
+    HttpObject pollOutput() {
+        HttpObject next = output.poll();
+        if (next instanceof HttpContent c && waitingBytes > 0) {
+            waitingBytes -= c.content().readableBytes();
+            if (relayed != null && waitingBytes <= MAX_WAITING_BYTES / 2) {
+                relayed.setReading(true);
+            }
+        }
+        return next;
+    }
+
+    boolean isOutputComplete() {
+        return isOutputComplete && output.isEmpty();
+    }
+
+    private void add(HttpObject part) {
+        output.add(part);
+    }
+
+    private void finish(Reason reason) {
+        isOutputComplete = true;
+        add(LastHttpContent.EMPTY_LAST_CONTENT);
+        body.release();
+        carrier.unregister(this);
+        connection.onAnswered(this, reason, status, WallClock.nowMicros() - arrivedMicros);
+        connection.flushOutput();
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/hyssophitch/http/FrontListener.java
@@ -0,0 +1,131 @@
+package org.hyssophitch.http;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.hyssophitch.core.call.Reason;
+
+/**
+ * Listens for callers. Not thread-safe but for {@link #open}; lives on one event loop until {@link #stopListening}.
+ */
+public final class FrontListener {
+
+    private static final int BACKLOG = 1_024;
+    /** When callers may come back, in milliseconds, whose request no configuration covers yet. */
+    private static final long NO_CONFIGURATION_RETRY_MILLIS = 300;
+
+    private final CallCarrier carrier;
+    private final RequestRules rules;
+    private final Set<CallerConnection> connections = new HashSet<>();
+    private Channel channel;
+    private boolean isStopping;
+
+    /**
+     * Creates a listener that isn't open yet.
+     *
+     * @param carrier carries the requests
+     * @param rules decides what a request is
+     */
+    public FrontListener(CallCarrier carrier, RequestRules rules) {
+        this.carrier = carrier;
+        this.rules = rules;
+    }
+
+    /** Opens the address; blocks until it is bound. */
+    public void open(EventLoopGroup group, InetSocketAddress local) {
+        channel = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel c) {
+                        initialize(c);
+                    }
+                })
+                .bind(local)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /** Announces with each answer from now on that its connection is closed. */
+    public void beginStop() {
+        isStopping = true;
+    }
+
+    /** Takes no new connections and closes those without a request; the others close after their answer. */
+    public void stopListening() {
+        isStopping = true;
+        channel.close();
+        closeIdle();
+    }
+
+    /** Closes the connections without a request. */
+    public void closeIdle() {
+        List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
+    }
+
+    /** Returns the number of callers' connections. */
+    public int connections() {
+        return connections.size();
+    }
+
+    boolean isStopping() {
+        return isStopping;
+    }
+
+    long retryAfterMillis(Reason reason) {
+        return reason == Reason.NO_CONFIGURATION ? NO_CONFIGURATION_RETRY_MILLIS : 0;
+    }
+
+    void onOpen(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void onClose(CallerConnection connection) {
+        connections.remove(connection);
+    }
+
+    private void initialize(SocketChannel c) {
+        KeepAlive.enable(c);
+        CallerConnection connection = new CallerConnection(carrier, rules, this);
+        c.pipeline()
+                .addLast(new Arrival(connection))
+                .addLast(new StrictRequestDecoder(rules.limits()))
+                .addLast(new HttpResponseEncoder())
+                .addLast(connection);
+    }
+
+    /** Tells a connection of bytes before they are decoded. */
+    private static final class Arrival extends ChannelInboundHandlerAdapter {
+
+        private final CallerConnection connection;
+
+        private Arrival(CallerConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (message instanceof ByteBuf) {
+                connection.onBytes();
+            }
+            context.fireChannelRead(message);
+        }
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/hyssophitch/http/HeaderDialect.java
@@ -0,0 +1,51 @@
+package org.hyssophitch.http;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import org.hyssophitch.core.call.AttemptResult.NotRunCause;
+import org.hyssophitch.core.call.Reason;
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.load.LoadReport;
+
+/**
+ * Names and forms of the headers that a deployment's callers and backend servers use. Implementations are stateless.
+ */
+public interface HeaderDialect {
+
+    /** Returns the name that the caller gave to its request; empty without one. */
+    String requestId(HttpHeaders request);
+
+    /** Returns how many milliseconds the caller waits for its answer. */
+    OptionalLong deadlineMillis(HttpHeaders request);
+
+    /**
+     * Sets the headers of a request to a backend server.
+     *
+     * @param remainingMillis time in milliseconds that the server has for its answer
+     */
+    void prepareRequest(HttpHeaders headers, BackendServer server, long remainingMillis);
+
+    /** Sets the headers of a question for a server's load. */
+    void prepareAsk(HttpHeaders headers, BackendServer server);
+
+    /** Returns whether an answer belongs to the request of the given name. */
+    boolean isAnswerTo(HttpHeaders answer, String requestId);
+
+    /** Returns whether an answer carries the name of some request. */
+    boolean namesRequest(HttpHeaders answer);
+
+    /** Returns the proof that an answer gives that its request was not run. */
+    Optional<NotRunCause> proofOfNotRun(int status, HttpHeaders answer);
+
+    /**
+     * Returns the load that an answer tells.
+     *
+     * @param server name of the server that answered
+     */
+    Optional<LoadReport> load(String server, int status, HttpHeaders answer, long nowMicros);
+
+    /** Adds headers to an answer that the system itself makes. */
+    void prepareRefusal(HttpHeaders headers, Reason reason, long retryAfterMillis);
+}
--- a/proxy/src/main/java/org/hyssophitch/proxy/CallDecisions.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/CallDecisions.java
@@ -14,6 +14,7 @@
 import org.hyssophitch.core.health.SuspectRegister.Suspicion;
 import org.hyssophitch.wire.duty.EngineDuty;
 import org.hyssophitch.wire.duty.WallClock;
+import org.tinylog.Logger;
 
 /**
  * The duty that runs the call engine and hands its actions to the calls. Thread-safe; runs from {@link #start} until
@@ -103,6 +104,9 @@
             case CallAction.CancelAttempt a -> deliver(a.callId(), a);
             case CallAction.AnswerCaller a -> deliver(a.callId(), a);
             case CallAction.BreakAnswer a -> deliver(a.callId(), a);
+            // The engine asks only where entry hosts keep a budget for questions together; agents measure load here.
+            case CallAction.AskLoad a ->
+                Logger.error("no budget to ask {} servers for load", a.servers().size());
             case CallAction.ShareSuspicions s -> {
                 synchronized (suspicions) {
                     suspicions.addAll(s.suspicions());
--- a/wire/src/main/java/org/hyssophitch/wire/net/Addresses.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/Addresses.java
@@ -7,6 +7,11 @@
 
     private Addresses() {}
 
+    /** Returns the textual form of an address. */
+    public static String format(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ':' + address.getPort();
+    }
+
     /**
      * Parses an address without name resolution.
      *
