--- a/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
@@ -39,6 +39,8 @@
     private long waitUntilMicros;
     private int relaying;
     private int status;
+    private int keptAttempt;
+    private int keptStatus;
     private boolean mayHaveRun;
     private boolean isCallerGone;
     private boolean isSuspectRunning;
@@ -122,6 +124,21 @@
         relaying = attempt;
     }
 
+    /** Notes that an attempt's error answer is kept for the caller in case that no other attempt does better. */
+    void setKept(int attempt, int newStatus) {
+        keptAttempt = attempt;
+        keptStatus = newStatus;
+    }
+
+    /** Returns the attempt whose answer is kept; 0 when there is none. */
+    int keptAttempt() {
+        return keptAttempt;
+    }
+
+    int keptStatus() {
+        return keptStatus;
+    }
+
     int status() {
         return status;
     }
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
@@ -37,7 +37,7 @@
         }
         boolean isServerError = e.status() >= FIRST_SERVER_ERROR;
         noteAnswer(call, a, isServerError, e.nowMicros());
-        if (isServerError && retryAfterServerError(call, a, e.nowMicros())) {
+        if (isServerError && retryAfterServerError(call, a, e.status(), e.nowMicros())) {
             return;
         }
         call.setRelaying(a.number());
@@ -68,7 +68,7 @@
             case AttemptResult.NotRun n -> onNotRun(call, a, n, e.nowMicros());
             case AttemptResult.Lost l -> onLost(call, a, l, e.nowMicros());
         }
-        starter.startWaiting(call.service(), e.nowMicros());
+        starter.onFreed(call.service(), e.nowMicros());
     }
 
     private void noteAnswer(ActiveCall call, ActiveCall.Attempt a, boolean isServerError, long nowMicros) {
@@ -91,7 +91,7 @@
         }
     }
 
-    private boolean retryAfterServerError(ActiveCall call, ActiveCall.Attempt a, long nowMicros) {
+    private boolean retryAfterServerError(ActiveCall call, ActiveCall.Attempt a, int status, long nowMicros) {
         boolean mayRetry = call.request().idempotent() && call.mayTryAgain();
         boolean hasOther =
                 call.service().untried(call.tried()).stream().anyMatch(s -> s != a.server() && s.isEligible(nowMicros));
@@ -99,6 +99,8 @@
             return false;
         }
         call.onLoss(Reason.ANSWER_BROKEN);
+        call.setKept(a.number(), status);
+        finisher.release(call, a, nowMicros);
         finisher.cancelAttempts(call, 0, nowMicros);
         starter.startOrQueue(call, AttemptStarter.Cause.RETRY, nowMicros);
         return true;
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
@@ -23,6 +23,8 @@
     }
 
     private static final long MICROS_PER_MILLI = 1_000;
+    /** Part of a call's time to its target before which it gets no second attempt at the same time. */
+    private static final double HEDGE_TARGET_SHARE = 0.5;
 
     private final EngineState state;
     private final CallFinisher finisher;
@@ -80,6 +82,15 @@
         enqueue(call, nowMicros);
     }
 
+    /** Lets waiting calls go on after an attempt has ended. */
+    void onFreed(ServiceState service, long nowMicros) {
+        if (isAsked(service)) {
+            rounds.onFreed(service, nowMicros);
+        } else {
+            startWaiting(service, nowMicros);
+        }
+    }
+
     /** Starts attempts of waiting calls while servers have room. */
     void startWaiting(ServiceState service, long nowMicros) {
         if (isAsked(service)) {
@@ -191,11 +202,17 @@
         int fixedMillis = call.service().service().retry().hedgeAfterMillis();
         long after = fixedMillis > 0
                 ? fixedMillis * MICROS_PER_MILLI
-                : call.service().latency().lateMicros();
+                : Math.max(call.service().latency().lateMicros(), leastHedgeMicros(call));
         state.timers()
                 .add(new EngineState.Timer(nowMicros + after, call.callId(), a.number(), EngineState.TimerKind.HEDGE));
     }
 
+    /** A call that is still well within its target gets no second attempt, as both would take room from other calls. */
+    private static long leastHedgeMicros(ActiveCall call) {
+        long target = call.request().terms().targetMicros();
+        return target == Long.MAX_VALUE ? 0 : (long) ((target - call.arrivedMicros()) * HEDGE_TARGET_SHARE);
+    }
+
     /** Returns what may be done with a call's request. */
     Verdict verdict(ActiveCall call, long nowMicros) {
         if (!state.isOn(EngineFeature.SUSPECT_ISOLATION)) {
--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -197,8 +197,16 @@
                 definitions.recordLeaving(server, false, "other-instance", e.nowMicros());
             }
         }
-        state.services().values().stream().filter(s -> s.round().isRunning()).forEach(s -> starter.rounds()
-                .onAnswer(s, e.server(), e.nowMicros()));
+        state.services().values().stream()
+                .filter(s -> s.round().isAwaiting(e.server()))
+                .forEach(s -> onAsked(s, e));
+    }
+
+    private void onAsked(ServiceState service, CallEvent.LoadAnswered e) {
+        if (e.outcome() == CallEvent.AskOutcome.ACCEPTING) {
+            service.round().onTold(e.report().isPresent());
+        }
+        starter.rounds().onAnswer(service, e.server(), e.nowMicros());
     }
 
     private void startWaiting(long nowMicros) {
--- a/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
@@ -27,6 +27,11 @@
 
     /** Gives the call the system's own final answer. */
     void answer(ActiveCall call, Reason reason, long nowMicros) {
+        if (call.keptAttempt() > 0 && !call.isCallerGone()) {
+            state.emit(new CallAction.RelayAnswer(call.callId(), call.keptAttempt()));
+            complete(call, call.keptStatus(), nowMicros);
+            return;
+        }
         settleTicket(call, reason, 0);
         long retryAfter = retryAfterMillis(call.service(), reason);
         if (reason == Reason.NO_ROOM) {
--- a/core/src/main/java/org/hyssophitch/core/call/LoadRound.java
+++ b/core/src/main/java/org/hyssophitch/core/call/LoadRound.java
@@ -8,16 +8,29 @@
  */
 final class LoadRound {
 
+    /** Answers without a load in a row after which the service isn't asked any more. */
+    private static final int ANSWERS_TO_GIVE_UP = 6;
+
     private final Set<String> awaited = new HashSet<>();
+    private final Set<String> asked = new HashSet<>();
+    private int answersWithoutLoad;
     private boolean isRunning;
+    private boolean isFirst;
     private long deadlineMicros;
     private long nextMicros;
     private long wakeMicros;
 
-    /** Starts a round that waits for the servers given. */
-    void start(Set<String> servers, long newDeadlineMicros, long newNextMicros) {
+    /**
+     * Starts a round that waits for the servers given.
+     *
+     * @param first whether further servers may be asked after it
+     */
+    void start(Set<String> servers, boolean first, long newDeadlineMicros, long newNextMicros) {
         awaited.clear();
         awaited.addAll(servers);
+        asked.clear();
+        asked.addAll(servers);
+        isFirst = first;
         isRunning = true;
         deadlineMicros = newDeadlineMicros;
         nextMicros = newNextMicros;
@@ -28,6 +41,16 @@
         nextMicros = newNextMicros;
     }
 
+    /** Notes whether a server that answered told its load. */
+    void onTold(boolean isTold) {
+        answersWithoutLoad = isTold ? 0 : answersWithoutLoad + 1;
+    }
+
+    /** Returns whether the service's servers tell their load when they are asked. */
+    boolean isUseful() {
+        return answersWithoutLoad < ANSWERS_TO_GIVE_UP;
+    }
+
     void onAnswer(String server) {
         awaited.remove(server);
     }
@@ -41,6 +64,19 @@
         isRunning = false;
     }
 
+    boolean isAwaiting(String server) {
+        return isRunning && awaited.contains(server);
+    }
+
+    boolean isFirst() {
+        return isFirst;
+    }
+
+    /** Returns the servers asked in this round. */
+    Set<String> asked() {
+        return Set.copyOf(asked);
+    }
+
     boolean isRunning() {
         return isRunning;
     }
--- a/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
+++ b/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
@@ -34,6 +34,10 @@
     private static final long PAUSE_MICROS = 12_000;
     /** Age in microseconds up to which a report counts as an answer to the question. */
     private static final long FRESH_MICROS = 40_000;
+    /** Relative cost up to which a server of the own zone is taken without asking the others. */
+    private static final double GOOD_COST = 1.5;
+    /** Servers of the own zone from which on those are asked first. */
+    private static final int ENOUGH_NEAR = 2;
     /** Part of a call's time to its target that it may wait for its first attempt. */
     private static final double WAIT_SHARE = 0.5;
     /** Least time in microseconds that a call may wait. */
@@ -70,8 +74,7 @@
     void advance(ServiceState service, long nowMicros) {
         LoadRound round = service.round();
         if (round.isOver(nowMicros)) {
-            round.end();
-            place(service, nowMicros);
+            finish(service, nowMicros);
         }
         if (service.queue().size() == 0 || round.isRunning()) {
             return;
@@ -81,31 +84,50 @@
             return;
         }
         if (nowMicros >= round.nextMicros()) {
-            start(service, nowMicros);
+            start(service, Set.of(), nowMicros);
         }
         wakeFor(service, nowMicros);
     }
 
+    /** Places calls where an attempt has just ended, as its answer told the server's load. */
+    void onFreed(ServiceState service, long nowMicros) {
+        if (service.queue().size() > 0 && !service.round().isRunning()) {
+            place(service, Double.MAX_VALUE, nowMicros);
+        }
+        advance(service, nowMicros);
+    }
+
     /** Takes an answer into account, and places calls when it was the last one that the round waits for. */
     void onAnswer(ServiceState service, String server, long nowMicros) {
         service.round().onAnswer(server);
         advance(service, nowMicros);
     }
 
-    private void start(ServiceState service, long nowMicros) {
-        List<ServerState> asked = candidates(service, nowMicros);
-        if (asked.isEmpty()) {
+    /** Places calls by the answers; where the zone's own servers are slow or full, the others are asked at once. */
+    private void finish(ServiceState service, long nowMicros) {
+        LoadRound round = service.round();
+        round.end();
+        boolean hasFurther = round.isFirst();
+        place(service, hasFurther ? GOOD_COST : Double.MAX_VALUE, nowMicros);
+        if (hasFurther && service.queue().size() > 0) {
+            start(service, round.asked(), nowMicros);
+        }
+    }
+
+    private void start(ServiceState service, Set<String> asked, long nowMicros) {
+        List<ServerState> candidates = service.round().isUseful() ? candidates(service, asked, nowMicros) : List.of();
+        if (candidates.isEmpty()) {
             service.round().postpone(nowMicros + pause());
-            place(service, nowMicros);
+            place(service, Double.MAX_VALUE, nowMicros);
             return;
         }
         Set<String> names = new HashSet<>();
         List<BackendServer> servers = new ArrayList<>();
-        asked.forEach(s -> {
+        candidates.forEach(s -> {
             names.add(s.name());
             servers.add(s.server());
         });
-        service.round().start(names, nowMicros + ROUND_MICROS, nowMicros + pause());
+        service.round().start(names, asked.isEmpty(), nowMicros + ROUND_MICROS, nowMicros + pause());
         state.emit(new CallAction.AskLoad(servers, service.service().healthPath()));
     }
 
@@ -113,17 +135,33 @@
         return PAUSE_MICROS + state.random().nextLong(PAUSE_MICROS);
     }
 
-    /** Returns the servers to ask: those that probably have room, the least used of this host's zone first. */
-    private List<ServerState> candidates(ServiceState service, long nowMicros) {
+    /**
+     * Returns the servers to ask: first those of this host's zone, then the others; the least used first.
+     *
+     * @param asked servers that were asked already
+     */
+    private List<ServerState> candidates(ServiceState service, Set<String> asked, long nowMicros) {
         int most = service.policy() instanceof RoutingPolicy.AskedLoad a ? a.sampleSize() : 1;
         String zone = state.settings().zone();
         List<ServerState> usable = new ArrayList<>(service.servers().stream()
                 .filter(s -> s.isEligible(nowMicros) && s.inFlight() < LoadPlacement.knee(s))
+                .filter(s -> !asked.contains(s.name()))
                 .toList());
         shuffle(usable);
-        usable.sort(Comparator.comparingInt(ServerState::inFlight)
-                .thenComparing(s -> !s.server().zone().equals(zone)));
-        return usable.stream().filter(s -> s.tryAsk(nowMicros)).limit(most).toList();
+        usable.sort(Comparator.comparingInt(ServerState::inFlight));
+        List<ServerState> near =
+                usable.stream().filter(s -> s.server().zone().equals(zone)).toList();
+        if (asked.isEmpty() && near.size() >= ENOUGH_NEAR) {
+            List<ServerState> affordable = affordable(near, most, nowMicros);
+            if (!affordable.isEmpty()) {
+                return affordable;
+            }
+        }
+        return affordable(usable, most, nowMicros);
+    }
+
+    private static List<ServerState> affordable(List<ServerState> servers, int most, long nowMicros) {
+        return servers.stream().filter(s -> s.tryAsk(nowMicros)).limit(most).toList();
     }
 
     private void shuffle(List<ServerState> servers) {
@@ -133,12 +171,12 @@
     }
 
     /** Places waiting calls in their order, until one finds no server with room. */
-    private void place(ServiceState service, long nowMicros) {
+    private void place(ServiceState service, double mostCost, long nowMicros) {
         List<Waiting> left = new ArrayList<>();
         Optional<Waiting> next = service.queue().poll();
         while (next.isPresent()) {
             ActiveCall call = state.calls().get(next.get().callId());
-            if (call != null && !placeOne(call, nowMicros)) {
+            if (call != null && !placeOne(call, mostCost, nowMicros)) {
                 left.add(next.get());
             }
             next = service.queue().poll();
@@ -146,10 +184,12 @@
         left.forEach(service.queue()::offer);
     }
 
-    private boolean placeOne(ActiveCall call, long nowMicros) {
+    private boolean placeOne(ActiveCall call, double mostCost, long nowMicros) {
         LoadPlacement placement = new LoadPlacement(state.settings().zone(), nowMicros);
+        boolean isHedge = !call.attempts().isEmpty();
         List<ServerState> untried = call.service().untried(call.tried()).stream()
                 .filter(s -> s.isEligible(nowMicros) && !s.isRefusing(nowMicros))
+                .filter(s -> !isHedge || !call.tried().contains(s.name()))
                 .toList();
         List<ServerState> fresh = untried.stream()
                 .filter(s -> s.report()
@@ -157,7 +197,7 @@
                         .isPresent())
                 .toList();
         Optional<ServerState> chosen = placement.choose(fresh.isEmpty() ? untried : fresh);
-        if (chosen.isEmpty()) {
+        if (chosen.isEmpty() || placement.cost(chosen.get()) > mostCost) {
             return false;
         }
         Choice choice = new Choice(chosen.get(), views(untried, placement, chosen.get(), nowMicros));
--- a/core/src/main/java/org/hyssophitch/core/membership/MembershipEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/membership/MembershipEngine.java
@@ -23,7 +23,7 @@
 
     /** Time between two rounds of heartbeats in microseconds. */
     public static final long PERIOD_MICROS = 500_000;
-    /** Heartbeats per round. */
+    /** Heartbeats per round where datagrams have no price. */
     public static final int HEARTBEATS_PER_PERIOD = 2;
 
     private static final long ACK_TIMEOUT_MICROS = 200_000;
@@ -41,6 +41,7 @@
     private final Deque<String> turn = new ArrayDeque<>();
     private final RandomGenerator random;
     private final Consumer<Member> onChange;
+    private final int heartbeats;
     private Member self;
     private List<Member> all = List.of();
     private boolean isAllStale = true;
@@ -56,6 +57,19 @@
      * @param onChange told of each statement that replaces an older one, so that it can be spread
      */
     public MembershipEngine(Member self, RandomGenerator random, Consumer<Member> onChange) {
+        this(self, HEARTBEATS_PER_PERIOD, random, onChange);
+    }
+
+    /**
+     * Creates the membership of a starting process, which knows itself only.
+     *
+     * @param self this host's own statement
+     * @param heartbeats heartbeats per round
+     * @param random seeded source of randomness
+     * @param onChange told of each statement that replaces an older one, so that it can be spread
+     */
+    public MembershipEngine(Member self, int heartbeats, RandomGenerator random, Consumer<Member> onChange) {
+        this.heartbeats = heartbeats;
         this.self = self;
         this.random = random;
         this.onChange = onChange;
@@ -178,7 +192,7 @@
 
     private void startRound(long nowMicros, List<Heartbeat> out) {
         forgetOld(nowMicros);
-        for (int i = 0; i < HEARTBEATS_PER_PERIOD; i++) {
+        for (int i = 0; i < heartbeats; i++) {
             nextInTurn().ifPresent(m -> out.add(ping(m, nowMicros)));
         }
     }
--- a/core/src/main/java/org/hyssophitch/core/store/KindFollower.java
+++ b/core/src/main/java/org/hyssophitch/core/store/KindFollower.java
@@ -40,8 +40,8 @@
         void onReachable(boolean isReachable, String detail);
     }
 
-    /** Longest time in milliseconds for which one watch waits; bounds how long a lost answer goes unnoticed. */
-    private static final int WATCH_MILLIS = 4_000;
+    /** Longest time in milliseconds for which one watch waits; {@link #refresh} ends a wait whose answer got lost. */
+    private static final int WATCH_MILLIS = 8_000;
     /** Time in microseconds in which further changes are collected before the next watch, as each call has a price. */
     private static final long COLLECT_MICROS = 300_000;
     /** Time in microseconds after a watch without changes before the next one. */
@@ -58,7 +58,9 @@
     private final Backoff backoff;
     private Map<String, StoredObject<T>> listed = new HashMap<>();
     private long revision;
+    private long generation;
     private boolean hasFailed;
+    private boolean isWatching;
     private boolean isStopped;
 
     /**
@@ -120,7 +122,25 @@
 
     private void watch() {
         if (!isStopped) {
-            store.watch(kind, revision, WATCH_MILLIS, this::onWatched);
+            generation++;
+            long current = generation;
+            isWatching = true;
+            store.watch(kind, revision, WATCH_MILLIS, r -> {
+                if (current == generation) {
+                    isWatching = false;
+                    onWatched(r);
+                }
+            });
+        }
+    }
+
+    /**
+     * Asks for changes again instead of waiting on: the store was away for other calls, so the answer to the watch under
+     * way may be lost.
+     */
+    public void refresh() {
+        if (isWatching) {
+            watch();
         }
     }
 
--- a/entry/src/main/java/org/hyssophitch/entry/ConfigurationListener.java
+++ b/entry/src/main/java/org/hyssophitch/entry/ConfigurationListener.java
@@ -16,6 +16,7 @@
 
     private final String name;
     private final Consumer<Configuration> onConfiguration;
+    private final Runnable onReturn;
     private final EventLog log;
 
     /**
@@ -23,11 +24,13 @@
      *
      * @param name name of the object that holds the configuration in force
      * @param onConfiguration takes each configuration
+     * @param onReturn called when the store can be reached again
      * @param log where lost and regained reach is recorded
      */
-    ConfigurationListener(String name, Consumer<Configuration> onConfiguration, EventLog log) {
+    ConfigurationListener(String name, Consumer<Configuration> onConfiguration, Runnable onReturn, EventLog log) {
         this.name = name;
         this.onConfiguration = onConfiguration;
+        this.onReturn = onReturn;
         this.log = log;
     }
 
@@ -50,6 +53,9 @@
                 WallClock.nowMicros(),
                 "",
                 new EventBody.PlatformState((isReachable ? "reachable " : "unreachable ") + detail));
+        if (isReachable) {
+            onReturn.run();
+        }
     }
 
     private void take(StoredObject<Configuration> object) {
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -101,14 +101,17 @@
         LoopTimers timers = new LoopTimers(loop);
         ObjectStore store = new PlatformStore(new HttpCaller(
                 loop, Addresses.parse(settings.storeAddress()), STORE_CONNECT_MILLIS, KeepAlive::enable));
-        servers = new ServerBeliefs(store, new ServerKind(), timers, random.split(), carrier, log);
+        servers =
+                new ServerBeliefs(store, new ServerKind(), timers, random.split(), carrier, this::onStoreReturned, log);
         configurations = new KindFollower<>(
                 store,
                 new ConfigurationKind(),
                 timers,
                 random.split(),
-                new ConfigurationListener(ConfigurationKind.CURRENT, this::onConfiguration, log));
-        registration = new Registration(store, new EntryHostKind(), self(), timers, peers, random.split());
+                new ConfigurationListener(
+                        ConfigurationKind.CURRENT, this::onConfiguration, this::onStoreReturned, log));
+        registration = new Registration(
+                store, new EntryHostKind(), self(), timers, peers, this::onStoreReturned, random.split());
         metrics.gauge("hyssophitch_calls_in_flight", "requests without a final answer", carrier::activeCalls);
         metrics.gauge("hyssophitch_backend_connections", "connections to backend servers", carrier::backendConnections);
         metrics.gauge("hyssophitch_caller_connections", "connections of callers", front::connections);
@@ -206,6 +209,12 @@
         peers.refreshReadiness();
     }
 
+    /** After an outage that one call has shown, answers that other calls wait for may be lost. */
+    private void onStoreReturned() {
+        servers.onStoreReturned();
+        configurations.refresh();
+    }
+
     private void share(List<Suspicion> suspicions) {
         peers.share(suspicions);
     }
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -43,6 +43,8 @@
     private static final int NEWS_REPETITIONS = 6;
 
     private static final int NEWS_PER_DATAGRAM = 8;
+    /** Heartbeats per round; bytes between availability zones have a price. */
+    private static final int HEARTBEATS = 1;
     /** Members that get urgent news at once. */
     private static final int URGENT_RECEIVERS = 3;
 
@@ -90,7 +92,7 @@
                 false,
                 0,
                 0);
-        this.membership = new MembershipEngine(self, random, this::onNews);
+        this.membership = new MembershipEngine(self, HEARTBEATS, random, this::onNews);
     }
 
     /** Opens the address for datagrams; not to be called on the event loop. */
--- a/entry/src/main/java/org/hyssophitch/entry/Registration.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Registration.java
@@ -25,8 +25,8 @@
  */
 final class Registration {
 
-    /** Time in microseconds between two looks at the others' objects. */
-    private static final long LIST_MICROS = 5_000_000;
+    /** Time in microseconds between two looks at the others' objects; they show too whether the store is there. */
+    private static final long LIST_MICROS = 3_000_000;
 
     private static final long FIRST_BACKOFF_MILLIS = 100;
     private static final long MOST_BACKOFF_MILLIS = 1_500;
@@ -38,8 +38,10 @@
     private final Timers timers;
     private final Peers peers;
     private final Backoff backoff;
+    private final Runnable onReturn;
     private Map<String, StoredObject<EntryHost>> listed = new HashMap<>();
     private boolean isRegistered;
+    private boolean hasFailed;
     private boolean isStopped;
 
     Registration(
@@ -48,12 +50,14 @@
             EntryHost self,
             Timers timers,
             Peers peers,
+            Runnable onReturn,
             RandomGenerator random) {
         this.store = store;
         this.kind = kind;
         this.self = self;
         this.timers = timers;
         this.peers = peers;
+        this.onReturn = onReturn;
         this.backoff = new Backoff(FIRST_BACKOFF_MILLIS, MOST_BACKOFF_MILLIS, random);
     }
 
@@ -92,6 +96,7 @@
 
     private void onPage(StoreResult<StorePage<EntryHost>> result) {
         if (!(result instanceof StoreResult.Done<StorePage<EntryHost>> done)) {
+            hasFailed = true;
             timers.after(backoff.nextMillis() * MICROS_PER_MILLI, () -> list(""));
             return;
         }
@@ -101,6 +106,10 @@
             return;
         }
         backoff.reset();
+        if (hasFailed) {
+            hasFailed = false;
+            onReturn.run();
+        }
         peers.onListed(listed);
         removeDead();
         if (isRegistered) {
--- a/entry/src/main/java/org/hyssophitch/entry/ServerBeliefs.java
+++ b/entry/src/main/java/org/hyssophitch/entry/ServerBeliefs.java
@@ -23,6 +23,7 @@
     private final KindFollower<RegisteredServer> follower;
     private final Timers timers;
     private final CallCarrier carrier;
+    private final Runnable onReturn;
     private final EventLog log;
     private boolean isListed;
 
@@ -32,9 +33,11 @@
             Timers timers,
             RandomGenerator random,
             CallCarrier carrier,
+            Runnable onReturn,
             EventLog log) {
         this.timers = timers;
         this.carrier = carrier;
+        this.onReturn = onReturn;
         this.log = log;
         this.follower = new KindFollower<>(store, kind, timers, random, this);
     }
@@ -43,6 +46,12 @@
         follower.start();
     }
 
+    /** Notes that the store can be reached again, as some call has shown. */
+    void onStoreReturned() {
+        registry.onStoreReturned(timers.nowMicros());
+        follower.refresh();
+    }
+
     /** Returns whether the servers were listed since the process started. */
     boolean isListed() {
         return isListed;
@@ -63,13 +72,13 @@
 
     @Override
     public void onReachable(boolean isReachable, String detail) {
-        if (isReachable) {
-            registry.onStoreReturned(timers.nowMicros());
-        }
         log.record(
                 timers.nowMicros(),
                 "",
                 new EventBody.PlatformState((isReachable ? "reachable " : "unreachable ") + detail));
+        if (isReachable) {
+            onReturn.run();
+        }
     }
 
     private void publish() {
--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -0,0 +1,213 @@
+package org.hyssophitch.entry;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import org.hyssophitch.core.call.CallEngine;
+import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.EngineSettings;
+import org.hyssophitch.core.call.FleetLimits;
+import org.hyssophitch.core.configuration.AddressRule;
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.configuration.CallerLimits;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.MeasuringBudget;
+import org.hyssophitch.core.configuration.QueueRule;
+import org.hyssophitch.core.configuration.RegisteredServer;
+import org.hyssophitch.core.configuration.RetryRule;
+import org.hyssophitch.core.configuration.Route;
+import org.hyssophitch.core.configuration.RoutingKind;
+import org.hyssophitch.core.configuration.Service;
+import org.hyssophitch.core.entry.RequestRouter;
+import org.hyssophitch.http.CallCarrier;
+import org.hyssophitch.http.FrontListener;
+import org.hyssophitch.platform.PlatformHeaders;
+import org.hyssophitch.wire.duty.WallClock;
+import org.hyssophitch.wire.net.EventLoops;
+
+/** The data path with real sockets, real engine and scripted servers, for tests. */
+final class DataPath implements AutoCloseable {
+
+    static final int ROUTE_MILLIS = 900;
+    static final CallerLimits LIMITS = new CallerLimits(2_048, 4_000_000, 300, 700);
+
+    private static final int READ_MILLIS = 5_000;
+
+    private final EventLoopGroup group = EventLoops.create(1);
+    private final EventLoop loop = (EventLoop) group.next();
+    private final CallCarrier carrier;
+    private final FrontListener front;
+    private final int port;
+
+    DataPath(CallerLimits limits, ScriptedServer... servers) throws IOException {
+        EntryMetrics metrics = new EntryMetrics();
+        EventLog log = new EventLog(metrics);
+        RequestRouter router = new RequestRouter(new SplittableRandom(1));
+        EngineSettings settings =
+                new EngineSettings("h1", "z1", 1).withFleet(new FleetLimits(0.2, 1_000, 1_000_000, 10_000, 1));
+        carrier = new CallCarrier(
+                new CallEngine(settings, new SplittableRandom(2), log), loop, new PlatformHeaders(), s -> {});
+        front = new FrontListener(carrier, new EntryRules(router, metrics, log));
+        port = freePort();
+        Configuration c = configuration(limits);
+        loop.submit(() -> {
+            router.accept(c);
+            carrier.handle(new CallEvent.ConfigurationAccepted(WallClock.nowMicros(), c));
+            carrier.handle(new CallEvent.ServersRegistered(WallClock.nowMicros(), registered(servers)));
+            carrier.handle(new CallEvent.FleetChanged(WallClock.nowMicros(), 1));
+        });
+        front.open(group, new InetSocketAddress("127.0.0.1", port));
+    }
+
+    /** Does something on the event loop. */
+    void onLoop(Runnable step) {
+        loop.submit(step).syncUninterruptibly();
+    }
+
+    FrontListener front() {
+        return front;
+    }
+
+    CallCarrier carrier() {
+        return carrier;
+    }
+
+    Socket connect() throws IOException {
+        Socket s = new Socket("127.0.0.1", port);
+        s.setSoTimeout(READ_MILLIS);
+        return s;
+    }
+
+    /** Sends bytes on a new connection and returns what comes back until it is closed or quiet. */
+    String exchange(String request, int answers) throws IOException {
+        try (Socket s = connect()) {
+            return send(s, request, answers);
+        }
+    }
+
+    /** Sends bytes and reads the answers given in number, or until the connection ends. */
+    static String send(Socket s, String request, int answers) throws IOException {
+        s.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+        s.getOutputStream().flush();
+        return read(s, answers);
+    }
+
+    static String read(Socket s, int answers) throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        InputStream in = s.getInputStream();
+        byte[] buffer = new byte[65_536];
+        try {
+            while (answers(all) < answers) {
+                int count = in.read(buffer);
+                if (count < 0) {
+                    break;
+                }
+                all.write(buffer, 0, count);
+            }
+        } catch (SocketTimeoutException e) {
+            all.writeBytes("<quiet>".getBytes(StandardCharsets.ISO_8859_1));
+        } catch (IOException e) {
+            all.writeBytes("<reset>".getBytes(StandardCharsets.ISO_8859_1));
+        }
+        return all.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    static String get(String path, String id) {
+        return "GET " + path + " HTTP/1.1\r\nHost: h.example\r\nHyssophitch-Request-Id: " + id
+                + "\r\nHyssophitch-Deadline-Milliseconds: 3000\r\n\r\n";
+    }
+
+    static String post(String path, String id, String body) {
+        return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nHyssophitch-Request-Id: " + id + "\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body;
+    }
+
+    @Override
+    public void close() {
+        EventLoops.close(group);
+    }
+
+    /** Counts the whole answers in the bytes so far; all test answers state their length or are chunked. */
+    private static int answers(ByteArrayOutputStream bytes) {
+        String text = bytes.toString(StandardCharsets.ISO_8859_1);
+        int count = 0;
+        int at = 0;
+        while (true) {
+            int end = text.indexOf("\r\n\r\n", at);
+            if (end < 0) {
+                return count;
+            }
+            String head = text.substring(at, end).toLowerCase();
+            int body = end + 4;
+            if (head.contains("transfer-encoding: chunked")) {
+                int last = text.indexOf("0\r\n\r\n", body);
+                if (last < 0) {
+                    return count;
+                }
+                at = last + 5;
+            } else {
+                int l = head.indexOf("content-length:");
+                int length = l < 0
+                        ? 0
+                        : Integer.parseInt(
+                                head.substring(l + 15).split("\r\n")[0].trim());
+                if (text.length() < body + length) {
+                    return count;
+                }
+                at = body + length;
+            }
+            count++;
+        }
+    }
+
+    private static Configuration configuration(CallerLimits limits) {
+        Service service = Service.builder("svc")
+                .routing(RoutingKind.ASKED_LOAD)
+                .retry(RetryRule.DEFAULT)
+                .queue(new QueueRule(100, 5_000, 0))
+                .build();
+        return new Configuration(
+                1,
+                "r1",
+                1,
+                MeasuringBudget.DEFAULT,
+                AddressRule.DEFAULT,
+                List.of(service),
+                List.of(route("/s/", true), route("/u/", false)),
+                limits);
+    }
+
+    private static Route route(String prefix, boolean idempotent) {
+        List<Route.Destination> to = List.of(new Route.Destination("svc", 1));
+        return new Route(prefix, "h.example", prefix, idempotent, ROUTE_MILLIS, 600, 2, 1, to);
+    }
+
+    private static Map<String, List<RegisteredServer>> registered(ScriptedServer... servers) {
+        List<RegisteredServer> all = new ArrayList<>();
+        for (ScriptedServer s : servers) {
+            String name = "i-" + s.port();
+            BackendServer b = new BackendServer(name, "127.0.0.1", s.port(), "z1", 3, 100, false, name);
+            all.add(new RegisteredServer("svc", b, 0));
+        }
+        return Map.of("svc", all);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return s.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPathTest.java
@@ -0,0 +1,377 @@
+package org.hyssophitch.entry;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.hyssophitch.core.configuration.CallerLimits;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Behaviour of the data path over real sockets. */
+public class DataPathTest {
+
+    private static final String HOST = "Host: h.example\r\n";
+    private static final long CANCEL_MILLIS = 500;
+
+    @Test
+    public void answersPipelinedRequestsInTheirOrder() throws Exception {
+        try (ScriptedServer s = new ScriptedServer((r, c) -> {
+                    Thread.sleep(r.line().contains("slow") ? 150 : 0);
+                    return ScriptedServer.ok(r.id()).answer(r, c);
+                });
+                DataPath path = new DataPath(DataPath.LIMITS, s)) {
+            long start = System.nanoTime();
+            String all = path.exchange(
+                    DataPath.get("/s/slow", "id-1") + DataPath.get("/s/fast", "id-2") + DataPath.get("/s/slow", "id-3"),
+                    3);
+            long millis = (System.nanoTime() - start) / 1_000_000;
+            assertTrue(all.indexOf("\r\n\r\nid-1") < all.indexOf("\r\n\r\nid-2"), all);
+            assertTrue(all.indexOf("\r\n\r\nid-2") < all.indexOf("\r\n\r\nid-3"), all);
+            assertTrue(millis < 290, "requests behind one another run at the same time: " + millis + " ms");
+        }
+    }
+
+    @Test
+    public void forwardsEverythingThatIsMeantForTheServer() throws Exception {
+        try (ScriptedServer s = new ScriptedServer(ScriptedServer.ok("x"));
+                DataPath path = new DataPath(DataPath.LIMITS, s)) {
+            path.exchange(
+                    "POST /s/a?b=c%20d HTTP/1.1\r\n" + HOST + "Hyssophitch-Request-Id: q\r\nX-Own: kept\r\n"
+                            + "Connection: X-Hop\r\nX-Hop: dropped\r\nTE: trailers\r\n"
+                            + "Hyssophitch-Deadline-Milliseconds: 700\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+                    1);
+            ScriptedServer.Request got = s.requests().get(0);
+            assertEquals(got.line(), "POST /s/a?b=c%20d HTTP/1.1");
+            assertEquals(got.body(), "abcde");
+            assertEquals(got.headers().get("x-own"), "kept");
+            assertEquals(got.headers().get("hyssophitch-expected-instance"), "i-" + s.port());
+            assertFalse(got.headers().containsKey("x-hop"));
+            assertFalse(got.headers().containsKey("te"));
+            int left = Integer.parseInt(got.headers().get("hyssophitch-deadline-milliseconds"));
+            assertTrue(left > 300 && left <= 700, "time left " + left);
+        }
+    }
+
+    @DataProvider
+    Object[][] malformed() {
+        return new Object[][] {
+            {"POST /s/a HTTP/1.1\r\n" + HOST + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"
+            },
+            {"POST /s/a HTTP/1.1\r\n" + HOST + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", "400"},
+            {"POST /s/a HTTP/1.1\r\n" + HOST + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n", "400"},
+            {"POST /s/a HTTP/1.1\r\n" + HOST + "Content-Length: -1\r\n\r\n", "400"},
+            {"GET /s/a HTTP/1.1\r\n\r\n", "400"},
+            {"GET /s/a HTTP/1.1\r\n" + HOST + HOST + "\r\n", "400"},
+            {"GET /s/a HTTP/1.1\r\n" + HOST + "X: " + "y".repeat(3_000) + "\r\n\r\n", "431"},
+            {"POST /s/a HTTP/1.1\r\n" + HOST + "Content-Length: 4000001\r\n\r\n", "413"},
+            {"GET /s/a HTTP/1.1\r\nHost: h.exa", "408"},
+            {"GET /none/a HTTP/1.1\r\n" + HOST + "\r\n", "404"},
+        };
+    }
+
+    @Test(dataProvider = "malformed")
+    public void refusesWhatItDoesNotUnderstandAndRunsNothing(String request, String status) throws Exception {
+        try (ScriptedServer s = new ScriptedServer(ScriptedServer.ok("x"));
+                DataPath path = new DataPath(DataPath.LIMITS, s)) {
+            String answer = path.exchange(request + (status.equals("404") ? "" : DataPath.get("/s/smuggled", "z")), 1);
+            if (status.equals("408")) {
+                answer = path.exchange(request, 1);
+            }
+            assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
+            Thread.sleep(50);
+            assertTrue(s.requests().stream().noneMatch(r -> r.line().contains("/s/")), "" + s.requests());
+        }
+    }
+
+    @Test
+    public void closesAnIdleConnection() throws Exception {
+        try (ScriptedServer s = new ScriptedServer(ScriptedServer.ok("x"));
+                DataPath path = new DataPath(DataPath.LIMITS, s);
+                Socket c = path.connect()) {
+            DataPath.send(c, DataPath.get("/s/a", "1"), 1);
+            long start = System.nanoTime();
+            assertEquals(c.getInputStream().read(), -1);
+            long millis = (System.nanoTime() - start) / 1_000_000;
+            assertTrue(millis >= DataPath.LIMITS.idleTimeoutMillis() - 50, "closed after " + millis + " ms");
+        }
+    }
+
+    @Test
+    public void givesNobodyAnExtraAnswer() throws Exception {
+        try (ScriptedServer s = new ScriptedServer((r, c) -> {
+                    ScriptedServer.ok("own-" + r.id()).answer(r, c);
+                    Thread.sleep(30);
+                    ScriptedServer.write(c, ScriptedServer.head(r, 200) + "Content-Length: 5\r\n\r\nstray");
+                    return true;
+                });
+                DataPath path = new DataPath(DataPath.LIMITS, s);
+                Socket c = path.connect()) {
+            for (int i = 0; i < 10; i++) {
+                String answer = DataPath.send(c, DataPath.get("/s/a", "id-" + i), 1);
+                assertTrue(answer.endsWith("\r\n\r\nown-id-" + i), answer);
+                Thread.sleep(i % 3 * 20);
+            }
+        }
+    }
+
+    @Test
+    public void passesOverALateAnswerAndTakesItsOwn() throws Exception {
+        try (ScriptedServer s = new ScriptedServer((r, c) -> {
+                    if (r.id().equals("second")) {
+                        ScriptedServer.write(
+                                c, "HTTP/1.1 200 X\r\nHyssophitch-Request-Id: first\r\nContent-Length: 5\r\n\r\nstray");
+                    }
+                    return ScriptedServer.ok("own-" + r.id()).answer(r, c);
+                });
+                DataPath path = new DataPath(DataPath.LIMITS, s)) {
+            path.exchange(DataPath.post("/u/a", "first", "x"), 1);
+            String answer = path.exchange(DataPath.post("/u/a", "second", "x"), 1);
+            assertTrue(answer.endsWith("own-second"), answer);
+            assertEquals(s.requests().size(), 2);
+        }
+    }
+
+    @DataProvider
+    Object[][] brokenAnswers() {
+        ScriptedServer.Script shortBody = (r, c) -> {
+            ScriptedServer.write(c, ScriptedServer.head(r, 200) + "Content-Length: 50\r\n\r\npart");
+            return false;
+        };
+        ScriptedServer.Script reset = (r, c) -> {
+            ScriptedServer.write(c, ScriptedServer.head(r, 200) + "Connection: close\r\n\r\npart");
+            Thread.sleep(30);
+            c.setSoLinger(true, 0);
+            return false;
+        };
+        ScriptedServer.Script noAnswer = (r, c) -> false;
+        ScriptedServer.Script garbage = (r, c) -> {
+            ScriptedServer.write(c, "!!garbage!!\r\n\r\n");
+            return false;
+        };
+        ScriptedServer.Script falsePromise = (r, c) -> {
+            ScriptedServer.write(c, ScriptedServer.head(r, 503) + "Content-Length: 0\r\n\r\n");
+            return true;
+        };
+        return Stream.of(shortBody, reset, noAnswer, garbage, falsePromise)
+                .map(s -> new Object[] {s})
+                .toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "brokenAnswers")
+    public void runsWhatIsNotIdempotentOnceAndPromisesNothing(ScriptedServer.Script script) throws Exception {
+        try (ScriptedServer a = new ScriptedServer(script);
+                ScriptedServer b = new ScriptedServer(script);
+                DataPath path = new DataPath(DataPath.LIMITS, a, b)) {
+            String answer = path.exchange(DataPath.post("/u/x", "u1", "body"), 1);
+            assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+            assertEquals(a.requests().size() + b.requests().size(), 1);
+        }
+    }
+
+    @Test(dataProvider = "brokenAnswers")
+    public void triesWhatIsIdempotentAtAnotherServer(ScriptedServer.Script script) throws Exception {
+        try (ScriptedServer a = new ScriptedServer(script);
+                ScriptedServer b = new ScriptedServer(ScriptedServer.ok("whole"));
+                DataPath path = new DataPath(DataPath.LIMITS, a, b)) {
+            a.setLoad("0,0,3,100");
+            b.setLoad("1,0,3,100");
+            String answer = path.exchange(DataPath.get("/s/x", "s1"), 1);
+            assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("whole"), answer);
+            assertEquals(a.requests().size(), 1);
+        }
+    }
+
+    @Test
+    public void takesAnAnswerWithoutLengthThatEndsWithItsConnection() throws Exception {
+        try (ScriptedServer s = new ScriptedServer((r, c) -> {
+                    ScriptedServer.write(c, ScriptedServer.head(r, 200) + "Connection: close\r\n\r\nall of it");
+                    return false;
+                });
+                DataPath path = new DataPath(DataPath.LIMITS, s)) {
+            String answer = path.exchange(DataPath.get("/s/x", "s1"), 1);
+            assertTrue(answer.startsWith("HTTP/1.1 200") && answer.contains("all of it"), answer);
+        }
+    }
+
+    @Test
+    public void goesOnWhenAServerProvesThatItDidNotRunTheRequest() throws Exception {
+        try (ScriptedServer a = new ScriptedServer((r, c) -> {
+                    ScriptedServer.write(
+                            c,
+                            ScriptedServer.head(r, 503) + "Hyssophitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+                    return true;
+                });
+                ScriptedServer b = new ScriptedServer(ScriptedServer.ok("run"));
+                DataPath path = new DataPath(DataPath.LIMITS, a, b)) {
+            b.setLoad("1,0,3,100");
+            String answer = path.exchange(DataPath.post("/u/x", "u1", "body"), 1);
+            assertTrue(answer.endsWith("run"), answer);
+            assertEquals(b.requests().get(0).body(), "body");
+        }
+    }
+
+    @Test
+    public void promisesNotRunWhenEveryServerSaidSo() throws Exception {
+        ScriptedServer.Script other = (r, c) -> {
+            ScriptedServer.write(
+                    c,
+                    "HTTP/1.1 421 X\r\nHyssophitch-Instance-Id: i-x\r\nHyssophitch-Request-Id: " + r.id()
+                            + "\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        };
+        try (ScriptedServer a = new ScriptedServer(other);
+                DataPath path = new DataPath(DataPath.LIMITS, a)) {
+            String answer = path.exchange(DataPath.post("/u/x", "u1", "body"), 1);
+            assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+            path.exchange(DataPath.post("/u/x", "u2", "body"), 1);
+            assertEquals(a.requests().size(), 1, "an address of another server gets nothing more");
+        }
+    }
+
+    @Test
+    public void sendsNoWorkToAServerThatRefusesWhenAsked() throws Exception {
+        try (ScriptedServer a = new ScriptedServer(ScriptedServer.ok("a"));
+                ScriptedServer b = new ScriptedServer(ScriptedServer.ok("b"));
+                DataPath path = new DataPath(DataPath.LIMITS, a, b)) {
+            a.setHealthStatus(503);
+            for (int i = 0; i < 5; i++) {
+                path.exchange(DataPath.get("/s/x", "s" + i), 1);
+            }
+            assertEquals(a.requests(), List.of());
+        }
+    }
+
+    @Test
+    public void serversThatTellNoLoadAreUsedAllTheSame() throws Exception {
+        try (ScriptedServer a = new ScriptedServer(ScriptedServer.ok("a"));
+                DataPath path = new DataPath(DataPath.LIMITS, a)) {
+            a.setLoad("");
+            for (int i = 0; i < 10; i++) {
+                assertTrue(path.exchange(DataPath.get("/s/x", "s" + i), 1).startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+
+    @Test
+    public void cancelsAtTheServerWhenTheCallerLeaves() throws Exception {
+        try (ScriptedServer s = new ScriptedServer(DataPathTest::waitForClose)) {
+            s.become((r, c) -> {
+                if (waitForClose(r, c)) {
+                    s.noteLost();
+                }
+                return false;
+            });
+            try (DataPath path = new DataPath(DataPath.LIMITS, s)) {
+                Socket caller = path.connect();
+                caller.getOutputStream().write(DataPath.get("/s/x", "s1").getBytes());
+                Thread.sleep(100);
+                caller.close();
+                Thread.sleep(CANCEL_MILLIS / 2);
+                assertEquals(s.lost(), 1);
+                assertEquals(path.carrier().activeCalls(), 0);
+            }
+        }
+    }
+
+    private static boolean waitForClose(ScriptedServer.Request r, Socket c) throws IOException {
+        return c.getInputStream().read() < 0;
+    }
+
+    @Test
+    public void answersAtTheRoutesTimeout() throws Exception {
+        try (ScriptedServer s = new ScriptedServer((r, c) -> {
+                    Thread.sleep(5_000);
+                    return false;
+                });
+                DataPath path = new DataPath(DataPath.LIMITS, s)) {
+            long start = System.nanoTime();
+            String answer = path.exchange(DataPath.post("/u/x", "u1", "b"), 1);
+            long millis = (System.nanoTime() - start) / 1_000_000;
+            assertTrue(answer.startsWith("HTTP/1.1 504"), answer);
+            assertTrue(millis >= DataPath.ROUTE_MILLIS - 20 && millis < DataPath.ROUTE_MILLIS + 250, millis + " ms");
+        }
+    }
+
+    @Test
+    public void refusesSoonWhenNoServerHasRoom() throws Exception {
+        try (ScriptedServer s = new ScriptedServer(ScriptedServer.ok("x"));
+                DataPath path = new DataPath(DataPath.LIMITS, s)) {
+            s.setLoad("3,6,3,100");
+            long start = System.nanoTime();
+            String answer = path.exchange(DataPath.post("/u/x", "u1", "b"), 1);
+            long millis = (System.nanoTime() - start) / 1_000_000;
+            assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+            assertTrue(answer.toLowerCase().contains("retry-after: 0."), answer);
+            assertTrue(millis < DataPath.ROUTE_MILLIS / 2, millis + " ms");
+            assertEquals(s.requests().size(), 0);
+        }
+    }
+
+    @Test
+    public void keepsTheRestOfALongBodyOffTheNextRequest() throws Exception {
+        CallerLimits limits = new CallerLimits(2_048, 40_000_000, 300, 2_000);
+        try (ScriptedServer s = new ScriptedServer(ScriptedServer.ok("early"));
+                DataPath path = new DataPath(limits, s)) {
+            String head =
+                    "POST /u/x HTTP/1.1\r\n" + HOST + "Hyssophitch-Request-Id: u1\r\nContent-Length: 20000000\r\n\r\n";
+            String answer = path.exchange(head + "x".repeat(200_000), 1);
+            assertTrue(answer.endsWith("early"), answer);
+            assertTrue(answer.toLowerCase().contains("connection: close"), answer);
+            assertTrue(path.exchange(DataPath.get("/s/next", "n1"), 1).endsWith("early"));
+            List<String> lines =
+                    s.requests().stream().map(ScriptedServer.Request::line).toList();
+            assertTrue(lines.contains("GET /s/next HTTP/1.1"), lines.size() + " requests");
+            assertTrue(lines.stream().noneMatch(l -> l.contains("xGET")), "the rest of the body got other bytes");
+        }
+    }
+
+    @Test
+    public void streamsLargeBodiesBothWays() throws Exception {
+        String large = "y".repeat(900_000);
+        try (ScriptedServer s = new ScriptedServer(
+                        (r, c) -> ScriptedServer.ok(large + r.body().length()).answer(r, c));
+                DataPath path = new DataPath(DataPath.LIMITS, s)) {
+            String answer = path.exchange(DataPath.post("/u/x", "u1", "z".repeat(700_000)), 1);
+            assertTrue(answer.endsWith("y700000"), "length " + answer.length());
+        }
+    }
+
+    @Test
+    public void finishesWhatWasReadAndClosesOnAPlannedStop() throws Exception {
+        try (ScriptedServer s = new ScriptedServer((r, c) -> {
+                    Thread.sleep(200);
+                    return ScriptedServer.ok("done").answer(r, c);
+                });
+                DataPath path = new DataPath(DataPath.LIMITS, s);
+                Socket c = path.connect()) {
+            c.getOutputStream().write(DataPath.get("/s/x", "s1").getBytes());
+            Thread.sleep(80);
+            path.onLoop(path.front()::stopListening);
+            String answer = DataPath.read(c, 1);
+            assertTrue(answer.endsWith("done") && answer.toLowerCase().contains("connection: close"), answer);
+        }
+    }
+
+    @Test
+    public void answersHeadWithoutABody() throws Exception {
+        try (ScriptedServer s = new ScriptedServer((r, c) -> {
+                    ScriptedServer.write(c, ScriptedServer.head(r, 200) + "Content-Length: 77\r\n\r\n");
+                    return true;
+                });
+                DataPath path = new DataPath(DataPath.LIMITS, s);
+                Socket c = path.connect()) {
+            c.getOutputStream()
+                    .write(("HEAD /s/x HTTP/1.1\r\n" + HOST + "Hyssophitch-Request-Id: h\r\n\r\n").getBytes());
+            c.setSoTimeout(300);
+            String answer = DataPath.read(c, 1);
+            assertTrue(answer.contains("200") && answer.toLowerCase().contains("content-length: 77"), answer);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/ScriptedServer.java
@@ -0,0 +1,181 @@
+package org.hyssophitch.entry;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Backend server for tests whose answers are given byte by byte, so that they may break the protocol. */
+final class ScriptedServer implements AutoCloseable {
+
+    /** One request as it arrived. */
+    record Request(String line, Map<String, String> headers, String body) {
+        String id() {
+            return headers.getOrDefault("hyssophitch-request-id", "");
+        }
+    }
+
+    /** Answers one request; returns whether the connection is kept. */
+    interface Script {
+        boolean answer(Request request, Socket connection) throws IOException, InterruptedException;
+    }
+
+    private final ServerSocket socket;
+    private final List<Request> requests = new CopyOnWriteArrayList<>();
+    private final AtomicInteger connections = new AtomicInteger();
+    private final AtomicInteger lost = new AtomicInteger();
+    private volatile Script script;
+    private volatile String load = "0,0,3,100";
+    private volatile int healthStatus = 200;
+
+    ScriptedServer(Script script) throws IOException {
+        this.script = script;
+        socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        Thread.startVirtualThread(this::accept);
+    }
+
+    /** Returns a script that answers with a body and the request's name. */
+    static Script ok(String body) {
+        return (r, c) -> {
+            write(c, head(r, 200) + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+            return true;
+        };
+    }
+
+    static String head(Request r, int status) {
+        return "HTTP/1.1 " + status + " X\r\nHyssophitch-Request-Id: " + r.id()
+                + "\r\nHyssophitch-Response-Signature: s\r\n";
+    }
+
+    static void write(Socket connection, String text) throws IOException {
+        OutputStream out = connection.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    void become(Script value) {
+        script = value;
+    }
+
+    void setLoad(String value) {
+        load = value;
+    }
+
+    void setHealthStatus(int value) {
+        healthStatus = value;
+    }
+
+    int port() {
+        return socket.getLocalPort();
+    }
+
+    /** Returns the requests that arrived, but for questions for the load. */
+    List<Request> requests() {
+        return requests;
+    }
+
+    int connections() {
+        return connections.get();
+    }
+
+    /** Returns the connections that the other end closed while a request was being answered. */
+    int lost() {
+        return lost.get();
+    }
+
+    void noteLost() {
+        lost.incrementAndGet();
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+
+    private void accept() {
+        while (!socket.isClosed()) {
+            try {
+                Socket connection = socket.accept();
+                connections.incrementAndGet();
+                Thread.startVirtualThread(() -> serve(connection));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket connection) {
+        try (connection) {
+            InputStream in = new BufferedInputStream(connection.getInputStream());
+            boolean isKept = true;
+            while (isKept) {
+                Request r = read(in);
+                if (r == null) {
+                    return;
+                }
+                if (r.line().startsWith("GET /health ")) {
+                    write(
+                            connection,
+                            "HTTP/1.1 " + healthStatus + " X\r\nContent-Length: 0\r\n"
+                                    + (load.isEmpty() ? "" : "Hyssophitch-Server-Load: " + load + "\r\n") + "\r\n");
+                    continue;
+                }
+                requests.add(r);
+                isKept = script.answer(r, connection);
+            }
+        } catch (IOException | InterruptedException e) {
+            // The entry host closed the connection, as it may.
+        }
+    }
+
+    private static Request read(InputStream in) throws IOException {
+        String line = line(in);
+        if (line.isEmpty()) {
+            return null;
+        }
+        Map<String, String> headers = new TreeMap<>();
+        for (String h = line(in); !h.isEmpty(); h = line(in)) {
+            int colon = h.indexOf(':');
+            headers.put(
+                    h.substring(0, colon).toLowerCase(), h.substring(colon + 1).trim());
+        }
+        return new Request(line, headers, body(in, headers));
+    }
+
+    private static String body(InputStream in, Map<String, String> headers) throws IOException {
+        if ("chunked".equals(headers.get("transfer-encoding"))) {
+            StringBuilder all = new StringBuilder();
+            int size = Integer.parseInt(line(in), 16);
+            while (size > 0) {
+                all.append(new String(in.readNBytes(size), StandardCharsets.ISO_8859_1));
+                line(in);
+                size = Integer.parseInt(line(in), 16);
+            }
+            line(in);
+            return all.toString();
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        boolean isLong = length > 1_000_000;
+        return isLong ? "" : new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        for (int b = in.read(); b >= 0 && b != '\n'; b = in.read()) {
+            if (b != '\r') {
+                out.write(b);
+            }
+        }
+        return out.toString(StandardCharsets.ISO_8859_1);
+    }
+}
--- a/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
@@ -43,6 +43,7 @@
     private HttpResponse head;
     private Optional<NotRunCause> proof = Optional.empty();
     private int keptBytes;
+    private boolean isFalsePromise;
     private boolean isStarted;
     private boolean isRelaying;
     private boolean isWhole;
@@ -149,11 +150,12 @@
                 .load(action.server().name(), status, answer.headers(), now)
                 .ifPresent(r -> carrier.handle(new CallEvent.ReportsReceived(now, List.of(r))));
         proof = carrier.dialect().proofOfNotRun(status, answer.headers());
+        isFalsePromise = proof.isEmpty() && carrier.dialect().isPromise(status);
     }
 
     @Override
     public void onContent(HttpContent content) {
-        if (isOver || proof.isPresent()) {
+        if (isOver || proof.isPresent() || isFalsePromise) {
             content.release();
             return;
         }
@@ -178,6 +180,11 @@
             end(new AttemptResult.NotRun(proof.get()));
             return;
         }
+        if (isFalsePromise) {
+            // The status would tell the caller that the request was not run, which the server doesn't say.
+            end(new AttemptResult.Lost(LostCause.ANSWER_BROKEN));
+            return;
+        }
         if (isRelaying) {
             exchange.endAnswer();
         } else if (!isStarted) {
--- a/http/src/main/java/org/hyssophitch/http/CallerExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerExchange.java
@@ -248,6 +248,7 @@
         isOutputComplete = true;
         add(LastHttpContent.EMPTY_LAST_CONTENT);
         body.release();
+        attempts.values().stream().filter(a -> a != relayed).forEach(BackendAttempt::cancel);
         carrier.unregister(this);
         connection.onAnswered(this, reason, status, WallClock.nowMicros() - arrivedMicros);
         connection.flushOutput();
--- a/http/src/main/java/org/hyssophitch/http/HeaderDialect.java
+++ b/http/src/main/java/org/hyssophitch/http/HeaderDialect.java
@@ -39,6 +39,9 @@
     /** Returns the proof that an answer gives that its request was not run. */
     Optional<NotRunCause> proofOfNotRun(int status, HttpHeaders answer);
 
+    /** Returns whether a status tells the caller by itself that its request was not run. */
+    boolean isPromise(int status);
+
     /**
      * Returns the load that an answer tells.
      *
