Start from an archive of classes, open the front once the store has answered, list anew after a failed watch

Change: a static class archive from a rehearsal in the build; list after each failed watch and a short first watch then; log lines in pieces that a pipe takes whole (whole lines were lost before).

--- a/core/src/main/java/org/hyssophitch/core/store/KindFollower.java
+++ b/core/src/main/java/org/hyssophitch/core/store/KindFollower.java
@@ -9,7 +9,7 @@
 import org.hyssophitch.core.retry.Backoff;
 
 /**
- * Follows all objects of one kind: lists them once, then watches for changes, and lists anew when the history is gone.
+ * Follows all objects of one kind: lists them once, then watches for changes, and lists anew when the history is gone or a watch has failed.
  *
  * <p>Not thread-safe; owned by one thread from {@link #start} until {@link #stop}. A call that fails is repeated after
  * a growing time with jitter, so that hosts don't come back to the store all at once.
@@ -42,8 +42,10 @@
 
     /** Longest time in milliseconds for which one watch waits; {@link #refresh} ends a wait whose answer got lost. */
     private static final int WATCH_MILLIS = 8_000;
+    /** The same for the first watch after a failure: a store that loses history may be deaf to a watch begun then. */
+    private static final int DOUBTFUL_WATCH_MILLIS = 1_000;
     /** Time in microseconds in which further changes are collected before the next watch, as each call has a price. */
-    private static final long COLLECT_MICROS = 300_000;
+    private static final long COLLECT_MICROS = 600_000;
     /** Time in microseconds after a watch without changes before the next one. */
     private static final long NEXT_MICROS = 1_000;
 
@@ -61,6 +63,7 @@
     private long generation;
     private boolean hasFailed;
     private boolean isWatching;
+    private boolean isDoubtful;
     private boolean isStopped;
 
     /**
@@ -94,6 +97,7 @@
     private void list(String after) {
         if (after.isEmpty()) {
             listed = new HashMap<>();
+            isDoubtful = hasFailed || revision > 0;
         }
         store.list(kind, after, false, r -> onPage(r));
     }
@@ -125,7 +129,9 @@
             generation++;
             long current = generation;
             isWatching = true;
-            store.watch(kind, revision, WATCH_MILLIS, r -> {
+            int waitMillis = isDoubtful ? DOUBTFUL_WATCH_MILLIS : WATCH_MILLIS;
+            isDoubtful = false;
+            store.watch(kind, revision, waitMillis, r -> {
                 if (current == generation) {
                     isWatching = false;
                     onWatched(r);
@@ -135,12 +141,14 @@
     }
 
     /**
-     * Asks for changes again instead of waiting on: the store was away for other calls, so the answer to the watch under
-     * way may be lost.
+     * Lists anew instead of waiting on: the store was away for other calls, so the answer to the watch under way may be
+     * lost.
      */
     public void refresh() {
         if (isWatching) {
-            watch();
+            generation++;
+            isWatching = false;
+            list("");
         }
     }
 
@@ -151,7 +159,7 @@
         switch (result) {
             case StoreResult.Done<StoreChanges<T>> d -> onChanges(d.value());
             case StoreResult.HistoryGone<StoreChanges<T>> g -> list("");
-            default -> retry(describe(result), this::watch);
+            default -> retry(describe(result), () -> list(""));
         }
     }
 
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -62,6 +62,9 @@
     private static final double ENDING_PART = 0.95;
 
     private static final long POLL_MILLIS = 50;
+    private static final long STORE_POLL_MILLIS = 4;
+    /** Longest time in milliseconds for which the front stays closed at a start. */
+    private static final long MOST_STORE_WAIT_MILLIS = 300;
     private static final int STORE_CONNECT_MILLIS = 800;
     private static final QueueRule QUEUE = new QueueRule(256, 10_000, 0);
     private static final int LEAST_HOSTS = 13;
@@ -81,6 +84,7 @@
     private final KindFollower<Configuration> configurations;
     private final Registration registration;
     private volatile boolean isStopping;
+    private volatile boolean isConfigured;
 
     EntryProgram(EntrySettings settings) {
         this.settings = settings;
@@ -121,7 +125,6 @@
     /** Listens and begins to follow what is in the store. */
     void start() {
         EntrySettings.Addresses a = settings.addresses();
-        front.open(group, Addresses.parse(a.front()));
         open(a.readiness(), q -> reply(this::readiness));
         open(a.directory(), q -> reply(() -> directory(q)));
         open(a.metrics(), q -> reply(() -> HttpReply.text(MetricsText.of(metrics.registry()))));
@@ -131,10 +134,23 @@
             configurations.start();
             servers.start();
             registration.start();
+        });
+        awaitStore();
+        front.open(group, Addresses.parse(a.front()));
+        onLoop(() -> {
             record("started");
+            peers.refreshReadiness();
         });
     }
 
+    /** Callers that come before the store has answered would only be turned away, so the front opens a little later. */
+    private void awaitStore() {
+        long startNanos = System.nanoTime();
+        while (!isInformed() && elapsedMillis(startNanos) < MOST_STORE_WAIT_MILLIS) {
+            Pause.millis(STORE_POLL_MILLIS);
+        }
+    }
+
     /**
      * Stops as planned: callers aren't sent here any more, those that still come are served for a part of the time, and
      * every request that was taken is finished.
@@ -183,7 +199,11 @@
     }
 
     private boolean isReady() {
-        return !isStopping && router.version() > 0 && servers.isListed();
+        return !isStopping && isInformed();
+    }
+
+    private boolean isInformed() {
+        return isConfigured && servers.isListed();
     }
 
     private HttpReply directory(HttpQuery query) {
@@ -206,6 +226,7 @@
         if (router.accept(completed)) {
             carrier.handle(new CallEvent.ConfigurationAccepted(WallClock.nowMicros(), completed));
         }
+        isConfigured = true;
         peers.refreshReadiness();
     }
 
--- a/entry/src/main/java/org/hyssophitch/entry/EventLog.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EventLog.java
@@ -1,5 +1,7 @@
 package org.hyssophitch.entry;
 
+import java.util.Comparator;
+
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.load.TokenBucket;
 import org.hyssophitch.core.timeline.EventBody;
@@ -21,6 +23,7 @@
 
     private static final double TROUBLE_LINES_PER_SECOND = 60;
     private static final double BURST_SECONDS = 3;
+    private static final int MOST_CANDIDATES = 3;
 
     /** One line on a request's final answer. */
     record Answered(String event, String request, String reason, int status, long millis, long configuration) {}
@@ -53,12 +56,27 @@
                     default -> true;
                 };
         if (isWanted) {
-            Logger.info(TimelineJson.record(new Line(body.type(), requestId, body)));
+            Logger.info(TimelineJson.record(new Line(body.type(), requestId, brief(body))));
         } else {
             metrics.onDroppedLine();
         }
     }
 
+    /** Leaves out candidates that were far from being chosen. */
+    private static EventBody brief(EventBody body) {
+        return body instanceof EventBody.ServerChosen c && c.candidates().size() > MOST_CANDIDATES
+                ? new EventBody.ServerChosen(
+                        c.service(),
+                        c.attempt(),
+                        c.cause(),
+                        c.server(),
+                        c.candidates().stream()
+                                .sorted(Comparator.comparingDouble(EventBody.CandidateView::score))
+                                .limit(MOST_CANDIDATES)
+                                .toList())
+                : body;
+    }
+
     /** Writes the final answer of a request. */
     void answered(String requestId, Reason reason, int status, long elapsedMicros, long version) {
         long now = WallClock.nowMicros();
--- /dev/null
+++ b/entry/src/main/java/org/hyssophitch/entry/RehearsalMain.java
@@ -0,0 +1,104 @@
+package org.hyssophitch.entry;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+import io.netty.channel.EventLoopGroup;
+import org.hyssophitch.platform.PlatformSettings;
+import org.hyssophitch.platform.RehearsalBodies;
+import org.hyssophitch.wire.duty.Pause;
+import org.hyssophitch.wire.net.EventLoops;
+import org.hyssophitch.wire.net.HttpEndpoint;
+import org.hyssophitch.wire.net.HttpQuery;
+import org.hyssophitch.wire.net.HttpReply;
+import org.tinylog.Logger;
+
+/**
+ * Runs the program for a moment against a store and a backend server of its own, so that the build can record the
+ * classes that a start needs: a process that starts from the record serves sooner after a loss of power.
+ */
+public final class RehearsalMain {
+
+    private static final int REQUESTS = 200;
+    private static final int READY_MILLIS = 800;
+    private static final int READ_MILLIS = 2_000;
+    private static final int GRACE_MILLIS = 400;
+
+    private RehearsalMain() {}
+
+    /**
+     * Runs the rehearsal.
+     *
+     * @throws IOException when the addresses on loopback can't be used
+     * @throws PlatformSettings.SettingsException when the settings that the rehearsal writes can't be read
+     */
+    public static void main(String[] arguments) throws IOException, PlatformSettings.SettingsException {
+        System.setProperty("tinylog.configuration", "tinylog-entry.properties");
+        int[] ports = freePorts(7);
+        EventLoopGroup group = EventLoops.create(1);
+        HttpEndpoint store = endpoint(group, ports[0], q -> RehearsalBodies.store(q, ports[1]));
+        HttpEndpoint server = endpoint(group, ports[1], RehearsalMain::serve);
+        Path settings = Files.createTempFile("rehearsal", ".json");
+        Files.writeString(settings, RehearsalBodies.settings(ports, GRACE_MILLIS));
+        EntryProgram program = new EntryProgram(PlatformSettings.read(settings, ports[6]));
+        program.start();
+        Pause.millis(READY_MILLIS);
+        for (int i = 0; i < REQUESTS; i++) {
+            request(ports[2], RehearsalBodies.request(i));
+        }
+        request(ports[3], RehearsalBodies.readiness());
+        request(ports[4], RehearsalBodies.directory());
+        request(ports[6], "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        program.stop();
+        store.close();
+        server.close();
+        Files.delete(settings);
+        EventLoops.close(group);
+        Logger.info("rehearsal is over");
+        System.exit(0);
+    }
+
+    private static HttpEndpoint endpoint(
+            EventLoopGroup group, int port, Function<HttpQuery, HttpReply> answer) {
+        return new HttpEndpoint(
+                group,
+                new InetSocketAddress("127.0.0.1", port),
+                q -> CompletableFuture.completedFuture(answer.apply(q)));
+    }
+
+    private static HttpReply serve(HttpQuery query) {
+        Map<String, String> headers = RehearsalBodies.serverHeaders(query);
+        return HttpReply.text("rehearsed").withHeaders(headers);
+    }
+
+    private static void request(int port, String text) throws IOException {
+        try (Socket s = new Socket("127.0.0.1", port)) {
+            s.setSoTimeout(READ_MILLIS);
+            s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            InputStream in = s.getInputStream();
+            in.readAllBytes();
+        }
+    }
+
+    private static int[] freePorts(int count) throws IOException {
+        ServerSocket[] sockets = new ServerSocket[count];
+        int[] ports = new int[count];
+        for (int i = 0; i < count; i++) {
+            sockets[i] = new ServerSocket(0);
+            ports[i] = sockets[i].getLocalPort();
+        }
+        for (ServerSocket s : sockets) {
+            s.close();
+        }
+        return ports;
+    }
+}
--- a/entry/src/main/java/org/hyssophitch/entry/ServerBeliefs.java
+++ b/entry/src/main/java/org/hyssophitch/entry/ServerBeliefs.java
@@ -25,7 +25,7 @@
     private final CallCarrier carrier;
     private final Runnable onReturn;
     private final EventLog log;
-    private boolean isListed;
+    private volatile boolean isListed;
 
     ServerBeliefs(
             ObjectStore store,
--- a/wire/src/main/java/org/hyssophitch/wire/report/JsonLineWriter.java
+++ b/wire/src/main/java/org/hyssophitch/wire/report/JsonLineWriter.java
@@ -29,7 +29,9 @@
 public final class JsonLineWriter implements Writer {
 
     private static final int CAPACITY = 2_048;
-    private static final long FLUSH_MILLIS = 300;
+    private static final long FLUSH_MILLIS = 100;
+    /** Length up to which lines are written at once, which a pipe takes whole. */
+    private static final int PIECE_CHARS = 3_000;
     private static final JsonFactory FACTORY = new JsonFactory();
     private static final LongAdder DROPPED = new LongAdder();
 
@@ -122,6 +124,18 @@
 
     private synchronized void drain(List<String> batch) throws IOException {
         lines.drainTo(batch);
-        out.write(String.join("", batch).getBytes(StandardCharsets.UTF_8));
+        StringBuilder piece = new StringBuilder();
+        for (String line : batch) {
+            if (piece.length() + line.length() > PIECE_CHARS && !piece.isEmpty()) {
+                print(piece);
+            }
+            piece.append(line);
+        }
+        print(piece);
+    }
+
+    private void print(StringBuilder piece) throws IOException {
+        out.write(piece.toString().getBytes(StandardCharsets.UTF_8));
+        piece.setLength(0);
     }
 }
