Wait for a server that lets the call be in time, hedge at half of the target, ask with fewer bytes

Cause: a fifth of the calls were late without overload, since slow servers with room were taken at once and a machine that turned slow kept its call. Change: a call takes a server only if it can be in time there, any once it is late; the cost of a slow machine counts for as long as such a speed lasts; second attempts at half of the target where nobody waits; the identity is checked in the answer to a question, not sent with it.

--- a/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
@@ -201,17 +201,15 @@
             return;
         }
         int fixedMillis = call.service().service().retry().hedgeAfterMillis();
-        long after = fixedMillis > 0
-                ? fixedMillis * MICROS_PER_MILLI
-                : Math.max(call.service().latency().lateMicros(), leastHedgeMicros(call));
+        long after = fixedMillis > 0 ? fixedMillis * MICROS_PER_MILLI : hedgeMicros(call);
         state.timers()
                 .add(new EngineState.Timer(nowMicros + after, call.callId(), a.number(), EngineState.TimerKind.HEDGE));
     }
 
     /** A call that is still well within its target gets no second attempt, as both would take room from other calls. */
-    private static long leastHedgeMicros(ActiveCall call) {
-        long target = call.request().terms().targetMicros();
-        return target == Long.MAX_VALUE ? 0 : (long) ((target - call.arrivedMicros()) * HEDGE_TARGET_SHARE);
+    private static long hedgeMicros(ActiveCall call) {
+        long span = call.request().terms().spanMicros();
+        return span == 0 ? call.service().latency().lateMicros() : (long) (span * HEDGE_TARGET_SHARE);
     }
 
     /** Returns what may be done with a call's request. */
--- a/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
+++ b/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
@@ -30,11 +30,13 @@
     /** Time in microseconds that a round waits for answers. */
     private static final long ROUND_MICROS = 8_000;
     /** Least time in microseconds between two rounds for calls that found no room, before jitter of the same length. */
-    private static final long PAUSE_MICROS = 12_000;
+    private static final long PAUSE_MICROS = 16_000;
     /** Age in microseconds up to which a report counts as an answer to the question. */
     private static final long FRESH_MICROS = 40_000;
     /** Relative cost up to which a server of the own zone is taken without asking the others. */
     private static final double GOOD_COST = 1.5;
+    /** Servers of other zones that are asked in one round; their answers cross zones, which has a price. */
+    private static final int MOST_FAR = 3;
     /** Servers of the own zone from which on those are asked first. */
     private static final int ENOUGH_NEAR = 2;
     /** Part of the time to its deadline that a call may wait which can't be in time any more. */
@@ -156,7 +158,7 @@
                 return affordable;
             }
         }
-        return affordable(usable, most, nowMicros);
+        return affordable(usable, asked.isEmpty() ? most : MOST_FAR, nowMicros);
     }
 
     private static List<ServerState> affordable(List<ServerState> servers, int most, long nowMicros) {
@@ -191,12 +193,26 @@
     /** Returns whether an answer will probably come after the call's target even if it starts now. */
     private static boolean isLate(ActiveCall call, long nowMicros) {
         CallTerms terms = call.request().terms();
-        double needed = terms.spanMicros() * call.service().usualShare();
-        return nowMicros + needed > terms.targetMicros();
+        return nowMicros + needed(call) > terms.targetMicros();
+    }
+
+    /** Returns the time in microseconds that the call usually takes; 0 when its route names no target. */
+    private static double needed(ActiveCall call) {
+        return call.request().terms().spanMicros() * call.service().usualShare();
+    }
+
+    /**
+     * Returns the relative cost up to which a server still lets the call be in time. A call waits for a better server as
+     * long as that can help it, and takes any once it is late.
+     */
+    private static double affordable(ActiveCall call, long nowMicros) {
+        double needed = needed(call);
+        boolean isAny = needed == 0 || isLate(call, nowMicros);
+        return isAny ? Double.MAX_VALUE : (call.request().terms().targetMicros() - nowMicros) / needed;
     }
 
     private boolean placeOne(ActiveCall call, double mostCost, long nowMicros) {
-        LoadPlacement placement = new LoadPlacement(state.settings().zone(), nowMicros);
+        LoadPlacement placement = new LoadPlacement(state.settings().zone(), nowMicros, needed(call));
         boolean isHedge = !call.attempts().isEmpty();
         List<ServerState> untried = call.service().untried(call.tried()).stream()
                 .filter(s -> s.isEligible(nowMicros) && !s.isRefusing(nowMicros))
@@ -209,7 +225,8 @@
                 .toList();
         boolean hasFurther = mostCost < Double.MAX_VALUE;
         Optional<ServerState> chosen = placement.choose(fresh.isEmpty() && !hasFurther ? untried : fresh);
-        if (chosen.isEmpty() || placement.cost(chosen.get()) > mostCost) {
+        double acceptable = isHedge ? GOOD_COST : Math.min(mostCost, affordable(call, nowMicros));
+        if (chosen.isEmpty() || placement.cost(chosen.get()) > acceptable) {
             return false;
         }
         Choice choice = new Choice(chosen.get(), views(untried, placement, chosen.get(), nowMicros));
@@ -267,8 +284,7 @@
         if (terms.spanMicros() == 0) {
             return nowMicros + Math.min(left, DEFAULT_WAIT_MICROS);
         }
-        long inTime = terms.targetMicros()
-                - (long) (terms.spanMicros() * call.service().usualShare());
+        long inTime = terms.targetMicros() - (long) needed(call) + LEAST_WAIT_MICROS;
         long brief = nowMicros + Math.max(LEAST_WAIT_MICROS, (long) (left * LATE_WAIT_SHARE));
         return Math.min(
                 Math.max(inTime, isLate(call, nowMicros) ? brief : nowMicros + LEAST_WAIT_MICROS),
--- a/core/src/main/java/org/hyssophitch/core/routing/LoadPlacement.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/LoadPlacement.java
@@ -3,8 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 
-import org.hyssophitch.core.load.LoadReport;
-
 /**
  * Places a call by load that was asked for when the call arrived. Stateless.
  *
@@ -27,18 +25,26 @@
     /** Age in microseconds up to which a report still tells a server's speed. */
     private static final long SPEED_AGE_MICROS = 150_000;
 
+    /** Time in microseconds for which the speed of a shared machine lasts on average. */
+    private static final double SPEED_LASTS_MICROS = 300_000;
+    /** Average speed of a shared machine, relative to its usual one. */
+    private static final double AVERAGE_SPEED = 0.8;
+
     private final String zone;
     private final long nowMicros;
+    private final double workMicros;
 
     /**
      * Creates a placement for one moment.
      *
      * @param zone availability zone of this entry host
      * @param nowMicros current time in microseconds
+     * @param workMicros time in microseconds that the call usually takes; 0 when it isn't known
      */
-    public LoadPlacement(String zone, long nowMicros) {
+    public LoadPlacement(String zone, long nowMicros, double workMicros) {
         this.zone = zone;
         this.nowMicros = nowMicros;
+        this.workMicros = workMicros;
     }
 
     /** Returns the number of calls up to which the server doesn't slow down; at least one. */
@@ -84,7 +90,16 @@
     private double speed(ServerState s) {
         return s.report()
                 .filter(r -> r.ageMicros(nowMicros) <= SPEED_AGE_MICROS)
-                .map(LoadReport::slowdown)
+                .map(r -> lasting(r.slowdown()))
                 .orElse(1.0);
     }
+
+    /** A slow machine speeds up again before long, so the slow-down of a long call is smaller than that of a short one. */
+    private double lasting(double slowdown) {
+        if (workMicros <= 0 || slowdown <= 1) {
+            return slowdown;
+        }
+        double rest = Math.max(0, workMicros - SPEED_LASTS_MICROS / slowdown);
+        return Math.min(slowdown, (SPEED_LASTS_MICROS + rest / AVERAGE_SPEED) / workMicros);
+    }
 }
--- a/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
@@ -16,7 +16,7 @@
 public final class ServerState {
 
     /** Time in microseconds for which a server that was just learnt of has earned questions. */
-    private static final long ASK_HEAD_START_MICROS = 1_000_000;
+    private static final long ASK_HEAD_START_MICROS = 3_000_000;
     /** Time in microseconds for which a server gets no work after it refused or failed to answer. */
     private static final long REFUSAL_MICROS = 250_000;
     /** Weight of a new sample in the moving average of the pace. */
--- a/http/src/main/java/org/hyssophitch/http/HeaderDialect.java
+++ b/http/src/main/java/org/hyssophitch/http/HeaderDialect.java
@@ -27,8 +27,8 @@
      */
     void prepareRequest(HttpHeaders headers, BackendServer server, long remainingMillis);
 
-    /** Sets the headers of a question for a server's load. */
-    void prepareAsk(HttpHeaders headers, BackendServer server);
+    /** Returns whether the answer to a question for the load comes from the server that was meant. */
+    boolean isFrom(HttpHeaders answer, BackendServer server);
 
     /** Returns whether an answer belongs to the request of the given name. */
     boolean isAnswerTo(HttpHeaders answer, String requestId);
--- a/http/src/main/java/org/hyssophitch/http/LoadAsker.java
+++ b/http/src/main/java/org/hyssophitch/http/LoadAsker.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
-import org.hyssophitch.core.call.AttemptResult.NotRunCause;
 import org.hyssophitch.core.call.CallAction;
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.call.CallEvent.AskOutcome;
@@ -80,7 +79,6 @@
             connection = opened;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
             request.headers().set(HttpHeaderNames.HOST, server.host() + ":" + server.port());
-            dialect.prepareAsk(request.headers(), server);
             opened.channel().writeAndFlush(request);
             opened.setRequestWritten();
         }
@@ -105,9 +103,7 @@
             long now = WallClock.nowMicros();
             int status = answer.status().code();
             Optional<LoadReport> report = dialect.load(server.name(), status, answer.headers(), now);
-            boolean isOther = dialect.proofOfNotRun(status, answer.headers())
-                    .filter(c -> c == NotRunCause.WRONG_INSTANCE)
-                    .isPresent();
+            boolean isOther = !dialect.isFrom(answer.headers(), server);
             if (isOther) {
                 end(Optional.empty(), AskOutcome.WRONG_INSTANCE);
             } else {
