--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
@@ -0,0 +1,281 @@
+package org.hyssophitch.entry;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import org.hyssophitch.core.entry.EntrySettings;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+/** Entry hosts as a whole, against a stand-in of the platform's store. */
+public class EntryProgramTest {
+
+    private static final String HOSTS = "hyssophitch-entry-hosts";
+    private static final int GRACE_MILLIS = 1_500;
+    /** Time in milliseconds within which a change has to be in force everywhere. */
+    private static final long IN_FORCE_MILLIS = 2_000;
+
+    private int storePort;
+    private StoreStandin store;
+    private ScriptedServer first;
+    private ScriptedServer second;
+    private List<EntryProgram> programs;
+    private EntrySettings settings;
+
+    @BeforeMethod
+    public void setUp() throws IOException {
+        storePort = freePort();
+        store = new StoreStandin(storePort);
+        first = new ScriptedServer(ScriptedServer.ok("first"));
+        second = new ScriptedServer(ScriptedServer.ok("second"));
+        programs = new ArrayList<>();
+        settings = settings("host-1");
+    }
+
+    @AfterMethod
+    public void tearDown() throws IOException {
+        programs.forEach(EntryProgram::stop);
+        store.close();
+        first.close();
+        second.close();
+    }
+
+    @Test
+    public void isNotReadyBeforeAConfigurationIsThereAndPromisesNotRun() throws Exception {
+        start(settings);
+        assertEquals(ready(settings), 503);
+        assertTrue(request(settings, "/s/x").startsWith("HTTP/1.1 503"));
+        configure(1, "svc");
+        await(() -> ready(settings) == 200);
+    }
+
+    @Test
+    public void bringsEachConfigurationIntoForceAndNeverAnOlderOne() throws Exception {
+        configure(1, "svc");
+        register("i-1", first, "svc", "ready");
+        register("i-2", second, "other", "ready");
+        start(settings);
+        await(() -> request(settings, "/s/x").endsWith("first"));
+        configure(5, "other");
+        await(() -> request(settings, "/s/x").endsWith("second"));
+        configure(3, "svc");
+        Thread.sleep(IN_FORCE_MILLIS);
+        assertTrue(request(settings, "/s/x").endsWith("second"));
+    }
+
+    @Test
+    public void sendsNoWorkToADrainingServer() throws Exception {
+        configure(1, "svc");
+        register("i-1", first, "svc", "ready");
+        register("i-2", second, "svc", "ready");
+        start(settings);
+        await(() -> request(settings, "/s/x").startsWith("HTTP/1.1 200"));
+        register("i-1", first, "svc", "draining");
+        Thread.sleep(IN_FORCE_MILLIS);
+        first.requests().clear();
+        for (int i = 0; i < 10; i++) {
+            assertTrue(request(settings, "/s/x").endsWith("second"));
+        }
+        assertEquals(first.requests(), List.of());
+    }
+
+    @Test
+    public void learnsOfALeavingServerAfterTheHistoryWasDropped() throws Exception {
+        configure(1, "svc");
+        register("i-1", first, "svc", "ready");
+        register("i-2", second, "svc", "ready");
+        start(settings);
+        await(() -> request(settings, "/s/x").startsWith("HTTP/1.1 200"));
+        store.compact();
+        store.remove("servers", "i-1");
+        store.compact();
+        Thread.sleep(IN_FORCE_MILLIS);
+        first.requests().clear();
+        for (int i = 0; i < 10; i++) {
+            assertTrue(request(settings, "/s/x").endsWith("second"));
+        }
+        assertEquals(first.requests(), List.of());
+    }
+
+    @DataProvider
+    Object[][] outages() {
+        return new Object[][] {
+            {StoreStandin.Mood.REFUSING}, {StoreStandin.Mood.THROTTLING}, {StoreStandin.Mood.SILENT},
+        };
+    }
+
+    @Test(dataProvider = "outages")
+    public void servesOnWhileTheStoreIsAwayAndCatchesUpAfterwards(StoreStandin.Mood outage) throws Exception {
+        configure(1, "svc");
+        register("i-1", first, "svc", "ready");
+        register("i-2", second, "other", "ready");
+        start(settings);
+        await(() -> request(settings, "/s/x").endsWith("first"));
+        store.setMood(outage);
+        store.compact();
+        configure(2, "other");
+        Thread.sleep(700);
+        assertTrue(request(settings, "/s/x").endsWith("first"));
+        int callsBefore = store.calls().size();
+        Thread.sleep(1_000);
+        int callsPerSecond = store.calls().size() - callsBefore;
+        assertTrue(callsPerSecond <= 15, callsPerSecond + " calls in a second of an outage");
+        store.setMood(StoreStandin.Mood.USUAL);
+        await(() -> request(settings, "/s/x").endsWith("second"));
+    }
+
+    @Test
+    public void entryHostsKnowEachOtherAndAnswerForEachOther() throws Exception {
+        configure(1, "svc");
+        EntrySettings other = settings("host-2");
+        start(settings);
+        EntryProgram leaving = start(other);
+        await(() -> directory(settings).contains(other.addresses().front())
+                && directory(other).contains(settings.addresses().front()));
+        leaving.stop();
+        programs.remove(leaving);
+        await(() -> !directory(settings).contains(other.addresses().front()));
+        assertTrue(directory(settings).contains(settings.addresses().front()));
+    }
+
+    @Test
+    public void registersItselfOnceAlthoughTheAnswerIsLost() throws Exception {
+        store.put(
+                HOSTS, "host-1", "{\"incarnation\":1,\"zone\":\"z1\",\"peer\":\"1.1.1.1:1\",\"front\":\"1.1.1.1:2\"}");
+        configure(1, "svc");
+        store.setMood(StoreStandin.Mood.LOSING_WRITE_ANSWERS);
+        start(settings);
+        await(() -> store.get(HOSTS, "host-1").path("incarnation").asLong() > 1);
+        store.setMood(StoreStandin.Mood.USUAL);
+        assertNotNull(store.get(HOSTS, "host-1"));
+        assertEquals(
+                store.get(HOSTS, "host-1").path("front").asText(),
+                settings.addresses().front());
+    }
+
+    @Test
+    public void stopsWithoutCuttingOffWhatItTook() throws Exception {
+        configure(1, "svc");
+        register("i-1", first, "svc", "ready");
+        first.become((r, c) -> {
+            Thread.sleep(500);
+            return ScriptedServer.ok("whole").answer(r, c);
+        });
+        EntryProgram program = start(settings);
+        await(() -> ready(settings) == 200);
+        CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> request(settings, "/s/x"));
+        Thread.sleep(150);
+        CompletableFuture<Void> stop = CompletableFuture.runAsync(program::stop);
+        Thread.sleep(150);
+        assertEquals(ready(settings), 503);
+        assertTrue(answer.get(3, TimeUnit.SECONDS).endsWith("whole"));
+        assertTrue(request(settings, "/s/x").endsWith("whole"), "callers that kept the address are served on");
+        stop.get(3, TimeUnit.SECONDS);
+        programs.remove(program);
+        assertNull(store.get(HOSTS, "host-1"));
+    }
+
+    private EntryProgram start(EntrySettings s) {
+        EntryProgram program = new EntryProgram(s);
+        programs.add(program);
+        program.start();
+        return program;
+    }
+
+    private void configure(int version, String service) {
+        String cluster = "{\"name\":\"%s\",\"health_check_path\":\"/health\",\"max_connections\":220}";
+        store.put(
+                "config",
+                "main",
+                """
+                {"version":"r%d","limits":{},"clusters":[%s,%s],"listeners":[{"host":"h.example","rules":[
+                 {"name":"r","kind":"safe","target_latency_ms":600,"priority":1,"match":{"path_prefix":"/s/"},
+                  "action":{"service":"%s","timeout_ms":1500,"max_attempts":2}}]}]}
+                """
+                        .formatted(version, cluster.formatted("svc"), cluster.formatted("other"), service));
+    }
+
+    private void register(String id, ScriptedServer server, String service, String state) {
+        store.put(
+                "servers",
+                id,
+                """
+                {"address":"127.0.0.1:%d","born":1,"information":{"service":"%s","zone":"z1","slots":3},
+                 "status":{"state":"%s","sequence":1,"cold_remaining_ms":0}}
+                """
+                        .formatted(server.port(), service, state));
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(8);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "the condition didn't come true in time");
+            Thread.sleep(25);
+        }
+    }
+
+    private static String request(EntrySettings s, String path) {
+        return send(s.addresses().front(), DataPath.get(path, "id"));
+    }
+
+    private static int ready(EntrySettings s) {
+        String answer =
+                send(s.addresses().readiness(), "GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        return answer.startsWith("HTTP/1.1 200") ? 200 : 503;
+    }
+
+    private static String directory(EntrySettings s) {
+        return send(
+                s.addresses().directory(),
+                "GET /v1/resolution?name=h.example&region=r&zone=z1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    }
+
+    private static String send(String address, String text) {
+        int colon = address.indexOf(':');
+        try (Socket s = new Socket("127.0.0.1", Integer.parseInt(address.substring(colon + 1)))) {
+            s.setSoTimeout(3_000);
+            s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return DataPath.read(s, 1);
+        } catch (IOException e) {
+            return "no connection: " + e;
+        }
+    }
+
+    private EntrySettings settings(String host) throws IOException {
+        EntrySettings.Addresses addresses = new EntrySettings.Addresses(
+                "127.0.0.1:" + freePort(),
+                "127.0.0.1:" + freePort(),
+                "127.0.0.1:" + freePort(),
+                "127.0.0.1:" + freePort(),
+                "127.0.0.1:" + freePort());
+        return new EntrySettings(
+                host,
+                "z1",
+                "r",
+                Map.of("z1", "r"),
+                addresses,
+                "127.0.0.1:" + storePort,
+                new EntrySettings.Bounds(GRACE_MILLIS, 0.2, 1_000, 10_000, 10_000, 5));
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0)) {
+            return s.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/StoreStandin.java
@@ -0,0 +1,223 @@
+package org.hyssophitch.entry;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+import org.hyssophitch.wire.net.EventLoops;
+import org.hyssophitch.wire.net.HttpEndpoint;
+import org.hyssophitch.wire.net.HttpQuery;
+import org.hyssophitch.wire.net.HttpReply;
+
+/**
+ * Stand-in of the platform's store that keeps its published contract, and breaks it on demand. Thread-safe.
+ */
+final class StoreStandin implements AutoCloseable {
+
+    /** What the store does with calls. */
+    enum Mood {
+        USUAL,
+        REFUSING,
+        THROTTLING,
+        SILENT,
+        /** Writes are done, and their answers are lost. */
+        LOSING_WRITE_ANSWERS
+    }
+
+    private static final JsonMapper JSON = new JsonMapper();
+    private static final String PREFIX = "/v1/objects/";
+
+    private record Event(long revision, String kind, ObjectNode object, boolean deleted) {}
+
+    private record Waiting(String kind, long revision, CompletableFuture<HttpReply> answer) {}
+
+    private final EventLoopGroup group = EventLoops.create(1);
+    private final HttpEndpoint endpoint;
+    private final Map<String, Map<String, ObjectNode>> kinds = new HashMap<>();
+    private final List<Event> history = new ArrayList<>();
+    private final List<Waiting> waiting = new ArrayList<>();
+    private final List<String> calls = new ArrayList<>();
+    private long revision = 1;
+    private long forgotten;
+    private Mood mood = Mood.USUAL;
+
+    StoreStandin(int port) {
+        endpoint = new HttpEndpoint(group, new InetSocketAddress("127.0.0.1", port), this::handle);
+    }
+
+    synchronized void setMood(Mood value) {
+        mood = value;
+    }
+
+    /** Forgets the history and cuts the watches that wait. */
+    synchronized void compact() {
+        forgotten = revision;
+        history.clear();
+        waiting.forEach(w -> w.answer().complete(HttpReply.empty(410)));
+        waiting.clear();
+    }
+
+    /** Writes an object as the operator or a backend server does. */
+    synchronized void put(String kind, String name, String specification) {
+        try {
+            store(kind, name, JSON.readTree(specification));
+        } catch (JsonProcessingException e) {
+            throw new AssertionError("test object is no JSON", e);
+        }
+    }
+
+    synchronized void remove(String kind, String name) {
+        ObjectNode object = kinds.getOrDefault(kind, Map.of()).get(name);
+        if (object != null) {
+            kinds.get(kind).remove(name);
+            revision++;
+            tell(new Event(revision, kind, object, true));
+        }
+    }
+
+    /** Returns an object's value, or null. */
+    synchronized JsonNode get(String kind, String name) {
+        ObjectNode object = kinds.getOrDefault(kind, Map.of()).get(name);
+        return object == null ? null : object.get("specification");
+    }
+
+    /** Returns the calls so far, each as method and path. */
+    synchronized List<String> calls() {
+        return List.copyOf(calls);
+    }
+
+    @Override
+    public void close() {
+        endpoint.close();
+        EventLoops.close(group);
+    }
+
+    private synchronized CompletionStage<HttpReply> handle(HttpQuery q) {
+        calls.add(q.method() + ' ' + q.path());
+        if (mood == Mood.SILENT) {
+            return new CompletableFuture<>();
+        }
+        if (mood == Mood.REFUSING || mood == Mood.THROTTLING) {
+            return done(HttpReply.empty(mood == Mood.REFUSING ? 503 : 429));
+        }
+        String[] parts = q.path().substring(PREFIX.length()).split("/");
+        boolean isWrite = !q.method().equals("GET");
+        CompletionStage<HttpReply> answer = isWrite ? done(write(q, parts)) : read(q, parts[0]);
+        return isWrite && mood == Mood.LOSING_WRITE_ANSWERS ? new CompletableFuture<>() : answer;
+    }
+
+    private CompletionStage<HttpReply> read(HttpQuery q, String kind) {
+        if (!q.parameters().containsKey("watch")) {
+            return done(list(kind, q.parameter("after", "")));
+        }
+        long since = q.parameter("watch", 0L);
+        if (since < forgotten) {
+            return done(HttpReply.empty(410));
+        }
+        List<Event> news = history.stream()
+                .filter(e -> e.kind().equals(kind) && e.revision() > since)
+                .toList();
+        if (!news.isEmpty()) {
+            return done(events(news));
+        }
+        CompletableFuture<HttpReply> answer = new CompletableFuture<>();
+        waiting.add(new Waiting(kind, since, answer));
+        group.schedule(() -> answer.complete(events(List.of())), q.parameter("wait_ms", 0L), TimeUnit.MILLISECONDS);
+        return answer;
+    }
+
+    private HttpReply write(HttpQuery q, String[] parts) {
+        try {
+            return switch (q.method()) {
+                case "POST" -> {
+                    JsonNode body = JSON.readTree(q.body());
+                    String name = body.path("metadata").path("name").asText();
+                    yield kinds.getOrDefault(parts[0], Map.of()).containsKey(name)
+                            ? HttpReply.json(409, "{}")
+                            : HttpReply.json(
+                                    200,
+                                    store(parts[0], name, body.get("specification"))
+                                            .toString());
+                }
+                case "PUT" -> {
+                    JsonNode body = JSON.readTree(q.body());
+                    ObjectNode known = kinds.getOrDefault(parts[0], Map.of()).get(parts[1]);
+                    long expected = body.path("metadata").path("revision").asLong();
+                    yield known == null
+                            ? HttpReply.json(404, "{}")
+                            : known.path("metadata").path("revision").asLong() != expected
+                                    ? HttpReply.json(409, "{}")
+                                    : HttpReply.json(
+                                            200,
+                                            store(parts[0], parts[1], body.get("specification"))
+                                                    .toString());
+                }
+                case "DELETE" -> {
+                    boolean isThere = kinds.getOrDefault(parts[0], Map.of()).containsKey(parts[1]);
+                    remove(parts[0], parts[1]);
+                    yield HttpReply.json(isThere ? 200 : 404, "{}");
+                }
+                default -> HttpReply.empty(405);
+            };
+        } catch (IOException e) {
+            return HttpReply.empty(400);
+        }
+    }
+
+    private ObjectNode store(String kind, String name, JsonNode specification) {
+        revision++;
+        ObjectNode object = JSON.createObjectNode();
+        object.putObject("metadata").put("name", name).put("revision", revision);
+        object.set("specification", specification);
+        object.putNull("status");
+        kinds.computeIfAbsent(kind, k -> new TreeMap<>()).put(name, object);
+        tell(new Event(revision, kind, object, false));
+        return object;
+    }
+
+    private void tell(Event event) {
+        history.add(event);
+        List<Waiting> met = waiting.stream()
+                .filter(w -> w.kind().equals(event.kind()) && w.revision() < event.revision())
+                .toList();
+        waiting.removeAll(met);
+        met.forEach(w -> w.answer().complete(events(List.of(event))));
+    }
+
+    private HttpReply list(String kind, String after) {
+        ObjectNode answer = JSON.createObjectNode();
+        ArrayNode items = answer.putArray("items");
+        kinds.getOrDefault(kind, Map.of()).forEach((name, o) -> {
+            if (name.compareTo(after) > 0) {
+                items.add(o);
+            }
+        });
+        answer.put("has_more", false).put("store_revision", revision);
+        return HttpReply.json(200, answer.toString());
+    }
+
+    private HttpReply events(List<Event> events) {
+        ObjectNode answer = JSON.createObjectNode();
+        ArrayNode list = answer.putArray("events");
+        events.forEach(e -> list.addObject().put("deleted", e.deleted()).set("object", e.object()));
+        answer.put("store_revision", revision);
+        return HttpReply.json(200, answer.toString());
+    }
+
+    private static CompletionStage<HttpReply> done(HttpReply reply) {
+        return CompletableFuture.completedFuture(reply);
+    }
+}
