--- a/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
@@ -1,12 +1,7 @@
 package org.hyssophitch.core.call;
 
-import java.util.List;
-import java.util.Set;
-import java.util.stream.Collectors;
-
 import org.hyssophitch.core.call.AttemptResult.LostCause;
 import org.hyssophitch.core.call.AttemptResult.NotRunCause;
-import org.hyssophitch.core.health.SuspectRegister.Suspicion;
 import org.hyssophitch.core.health.SuspectRegister.Verdict;
 import org.hyssophitch.core.routing.ServerState;
 import org.hyssophitch.core.timeline.EventBody;
@@ -56,7 +51,7 @@
             return;
         }
         if (e.result() instanceof AttemptResult.Lost l && l.cause() == LostCause.CONNECTION_LOST) {
-            noteCrash(a.server(), e.nowMicros());
+            state.crashes().onLost(a.server(), call.service(), e.nowMicros());
         }
         long elapsed = finisher.release(call, a, e.nowMicros());
         state.record(
@@ -199,22 +194,6 @@
         }
     }
 
-    private void noteCrash(ServerState server, long nowMicros) {
-        Set<String> inFlight = state.calls().values().stream()
-                .filter(c -> c.attempts().stream().anyMatch(a -> a.server() == server))
-                .map(c -> c.request().fingerprint())
-                .collect(Collectors.toSet());
-        List<Suspicion> found = state.suspects().onCrash(server.name(), inFlight, nowMicros);
-        if (!found.isEmpty()) {
-            state.emit(new CallAction.ShareSuspicions(found));
-        }
-        found.forEach(s -> state.recorder()
-                .record(
-                        nowMicros,
-                        "",
-                        new EventBody.RequestSuspected(s.fingerprint(), Verdict.SUSPECT.name(), s.score())));
-    }
-
     private void recordHealth(ServerState server, String health, long nowMicros) {
         state.recorder().record(nowMicros, "", new EventBody.ServerHealthChanged(server.name(), health));
     }
--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -188,6 +188,7 @@
     }
 
     private void onLoadAnswered(CallEvent.LoadAnswered e) {
+        state.crashes().onAnswer(e.server(), e.outcome(), e.nowMicros());
         ServerState server = state.servers().get(e.server());
         if (server != null) {
             server.onAskAnswered(e.outcome() == CallEvent.AskOutcome.ACCEPTING, e.nowMicros());
--- a/core/src/main/java/org/hyssophitch/core/call/EngineState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/EngineState.java
@@ -37,7 +37,8 @@
     private final ServerSelector selector;
     private final EventRecorder recorder;
     private final TicketRegister tickets;
-    private final SuspectRegister suspects = new SuspectRegister();
+    private final SuspectRegister suspects;
+    private final CrashWatch crashes = new CrashWatch(this);
     private final Map<String, ServiceState> services = new HashMap<>();
     private final Map<String, ServerState> servers = new HashMap<>();
     private final Map<Long, ActiveCall> calls = new HashMap<>();
@@ -55,6 +56,7 @@
         this.random = random;
         this.selector = new ServerSelector(random);
         this.recorder = recorder;
+        this.suspects = settings.fleet().isPresent() ? SuspectRegister.strict() : new SuspectRegister();
         this.tickets = new TicketRegister(settings.host(), settings.incarnation());
     }
 
@@ -100,6 +102,10 @@
         return tickets;
     }
 
+    CrashWatch crashes() {
+        return crashes;
+    }
+
     SuspectRegister suspects() {
         return suspects;
     }
--- a/core/src/main/java/org/hyssophitch/core/health/SuspectRegister.java
+++ b/core/src/main/java/org/hyssophitch/core/health/SuspectRegister.java
@@ -40,6 +40,10 @@
 
     private static final double CONVICTION_SCORE = 1.2;
     private static final int CONVICTION_SERVERS = 2;
+    /** The same where refusing a harmless request costs more than one more crash. */
+    private static final double STRICT_SCORE = 2;
+
+    private static final int STRICT_SERVERS = 3;
     private static final long MEMORY_MICROS = 600_000_000L;
     private static final int MAX_SUSPECTS = 1_000;
 
@@ -59,6 +63,24 @@
         }
     };
 
+    private final int convictionServers;
+    private final double convictionScore;
+
+    /** Creates a register that convicts after the crashes of two servers. */
+    public SuspectRegister() {
+        this(CONVICTION_SERVERS, CONVICTION_SCORE);
+    }
+
+    private SuspectRegister(int convictionServers, double convictionScore) {
+        this.convictionServers = convictionServers;
+        this.convictionScore = convictionScore;
+    }
+
+    /** Creates a register that convicts after the crashes of three servers. */
+    public static SuspectRegister strict() {
+        return new SuspectRegister(STRICT_SERVERS, STRICT_SCORE);
+    }
+
     /** Returns what may be done with a request of the given fingerprint. */
     public Verdict verdict(String fingerprint, long nowMicros) {
         Suspect e = entries.get(fingerprint);
@@ -70,7 +92,7 @@
             entries.remove(fingerprint);
             return Verdict.CLEAR;
         }
-        boolean isConvicted = e.byServer.size() >= CONVICTION_SERVERS && e.score() >= CONVICTION_SCORE;
+        boolean isConvicted = e.byServer.size() >= convictionServers && e.score() >= convictionScore;
         return isConvicted ? Verdict.CONVICTED : Verdict.SUSPECT;
     }
 
--- a/core/src/test/java/org/hyssophitch/core/call/LoadRoundsTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/LoadRoundsTest.java
@@ -146,6 +146,54 @@
         assertFalse(engine.servers().get("s0@2").isLeaving());
     }
 
+    /** The load that this answers: resets of single connections, which blame no request as long as the server lives. */
+    @Test
+    public void blamesARequestOnlyForServersThatReallyCrashed() {
+        for (int i = 1; i <= 6; i++) {
+            loseAnswer(i, AskOutcome.ACCEPTING);
+        }
+        assertFalse(isRefused(100), "resets alone convicted a request");
+        for (int i = 7; i <= 12; i++) {
+            loseAnswer(i, AskOutcome.FAILED);
+        }
+        assertTrue(isRefused(101), "a request that crashed every server goes on");
+    }
+
+    /** Sends the same request to a server whose connection breaks, and lets that server answer a question or not. */
+    private void loseAnswer(long id, AskOutcome afterwards) {
+        pass(6_000 * MILLI);
+        engine.handle(new CallEvent.CallArrived(now, request(id, "same", false)));
+        List<CallAction> placed = new ArrayList<>(answer("s0", id % 3 == 0 ? 0 : 2, 100));
+        placed.addAll(answer("s1", id % 3 == 1 ? 0 : 2, 100));
+        placed.addAll(answer("s2", id % 3 == 2 ? 0 : 2, 100));
+        for (String server : started(placed)) {
+            engine.handle(new CallEvent.AttemptEnded(
+                    now, id, 1, new AttemptResult.Lost(AttemptResult.LostCause.CONNECTION_LOST)));
+            engine.handle(new CallEvent.LoadAnswered(now, server, Optional.empty(), afterwards));
+        }
+    }
+
+    private boolean isRefused(long id) {
+        pass(6_000 * MILLI);
+        return engine.handle(new CallEvent.CallArrived(now, request(id, "same", false))).stream()
+                .anyMatch(a -> a instanceof CallAction.AnswerCaller c && c.reason() == Reason.REQUEST_CONVICTED);
+    }
+
+    private CallRequest request(long id, String fingerprint, boolean isIdempotent) {
+        return new CallRequest(
+                id,
+                "r" + id,
+                "s",
+                isIdempotent,
+                Optional.empty(),
+                now + DEADLINE,
+                0,
+                true,
+                true,
+                fingerprint,
+                new CallTerms(2, 1, now + SPAN, SPAN));
+    }
+
     private List<CallAction> arrive(long id) {
         return arrive(id, 0);
     }
--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/FramingFuzzTest.java
@@ -0,0 +1,183 @@
+package org.hyssophitch.entry;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.IntStream;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Seeded mutations of requests and answers: nothing crashes, nobody gets another's answer, nothing is smuggled. */
+public class FramingFuzzTest {
+
+    private static final int CASES_PER_SEED = 300;
+    private static final int ANSWERS_PER_SEED = 40;
+    private static final int READ_MILLIS = 25;
+    private static final Pattern ID = Pattern.compile("(?i)Hyssophitch-Request-Id:\\s*([a-z0-9-]+)");
+    private static final Pattern ANSWERED = Pattern.compile("own-([a-z0-9-]+)!");
+
+    @DataProvider
+    Object[][] seeds() {
+        return IntStream.range(0, 5).mapToObj(i -> new Object[] {i}).toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "seeds")
+    public void mutatedRequestsAreNeitherMixedNorSmuggled(int seed) throws Exception {
+        SplittableRandom random = new SplittableRandom(seed);
+        try (ScriptedServer server = new ScriptedServer(FramingFuzzTest::answerOwn);
+                DataPath path = new DataPath(DataPath.LIMITS, server)) {
+            for (int i = 0; i < CASES_PER_SEED; i++) {
+                String text = mutateRequest(pipelined("c" + seed + "-" + i), random) + last("c" + seed + "-" + i);
+                String answers = exchange(path, text);
+                assertInOrder(ids(ANSWERED, answers), ids(ID, text), text);
+            }
+            assertTrue(
+                    server.requests().stream().noneMatch(r -> r.line().contains("smuggled")),
+                    "a request inside a body was run");
+            assertTrue(path.exchange(DataPath.get("/s/alive", "alive"), 1).contains("own-alive!"));
+        }
+    }
+
+    @Test(dataProvider = "seeds")
+    public void mutatedAnswersReachNobodyElse(int seed) throws Exception {
+        SplittableRandom random = new SplittableRandom(1_000 + seed);
+        ScriptedServer.Script mutating = (r, c) -> {
+            String whole = answerOf(r);
+            String sent;
+            synchronized (random) {
+                sent = mutateAnswer(whole, random);
+            }
+            ScriptedServer.write(c, sent);
+            return sent.length() >= whole.length();
+        };
+        try (ScriptedServer a = new ScriptedServer(mutating);
+                ScriptedServer b = new ScriptedServer(mutating);
+                DataPath path = new DataPath(DataPath.LIMITS, a, b);
+                Socket kept = path.connect()) {
+            Socket caller = kept;
+            for (int i = 0; i < ANSWERS_PER_SEED; i++) {
+                String id = "a" + seed + "-" + i;
+                String answer = DataPath.send(caller, DataPath.get("/s/x", id), 1);
+                boolean isOwn = answer.startsWith("HTTP/1.1 200") && answer.endsWith("own-" + id + "!");
+                boolean isFailure = answer.startsWith("HTTP/1.1 50") && !answer.contains("own-");
+                assertTrue(isOwn || isFailure || answer.isEmpty(), id + " got " + answer);
+                if (answer.toLowerCase().contains("connection: close") || answer.isEmpty()) {
+                    caller = path.connect();
+                }
+            }
+        }
+    }
+
+    private static boolean answerOwn(ScriptedServer.Request r, Socket c) throws IOException {
+        ScriptedServer.write(c, answerOf(r));
+        return true;
+    }
+
+    private static String answerOf(ScriptedServer.Request r) {
+        String body = "own-" + r.id() + "!";
+        return ScriptedServer.head(r, 200) + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static String pipelined(String id) {
+        String inner = "GET /s/smuggled HTTP/1.1\r\nHost: h.example\r\n\r\n";
+        return DataPath.get("/s/one", id + "-1") + DataPath.post("/s/two", id + "-2", inner)
+                + "POST /s/three HTTP/1.1\r\nHost: h.example\r\nHyssophitch-Request-Id: " + id
+                + "-3\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(inner.length()) + "\r\n" + inner
+                + "\r\n0\r\n\r\n" + DataPath.get("/s/four", id + "-4");
+    }
+
+    /** Ends the connection, so that a case needs no waiting for its end. */
+    private static String last(String id) {
+        return DataPath.get("/s/last", id + "-9").replaceFirst("\r\n", "\r\nConnection: close\r\n");
+    }
+
+    /** Mutates heads; what states a length stays, since changing it moves the end of a body by the sender's own word. */
+    private static String mutateRequest(String text, SplittableRandom random) {
+        int line = random.nextInt(9);
+        String[] lines = text.split("(?<=\r\n)", -1);
+        int at = random.nextInt(lines.length);
+        boolean isFraming = lines[at].toLowerCase().matches("(?s)(content-length|transfer-encoding).*|[0-9a-f]*\r\n")
+                || lines[at].startsWith("GET /s/smuggled")
+                || lines[at].startsWith("Host") && at > 0 && lines[at - 1].startsWith("GET /s/smuggled");
+        if (isFraming) {
+            return text;
+        }
+        String changed =
+                switch (line) {
+                    case 0 -> "";
+                    case 1 -> lines[at] + lines[at];
+                    case 2 -> lines[at].replace("\r\n", "\n");
+                    case 3 -> " " + lines[at];
+                    case 4 -> lines[at].replaceFirst("[:/]", "\0");
+                    case 5 -> "X: " + "y".repeat(random.nextInt(5_000)) + "\r\n" + lines[at];
+                    case 6 -> "Transfer-Encoding: identity\r\n" + lines[at];
+                    case 7 ->
+                        lines[at].isEmpty() ? "" : lines[at].substring(0, random.nextInt(lines[at].length())) + "\r\n";
+                    default -> flip(lines[at], random);
+                };
+        boolean isInBody =
+                text.indexOf("smuggled") < text.indexOf(lines[at]) && lines[at].startsWith("Host: h.example");
+        if (isInBody) {
+            return text;
+        }
+        lines[at] = changed;
+        return String.join("", lines);
+    }
+
+    private static String flip(String line, SplittableRandom random) {
+        if (line.isEmpty()) {
+            return line;
+        }
+        int at = random.nextInt(line.length());
+        return line.substring(0, at) + (char) (1 + random.nextInt(250)) + line.substring(at + 1);
+    }
+
+    private static String mutateAnswer(String whole, SplittableRandom random) {
+        return switch (random.nextInt(8)) {
+            case 0 -> whole.substring(0, random.nextInt(whole.length()));
+            case 1 -> whole + whole;
+            case 2 -> whole + "junk".repeat(1 + random.nextInt(3));
+            case 3 -> whole.replaceFirst("Request-Id: [^\r]*", "Request-Id: another");
+            case 4 -> whole.replaceFirst("HTTP/1.1", "HTTQ/1.1");
+            case 5 -> whole.replaceFirst("Content-Length: \\d+", "Content-Length: x");
+            default -> whole;
+        };
+    }
+
+    private static String exchange(DataPath path, String text) throws IOException {
+        try (Socket s = path.connect()) {
+            s.setSoTimeout(READ_MILLIS);
+            return DataPath.send(s, text, 5);
+        }
+    }
+
+    private static List<String> ids(Pattern pattern, String text) {
+        List<String> found = new ArrayList<>();
+        Matcher m = pattern.matcher(text);
+        while (m.find()) {
+            found.add(m.group(1));
+        }
+        return found;
+    }
+
+    /** Each answer belongs to a request of this connection, and they come in the order of the requests. */
+    private static void assertInOrder(List<String> answered, List<String> sent, String text) {
+        Iterator<String> left = sent.iterator();
+        for (String id : answered) {
+            boolean isFound = false;
+            while (!isFound && left.hasNext()) {
+                isFound = left.next().equals(id);
+            }
+            assertEquals(isFound, true, "answer " + id + " is out of order or not asked for: " + text);
+        }
+    }
+}
--- a/http/src/main/java/org/hyssophitch/http/CallerExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerExchange.java
@@ -195,9 +195,8 @@
             return;
         }
         isAnswered = true;
-        status = reason.status();
-        DefaultHttpResponse answer =
-                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reason.status()));
+        status = carrier.dialect().status(reason);
+        DefaultHttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
         carrier.dialect().prepareRefusal(answer.headers(), reason, retryAfterMillis);
         answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         add(answer);
--- a/http/src/main/java/org/hyssophitch/http/HeaderDialect.java
+++ b/http/src/main/java/org/hyssophitch/http/HeaderDialect.java
@@ -49,6 +49,11 @@
      */
     Optional<LoadReport> load(String server, int status, HttpHeaders answer, long nowMicros);
 
+    /** Returns the status of an answer that the system itself makes. */
+    default int status(Reason reason) {
+        return reason.status();
+    }
+
     /** Adds headers to an answer that the system itself makes. */
     void prepareRefusal(HttpHeaders headers, Reason reason, long retryAfterMillis);
 }
