Hedge early when the server of a call turns slow; a hedge never ends its call

Cause: calls whose machine turned slow within the first fifth of their target were late although a fast server was free. Reading the join of waiting calls with that in mind showed two faults: a hedge that found the queue full, or its own call waiting already, answered the running call; a call lost while its hedge waited was refused. Change: SpeedChecks asks the server of a running attempt once; hedges may use six tenths of the shared budget, the rest stays for failed attempts; joining twice is harmless. Three cases of LoadRoundsTest.

--- a/core/src/main/java/org/hyssophitch/core/admission/CallQueue.java
+++ b/core/src/main/java/org/hyssophitch/core/admission/CallQueue.java
@@ -54,6 +54,11 @@
         return Optional.ofNullable(waiting.pollFirst());
     }
 
+    /** Returns whether a call is waiting. */
+    public boolean contains(Waiting call) {
+        return waiting.contains(call);
+    }
+
     /** Removes a call, and returns whether it was waiting. */
     public boolean remove(Waiting call) {
         return waiting.remove(call);
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
@@ -29,11 +29,13 @@
     private final EngineState state;
     private final CallFinisher finisher;
     private final LoadRounds rounds;
+    private final SpeedChecks checks;
 
     AttemptStarter(EngineState state, CallFinisher finisher) {
         this.state = state;
         this.finisher = finisher;
         this.rounds = new LoadRounds(state, finisher, this);
+        this.checks = new SpeedChecks(state, this);
     }
 
     /** Starts an attempt when a server has room; returns whether it did. */
@@ -59,6 +61,11 @@
         return true;
     }
 
+    /** Returns the checks of servers that run attempts. */
+    SpeedChecks checks() {
+        return checks;
+    }
+
     /** Returns the rounds in which servers are asked for their load. */
     LoadRounds rounds() {
         return rounds;
@@ -200,6 +207,7 @@
         if (!isHedged || a.number() > 1) {
             return;
         }
+        checks.schedule(call, a, nowMicros);
         int fixedMillis = call.service().service().retry().hedgeAfterMillis();
         long after = fixedMillis > 0 ? fixedMillis * MICROS_PER_MILLI : hedgeMicros(call);
         state.timers()
--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -198,6 +198,7 @@
                 definitions.recordLeaving(server, false, "other-instance", e.nowMicros());
             }
         }
+        starter.checks().onAnswer(e.server(), e.report(), e.nowMicros());
         state.services().values().stream()
                 .filter(s -> s.round().isAwaiting(e.server()))
                 .forEach(s -> onAsked(s, e));
@@ -247,6 +248,7 @@
             return;
         }
         switch (timer.kind()) {
+            case CHECK -> starter.checks().ask(call, timer.attempt(), nowMicros);
             case HEDGE -> starter.hedge(call, timer.attempt(), nowMicros);
             case DEADLINE -> onDeadline(call, nowMicros);
             case ROUND -> {
--- a/core/src/main/java/org/hyssophitch/core/call/EngineState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/EngineState.java
@@ -26,6 +26,8 @@
     enum TimerKind {
         DEADLINE,
         HEDGE,
+        /** Asks whether the server of a running attempt has become slow. */
+        CHECK,
         /** Wakes the engine for calls that wait for a server with room. */
         ROUND
     }
--- a/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
+++ b/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
@@ -59,18 +59,27 @@
     /** Lets a call take part in the next placement, or gives up on it at once. */
     void join(ActiveCall call, long nowMicros) {
         ServiceState service = call.service();
+        boolean isHedge = !call.attempts().isEmpty();
         if (!service.hasServer()) {
-            finisher.answer(call, AttemptStarter.notRunReason(call, Reason.NO_SERVER), nowMicros);
+            giveUpUnless(isHedge, call, Reason.NO_SERVER, nowMicros);
             return;
         }
         call.setWaitUntilMicros(waitUntil(call, nowMicros));
-        if (!service.queue().offer(call.waiting())) {
-            finisher.answer(call, AttemptStarter.notRunReason(call, Reason.QUEUE_FULL), nowMicros);
+        boolean isWaiting = service.queue().contains(call.waiting());
+        if (!isWaiting && !service.queue().offer(call.waiting())) {
+            giveUpUnless(isHedge, call, Reason.QUEUE_FULL, nowMicros);
             return;
         }
         advance(service, nowMicros);
     }
 
+    /** A call whose first attempt runs goes on without the second one. */
+    private void giveUpUnless(boolean isHedge, ActiveCall call, Reason reason, long nowMicros) {
+        if (!isHedge) {
+            finisher.answer(call, AttemptStarter.notRunReason(call, reason), nowMicros);
+        }
+    }
+
     /** Starts a round when calls wait and none is under way; refuses those that have waited too long. */
     void advance(ServiceState service, long nowMicros) {
         LoadRound round = service.round();
--- a/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
@@ -19,6 +19,8 @@
 
     private static final double RETRY_BURST = 10;
     private static final double HEDGE_BURST = 3;
+    /** Part of the shared budget that hedges may use up; the rest is for attempts that failed. */
+    private static final double HEDGE_PART = 0.6;
     /** Part of the time to the target that an answer is taken to need before any was seen. */
     private static final double FIRST_SHARE = 0.4;
     /** Largest part that one answer counts for, so that a few late ones don't make every call look hopeless. */
@@ -93,9 +95,7 @@
     /** Earns the share of one call in every budget of the service. */
     void earn(long nowMicros) {
         retries.earn(nowMicros);
-        if (hedges != retries) {
-            hedges.earn(nowMicros);
-        }
+        hedges.earn(nowMicros);
     }
 
     /** Changes this host's part of the budget that all entry hosts share. */
@@ -157,7 +157,7 @@
     private void resetBudgets() {
         retries = shared.<AttemptBudget>map(b -> b)
                 .orElseGet(() -> new RatioBudget(service.retry().retryRatio(), RETRY_BURST));
-        hedges = shared.<AttemptBudget>map(b -> b)
+        hedges = shared.map(b -> b.part(HEDGE_PART))
                 .orElseGet(() -> new RatioBudget(service.retry().hedgeRatio(), HEDGE_BURST));
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/retry/WindowBudget.java
+++ b/core/src/main/java/org/hyssophitch/core/retry/WindowBudget.java
@@ -49,8 +49,31 @@
 
     @Override
     public boolean trySpend(long nowMicros) {
+        return trySpend(1, nowMicros);
+    }
+
+    /**
+     * Returns a view that spends a part of this budget only, so that the rest stays for attempts that matter more.
+     *
+     * @param part part of the budget that the view may use up
+     */
+    public AttemptBudget part(double part) {
+        return new AttemptBudget() {
+            @Override
+            public void earn(long nowMicros) {
+                // The whole budget earns once for every call.
+            }
+
+            @Override
+            public boolean trySpend(long nowMicros) {
+                return WindowBudget.this.trySpend(part, nowMicros);
+            }
+        };
+    }
+
+    private boolean trySpend(double part, long nowMicros) {
         int index = advance(nowMicros);
-        if (sum(spent) + 1 > room(nowMicros)) {
+        if (sum(spent) + 1 > room(nowMicros) * part) {
             return false;
         }
         spent[index]++;
--- a/core/src/test/java/org/hyssophitch/core/call/LoadRoundsTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/LoadRoundsTest.java
@@ -146,6 +146,61 @@
         assertFalse(engine.servers().get("s0@2").isLeaving());
     }
 
+    /** The load that this answers: a machine whose speed drops while it runs a call. */
+    @Test
+    public void hedgesEarlyWhenTheServerOfACallTurnsSlow() {
+        engine.handle(new CallEvent.FleetChanged(now, 1));
+        pass(10_000 * MILLI);
+        arrive(1);
+        answer("s0", 0, 100);
+        assertEquals(started(answer("s1", 1, 100)), List.of("s0"));
+        assertEquals(asked(pass(SPAN / 5)), List.of("s0"));
+        assertTrue(asked(answer("s0", 1, 400)).contains("s1"));
+        List<CallAction> actions = new ArrayList<>(answer("s0", 1, 400));
+        actions.addAll(answer("s1", 0, 100));
+        assertEquals(started(actions), List.of("s1"));
+    }
+
+    @Test
+    public void aHedgeThatFindsNoPlaceLeavesItsCallAlone() {
+        pass(10_000 * MILLI);
+        arrive(1);
+        answer("s0", 0, 100);
+        assertEquals(started(answer("s1", 1, 100)), List.of("s0"));
+        List<CallAction> actions = new ArrayList<>(pass(SPAN / 5));
+        actions.addAll(answer("s0", 1, 400));
+        for (int i = 0; i < 100; i++) {
+            actions.addAll(answerAll(3));
+            actions.addAll(pass(5 * MILLI));
+        }
+        register(List.of("s0"), List.of("z1"));
+        actions.addAll(pass(SPAN));
+        assertTrue(actions.stream().noneMatch(CallAction.AnswerCaller.class::isInstance), "" + actions);
+        assertTrue(actions.stream().noneMatch(CallAction.CancelAttempt.class::isInstance), "" + actions);
+        assertEquals(started(actions), List.of());
+    }
+
+    @Test
+    public void aCallThatIsLostWhileItsHedgeWaitsTakesTheHedgesPlace() {
+        engine.handle(new CallEvent.FleetChanged(now, 1));
+        pass(10_000 * MILLI);
+        arrive(1);
+        answer("s0", 0, 100);
+        assertEquals(started(answer("s1", 1, 100)), List.of("s0"));
+        pass(SPAN / 5);
+        answer("s0", 1, 400);
+        answer("s0", 1, 400);
+        answer("s1", 2, 100);
+        List<CallAction> actions = new ArrayList<>(answer("s2", 2, 100));
+        actions.addAll(engine.handle(new CallEvent.AttemptEnded(
+                now, 1, 1, new AttemptResult.Lost(AttemptResult.LostCause.CONNECTION_LOST))));
+        actions.addAll(pass(40 * MILLI));
+        actions.addAll(answer("s1", 0, 100));
+        actions.addAll(answer("s0", 2, 100));
+        assertTrue(actions.stream().noneMatch(CallAction.AnswerCaller.class::isInstance), "" + actions);
+        assertEquals(started(actions), List.of("s1"));
+    }
+
     /** The load that this answers: resets of single connections, which blame no request as long as the server lives. */
     @Test
     public void blamesARequestOnlyForServersThatReallyCrashed() {
