Close after a request that isn't understood; give questions for load to the hosts of a server's zone

The test now asks for the close itself, so it fails on the old code at any speed. Change: no further request after a 400; three quarters of the questions to a server belong to the hosts of its zone. FleetLimitsTest sums the parts for fleets of 2 to 128 hosts.

--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -62,7 +62,7 @@
             case CallEvent.ReportsReceived e -> onReports(e.reports(), e.nowMicros());
             case CallEvent.LoadAnswered e -> onLoadAnswered(e);
             case CallEvent.ServersRegistered e -> onRegistered(e.servers(), e.nowMicros());
-            case CallEvent.FleetChanged e -> onFleet(e.hosts(), e.nowMicros());
+            case CallEvent.FleetChanged e -> onFleet(e.hostsByZone(), e.nowMicros());
             case CallEvent.LeavingChanged e -> onLeaving(e.servers(), e.source(), e.nowMicros());
             case CallEvent.SuspicionsReceived e -> e.suspicions().forEach(state.suspects()::merge);
             case CallEvent.IssuersChanged e -> state.setIssuers(e.issuers());
@@ -182,8 +182,8 @@
         startWaiting(nowMicros);
     }
 
-    private void onFleet(int hosts, long nowMicros) {
-        definitions.share(hosts, nowMicros);
+    private void onFleet(Map<String, Integer> hostsByZone, long nowMicros) {
+        definitions.share(hostsByZone, nowMicros);
         startWaiting(nowMicros);
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
@@ -59,8 +59,12 @@
     /** The backend servers that registered themselves changed; holds all of them, by the service's name. */
     record ServersRegistered(long nowMicros, Map<String, List<RegisteredServer>> servers) implements CallEvent {}
 
-    /** The number of entry hosts that share the fleet's limits changed. */
-    record FleetChanged(long nowMicros, int hosts) implements CallEvent {}
+    /**
+     * The number of entry hosts that share the fleet's limits changed.
+     *
+     * @param hostsByZone entry hosts in each availability zone
+     */
+    record FleetChanged(long nowMicros, Map<String, Integer> hostsByZone) implements CallEvent {}
 
     /** The set of leaving backend servers changed, as the platform or other entry hosts tell it. */
     record LeavingChanged(long nowMicros, Set<String> servers, String source) implements CallEvent {}
--- a/core/src/main/java/org/hyssophitch/core/call/EngineState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/EngineState.java
@@ -49,7 +49,7 @@
     private Configuration configuration = Configuration.NONE;
     private IssuerView issuers = host -> IssuerView.GONE;
     private int bulkInFlight;
-    private int hosts = 1;
+    private Map<String, Integer> hostsByZone = Map.of();
     private Map<String, List<RegisteredServer>> registered = Map.of();
     private List<CallAction> actions = new ArrayList<>();
 
@@ -80,11 +80,16 @@
 
     /** Returns the number of entry hosts that share the fleet's limits. */
     int hosts() {
-        return hosts;
+        return hostsByZone.values().stream().mapToInt(Integer::intValue).sum();
     }
 
-    void setHosts(int value) {
-        hosts = value;
+    /** Returns the number of entry hosts in an availability zone. */
+    int hosts(String zone) {
+        return hostsByZone.getOrDefault(zone, 0);
+    }
+
+    void setHosts(Map<String, Integer> value) {
+        hostsByZone = Map.copyOf(value);
     }
 
     /** Returns the backend servers that registered themselves, by the service's name. */
--- a/core/src/main/java/org/hyssophitch/core/call/FleetLimits.java
+++ b/core/src/main/java/org/hyssophitch/core/call/FleetLimits.java
@@ -16,6 +16,11 @@
     /** Part of each limit that is used, so that hosts which count differently stay below the whole. */
     private static final double SAFE_PART = 0.85;
 
+    /** Part of the questions to a server that hosts of its own zone have. */
+    private static final double NEAR_PART = 0.75;
+    /** Smallest number of entry hosts to assume in a zone. */
+    private static final int LEAST_NEAR_HOSTS = 3;
+
     /** Limits of a deployment whose operator names none. */
     public static final FleetLimits DEFAULT = new FleetLimits(0.2, 20, 10_000_000, 60, 13);
 
@@ -29,8 +34,21 @@
         return repeatRatio * SAFE_PART;
     }
 
-    /** Returns one host's questions per second and backend server. */
-    public double asksPerSecondPart(int hosts) {
-        return asksPerSecond * SAFE_PART / Math.max(leastHosts, hosts);
+    /**
+     * Returns one host's questions per second and backend server. Hosts of the server's zone, which ask it first, have
+     * most of them between themselves.
+     *
+     * @param hosts entry hosts
+     * @param nearHosts entry hosts in the server's availability zone
+     * @param isNear whether this host is one of them
+     */
+    public double asksPerSecondPart(int hosts, int nearHosts, boolean isNear) {
+        int all = Math.max(leastHosts, hosts);
+        double safe = asksPerSecond * SAFE_PART;
+        if (nearHosts == 0) {
+            return safe / all;
+        }
+        int near = Math.max(Math.min(LEAST_NEAR_HOSTS, leastHosts), nearHosts);
+        return isNear ? safe * NEAR_PART / near : safe * (1 - NEAR_PART) / Math.max(1, all - near);
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
@@ -63,8 +63,9 @@
     }
 
     /** Takes this host's part of the limits that all entry hosts keep together. */
-    void share(int hosts, long nowMicros) {
-        state.setHosts(hosts);
+    void share(Map<String, Integer> hostsByZone, long nowMicros) {
+        state.setHosts(hostsByZone);
+        int hosts = state.hosts();
         state.settings().fleet().ifPresent(f -> {
             state.services().values().forEach(s -> s.setSharedAllowance(f.repeatAllowancePart(hosts)));
             state.servers().values().forEach(s -> setAskRate(s, f, nowMicros));
@@ -129,7 +130,9 @@
     }
 
     private void setAskRate(ServerState server, FleetLimits fleet, long nowMicros) {
-        double rate = fleet.asksPerSecondPart(state.hosts());
+        String zone = server.server().zone();
+        boolean isNear = zone.equals(state.settings().zone());
+        double rate = fleet.asksPerSecondPart(state.hosts(), state.hosts(zone), isNear);
         server.setAskRate(rate, Math.max(1, rate * ASK_BURST_SECONDS), nowMicros);
     }
 
--- /dev/null
+++ b/core/src/test/java/org/hyssophitch/core/call/FleetLimitsTest.java
@@ -0,0 +1,47 @@
+package org.hyssophitch.core.call;
+
+import java.util.Map;
+import java.util.stream.Stream;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertTrue;
+
+/** The parts of all entry hosts together stay within each limit. */
+public class FleetLimitsTest {
+
+    private static final FleetLimits LIMITS = new FleetLimits(0.2, 56, 10_000_000, 60, 13);
+
+    @DataProvider
+    Object[][] fleets() {
+        return Stream.of(
+                        Map.of("a", 5, "b", 5, "c", 3),
+                        Map.of("a", 6, "b", 6, "c", 5),
+                        Map.of("a", 1, "b", 1),
+                        Map.of("a", 13),
+                        Map.of("a", 40, "b", 44, "c", 44))
+                .map(m -> new Object[] {m})
+                .toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "fleets")
+    public void questionsToAServerOfAnyZoneStayWithinItsLimit(Map<String, Integer> hostsByZone) {
+        int all = hostsByZone.values().stream().mapToInt(Integer::intValue).sum();
+        hostsByZone.forEach((serverZone, near) -> {
+            double sum = hostsByZone.entrySet().stream()
+                    .mapToDouble(e -> e.getValue()
+                            * LIMITS.asksPerSecondPart(all, near, e.getKey().equals(serverZone)))
+                    .sum();
+            assertTrue(sum <= LIMITS.asksPerSecond(), sum + " questions per second");
+        });
+        double elsewhere = all * LIMITS.asksPerSecondPart(all, 0, false);
+        assertTrue(elsewhere <= LIMITS.asksPerSecond(), elsewhere + " questions per second");
+    }
+
+    @Test(dataProvider = "fleets")
+    public void repeatsStayWithinTheAllowance(Map<String, Integer> hostsByZone) {
+        int all = hostsByZone.values().stream().mapToInt(Integer::intValue).sum();
+        assertTrue(all * LIMITS.repeatAllowancePart(all) <= LIMITS.repeatAllowance());
+    }
+}
--- a/core/src/test/java/org/hyssophitch/core/call/LoadRoundsTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/LoadRoundsTest.java
@@ -121,7 +121,7 @@
 
     @Test
     public void hedgesOnlyWhereNoOtherCallWaits() {
-        engine.handle(new CallEvent.FleetChanged(now, 1));
+        engine.handle(new CallEvent.FleetChanged(now, Map.of("z1", 1)));
         arrive(1);
         answer("s0", 0, 100);
         answer("s1", 1, 100);
@@ -149,7 +149,7 @@
     /** The load that this answers: a machine whose speed drops while it runs a call. */
     @Test
     public void hedgesEarlyWhenTheServerOfACallTurnsSlow() {
-        engine.handle(new CallEvent.FleetChanged(now, 1));
+        engine.handle(new CallEvent.FleetChanged(now, Map.of("z1", 1)));
         pass(10_000 * MILLI);
         arrive(1);
         answer("s0", 0, 100);
@@ -182,7 +182,7 @@
 
     @Test
     public void aCallThatIsLostWhileItsHedgeWaitsTakesTheHedgesPlace() {
-        engine.handle(new CallEvent.FleetChanged(now, 1));
+        engine.handle(new CallEvent.FleetChanged(now, Map.of("z1", 1)));
         pass(10_000 * MILLI);
         arrive(1);
         answer("s0", 0, 100);
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -1,5 +1,6 @@
 package org.hyssophitch.entry;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -8,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
@@ -58,10 +60,10 @@
     private final LongSupplier configurationVersion;
     private final BooleanSupplier ready;
     private final Consumer<List<Suspicion>> onSuspicions;
-    private final Consumer<Integer> onFleet;
+    private final Consumer<Map<String, Integer>> onFleet;
     private DatagramEndpoint endpoint;
     private boolean isAccepting;
-    private int mostLive = 1;
+    private Map<String, Integer> mostLive = Map.of();
 
     Peers(
             EntrySettings settings,
@@ -72,7 +74,7 @@
             LongSupplier configurationVersion,
             BooleanSupplier ready,
             Consumer<List<Suspicion>> onSuspicions,
-            Consumer<Integer> onFleet) {
+            Consumer<Map<String, Integer>> onFleet) {
         this.loop = loop;
         this.random = random;
         this.recorder = recorder;
@@ -184,10 +186,14 @@
 
     /** The largest number seen counts, so that hosts which see fewer of the others stay within their part. */
     private void countFleet() {
-        int live = (int) membership.members().stream().filter(Member::isLive).count();
-        if (live > mostLive) {
-            mostLive = live;
-            onFleet.accept(mostLive);
+        Map<String, Integer> most = new HashMap<>(mostLive);
+        membership.members().stream()
+                .filter(Member::isLive)
+                .collect(Collectors.groupingBy(Member::zone, Collectors.summingInt(m -> 1)))
+                .forEach((zone, live) -> most.merge(zone, live, Math::max));
+        if (!most.equals(mostLive)) {
+            mostLive = most;
+            onFleet.accept(most);
         }
     }
 
--- a/entry/src/test/java/org/hyssophitch/entry/DataPath.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -67,7 +67,7 @@
             router.accept(c);
             carrier.handle(new CallEvent.ConfigurationAccepted(WallClock.nowMicros(), c));
             carrier.handle(new CallEvent.ServersRegistered(WallClock.nowMicros(), registered(servers)));
-            carrier.handle(new CallEvent.FleetChanged(WallClock.nowMicros(), 1));
+            carrier.handle(new CallEvent.FleetChanged(WallClock.nowMicros(), Map.of("z1", 1)));
         });
         front.open(group, new InetSocketAddress("127.0.0.1", port));
     }
--- a/entry/src/test/java/org/hyssophitch/entry/DataPathTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPathTest.java
@@ -85,6 +85,7 @@
                 answer = path.exchange(request, 1);
             }
             assertTrue(answer.startsWith("HTTP/1.1 " + status), answer);
+            assertTrue(status.equals("404") || answer.toLowerCase().contains("connection: close"), answer);
             Thread.sleep(50);
             assertTrue(s.requests().stream().noneMatch(r -> r.line().contains("/s/")), "" + s.requests());
         }
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -128,6 +128,8 @@
         CallerLimits limits = rules.limits();
         List<String> hosts = request.headers().getAll(HttpHeaderNames.HOST);
         if (hosts.size() != 1 || !exchange.target().startsWith("/")) {
+            // What follows a request that isn't understood may be part of it, so nothing more is taken.
+            takesRequests = false;
             exchange.refuse(Reason.BAD_REQUEST, 0);
             return;
         }
@@ -237,7 +239,7 @@
     /** States in an answer's head whether the connection is kept; returns whether it is closed. */
     private boolean prepare(CallerExchange exchange, HttpResponse head) {
         boolean isReceived = receiving != exchange || !exchange.hasBody();
-        boolean isStopping = listener.isStopping() && exchanges.size() == 1;
+        boolean isStopping = (listener.isStopping() || !takesRequests) && exchanges.size() == 1;
         boolean isKept = isReceived && HttpUtil.isKeepAlive(exchange.request()) && !isStopping;
         HttpUtil.setKeepAlive(head.headers(), exchange.request().protocolVersion(), isKept && !closesAfterAnswer);
         boolean isOld = !exchange.request().protocolVersion().isKeepAliveDefault();
