--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
+import org.hyssophitch.core.UnknownCaseException;
 import org.hyssophitch.core.atmostonce.Ticket;
 import org.hyssophitch.core.call.AttemptResult;
 import org.hyssophitch.core.call.AttemptResult.LostCause;
@@ -235,7 +236,7 @@
             case SHED -> endIfRunning(a, new AttemptResult.NotRun(NotRunCause.SHED));
             case DRAINING -> endIfRunning(a, new AttemptResult.NotRun(NotRunCause.DRAINING));
             case LOST -> endIfRunning(a, new AttemptResult.Lost(LostCause.CONNECTION_LOST));
-            default -> throw new IllegalStateException("no such reply: " + reply);
+            default -> throw new UnknownCaseException(reply);
         }
     }
 
--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelFault.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelFault.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 
+import org.hyssophitch.core.UnknownCaseException;
 import org.hyssophitch.standin.Deployment;
 
 /** Faults that a model run can be given; each works on one server or entry host. */
@@ -45,7 +46,7 @@
             case FALSE_REPORTS -> server.setFalseLoad(0);
             case HOST_KILLED -> kill(run, target);
             case HOST_REPLACED -> run.replace(host(run, target));
-            default -> throw new IllegalStateException("no such fault: " + this);
+            default -> throw new UnknownCaseException(this);
         }
     }
 
--- a/cli/src/main/java/org/hyssophitch/cli/ClientContext.java
+++ b/cli/src/main/java/org/hyssophitch/cli/ClientContext.java
@@ -18,6 +18,7 @@
 import okhttp3.Response;
 import org.hyssophitch.document.DocumentStore;
 import org.hyssophitch.wire.platform.PlatformClient;
+import org.hyssophitch.wire.report.UnwritableValueException;
 import org.hyssophitch.wire.yaml.SettingsFile;
 
 /**
@@ -53,7 +54,7 @@
         try {
             System.out.println(MAPPER.writeValueAsString(value));
         } catch (JsonProcessingException e) {
-            throw new IllegalStateException("value can't be written as JSON", e);
+            throw new UnwritableValueException(value, e);
         }
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
@@ -1,5 +1,6 @@
 package org.hyssophitch.core.call;
 
+import org.hyssophitch.core.UnknownCaseException;
 import org.hyssophitch.core.call.AttemptResult.LostCause;
 import org.hyssophitch.core.call.AttemptResult.NotRunCause;
 import org.hyssophitch.core.health.SuspectRegister.Verdict;
@@ -119,7 +120,7 @@
             case SHED -> noteShed(a.server(), nowMicros);
             case DRAINING -> a.server().health().onCancelled();
             case WRONG_INSTANCE -> a.server().setMisdirected();
-            default -> throw new IllegalStateException("no such cause: " + result.cause());
+            default -> throw new UnknownCaseException(result.cause());
         }
         Reason giveUp = call.mayHaveRun() ? call.lastLoss() : Reason.ATTEMPTS_REFUSED;
         boolean isUnsent = result.cause() == NotRunCause.CONNECT_FAILED;
--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import org.hyssophitch.core.UnknownCaseException;
 import org.hyssophitch.core.atmostonce.Ticket;
 import org.hyssophitch.core.atmostonce.TicketDecision;
 import org.hyssophitch.core.configuration.Configuration;
@@ -254,7 +255,7 @@
             case ROUND -> {
                 // Calls that wait go on after all timers.
             }
-            default -> throw new IllegalStateException("no such timer: " + timer.kind());
+            default -> throw new UnknownCaseException(timer.kind());
         }
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.hyssophitch.core.UnknownCaseException;
 import org.hyssophitch.core.atmostonce.Ticket;
 import org.hyssophitch.core.timeline.EventBody;
 
@@ -137,7 +138,7 @@
                 case COMPLETED -> settleAnswered(t, status);
                 case NOT_RUN -> state.tickets().onNotRun(t);
                 case UNKNOWN -> state.tickets().onMayHaveRun(t);
-                default -> throw new IllegalStateException("no such outcome: " + reason.outcome());
+                default -> throw new UnknownCaseException(reason.outcome());
             }
         });
     }
--- a/core/src/main/java/org/hyssophitch/core/call/CallTerms.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallTerms.java
@@ -5,7 +5,7 @@
  *
  * @param maxAttempts largest number of backend servers that the call may be sent to; 0 leaves it to the service
  * @param priority rank among waiting calls; 0 is the highest
- * @param targetMicros time in microseconds by which an answer is worth most to the caller; lies in the past for a caller
+ * @param targetMicros time in microseconds by which an answer is worth most to the caller; lies in the past for one
  *     that comes back too late
  * @param spanMicros time in microseconds from a caller's first arrival to its target
  */
--- a/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
+++ b/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
@@ -211,8 +211,8 @@
     }
 
     /**
-     * Returns the relative cost up to which a server still lets the call be in time. A call waits for a better server as
-     * long as that can help it, and takes any once it is late.
+     * Returns the relative cost up to which a server still lets the call be in time. A call waits for a better server
+     * as long as that can help it, and takes any once it is late.
      */
     private static double affordable(ActiveCall call, long nowMicros) {
         double needed = needed(call);
--- a/core/src/main/java/org/hyssophitch/core/call/SpeedChecks.java
+++ b/core/src/main/java/org/hyssophitch/core/call/SpeedChecks.java
@@ -14,8 +14,8 @@
  * Asks the server of a running attempt once whether it has become slow, and hedges the call early if so. Not
  * thread-safe; owned by the call engine.
  *
- * <p>Answers servers whose speed changes while they run a call: a call on a machine that has just turned slow is still in
- * time when another server begins it soon.
+ * <p>Answers servers whose speed changes while they run a call: a call on a machine that has just turned slow is still
+ * in time when another server begins it soon.
  */
 final class SpeedChecks {
 
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decisions of hyssophitch, one package per duty, without input and output.
+ */
+package org.hyssophitch.core;
--- a/core/src/main/java/org/hyssophitch/core/routing/LoadPlacement.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/LoadPlacement.java
@@ -94,7 +94,7 @@
                 .orElse(1.0);
     }
 
-    /** A slow machine speeds up again before long, so the slow-down of a long call is smaller than that of a short one. */
+    /** A slow machine speeds up again before long, so a long call is slowed down less than a short one. */
     private double lasting(double slowdown) {
         if (workMicros <= 0 || slowdown <= 1) {
             return slowdown;
--- a/core/src/main/java/org/hyssophitch/core/store/KindFollower.java
+++ b/core/src/main/java/org/hyssophitch/core/store/KindFollower.java
@@ -9,7 +9,8 @@
 import org.hyssophitch.core.retry.Backoff;
 
 /**
- * Follows all objects of one kind: lists them once, then watches for changes, and lists anew when the history is gone or a watch has failed.
+ * Follows all objects of one kind: lists them once, then watches for changes, and lists anew when the history is gone
+ * or a watch has failed.
  *
  * <p>Not thread-safe; owned by one thread from {@link #start} until {@link #stop}. A call that fails is repeated after
  * a growing time with jitter, so that hosts don't come back to the store all at once.
--- a/proxy/src/main/java/org/hyssophitch/proxy/CallerRequest.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/CallerRequest.java
@@ -150,7 +150,7 @@
             }
             return HexFormat.of().formatHex(digest.digest(), 0, FINGERPRINT_BYTES);
         } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
+            throw new MissingDigestException(e);
         }
     }
 }
--- a/proxy/src/main/java/org/hyssophitch/proxy/Exchange.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/Exchange.java
@@ -15,6 +15,7 @@
 import okhttp3.Request;
 import okhttp3.Response;
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
+import org.hyssophitch.core.UnknownCaseException;
 import org.hyssophitch.core.call.AttemptResult;
 import org.hyssophitch.core.call.AttemptResult.LostCause;
 import org.hyssophitch.core.call.CallAction;
@@ -111,7 +112,7 @@
                 breakConnection();
                 return true;
             }
-            default -> throw new IllegalStateException("not an action for the call's own thread: " + action);
+            default -> throw new UnknownCaseException(action);
         }
     }
 
--- a/wire/src/main/java/org/hyssophitch/wire/report/TimelineJson.java
+++ b/wire/src/main/java/org/hyssophitch/wire/report/TimelineJson.java
@@ -94,7 +94,7 @@
             c.getAccessor().setAccessible(true);
             return c.getAccessor().invoke(r);
         } catch (IllegalAccessException | InvocationTargetException e) {
-            throw new IllegalStateException("record component can't be read: " + c, e);
+            throw new UnwritableValueException(c, e);
         }
     }
 
--- a/wire/src/main/java/org/hyssophitch/wire/yaml/SettingsFile.java
+++ b/wire/src/main/java/org/hyssophitch/wire/yaml/SettingsFile.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.function.Function;
 
+import org.hyssophitch.core.UnknownCaseException;
+
 /** Reads the settings file of a process. Stateless. */
 public final class SettingsFile {
 
@@ -31,7 +33,7 @@
             case YamlResult.Invalid<T> i -> {
                 i.faults().forEach(f -> System.err.println(file + ": " + f.describe()));
                 System.exit(EXIT_WRONG_SETTINGS);
-                throw new IllegalStateException("unreachable");
+                throw new UnknownCaseException("after the end of the process");
             }
         };
     }
