Let an old report keep nobody from a server; save questions where they run low

With the budget for questions used up, servers were judged by reports of seconds ago, and one that had been full then stayed full. Change: what others have at a server fades from the report to a usual part within 0.2 s; low budgets ask two servers; speed checks use the upper half of the budget only. LoadPlacementTest and a case of LoadRoundsTest (an old report).

--- a/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
+++ b/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
@@ -35,6 +35,8 @@
     private static final long FRESH_MICROS = 40_000;
     /** Relative cost up to which a server of the own zone is taken without asking the others. */
     private static final double GOOD_COST = 1.5;
+    /** Servers asked in one round while the budget for questions is low. */
+    private static final int FEW = 2;
     /** Servers of other zones that are asked in one round; their answers cross zones, which has a price. */
     private static final int MOST_FAR = 3;
     /** Servers of the own zone from which on those are asked first. */
@@ -170,8 +172,11 @@
         return affordable(usable, asked.isEmpty() ? most : MOST_FAR, nowMicros);
     }
 
+    /** Asks fewer servers where the budget for questions runs low. */
     private static List<ServerState> affordable(List<ServerState> servers, int most, long nowMicros) {
-        return servers.stream().filter(s -> s.tryAsk(nowMicros)).limit(most).toList();
+        boolean isScarce = servers.stream().anyMatch(s -> !s.hasSpareAsks(nowMicros));
+        int count = isScarce ? Math.min(most, FEW) : most;
+        return servers.stream().filter(s -> s.tryAsk(nowMicros)).limit(count).toList();
     }
 
     private void shuffle(List<ServerState> servers) {
--- a/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
@@ -22,7 +22,7 @@
 
     private static final long MICROS_PER_MILLI = 1_000;
     /** Seconds of questions for load that a server may get at once after a quiet time. */
-    private static final double ASK_BURST_SECONDS = 6;
+    private static final double ASK_BURST_SECONDS = 8;
 
     private final EngineState state;
     private final CallFinisher finisher;
--- a/core/src/main/java/org/hyssophitch/core/call/SpeedChecks.java
+++ b/core/src/main/java/org/hyssophitch/core/call/SpeedChecks.java
@@ -49,7 +49,7 @@
         boolean isUseful = a != null
                 && call.attempts().size() == 1
                 && call.service().queue().size() == 0;
-        if (isUseful && a.server().tryAsk(nowMicros)) {
+        if (isUseful && a.server().tryAskSpare(nowMicros)) {
             callsByServer
                     .computeIfAbsent(a.server().name(), s -> new HashSet<>())
                     .add(call.callId());
--- a/core/src/main/java/org/hyssophitch/core/routing/LoadPlacement.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/LoadPlacement.java
@@ -22,6 +22,14 @@
     private static final double USUAL_PACE = 1.5;
     /** Added relative cost of a server in another availability zone, as bytes between zones are priced. */
     private static final double ZONE_COST = 0.05;
+    /** Age in microseconds up to which a report counts in full. */
+    private static final double FRESH_MICROS = 40_000;
+    /** Further age in microseconds at which half of a reported load has probably gone. */
+    private static final double FADE_MICROS = 60_000;
+    /** Part of a server's usable slots that others are assumed to take while nothing is known of it. */
+    private static final double USUAL_OTHERS = 0.4;
+    /** Part of a call that doesn't fill a place. */
+    private static final double ROUNDING = 0.45;
     /** Age in microseconds up to which a report still tells a server's speed. */
     private static final long SPEED_AGE_MICROS = 150_000;
 
@@ -52,20 +60,30 @@
         return Math.max(1, (int) (s.server().slots() * KNEE));
     }
 
-    /** Returns the calls that are probably at the server now: own ones, and the others' as last reported. */
-    public static int present(ServerState s) {
-        return s.inFlight() + Math.max(0, s.othersAtReport());
+    /**
+     * Returns the calls that are probably at the server now: own ones, and the others' as last reported, which fade
+     * towards the usual number with the report's age, so that an old report keeps nobody from a server.
+     */
+    public double present(ServerState s) {
+        double usual = USUAL_OTHERS * knee(s);
+        double others = s.report()
+                .map(r -> {
+                    double weight = Math.pow(2, -Math.max(0, r.ageMicros(nowMicros) - FRESH_MICROS) / FADE_MICROS);
+                    return weight * s.othersAtReport() + (1 - weight) * usual;
+                })
+                .orElse(usual);
+        return s.inFlight() + others;
     }
 
     /** Returns whether one more call leaves the server below the point where it slows down. */
-    public static boolean hasRoom(ServerState s) {
-        return present(s) < knee(s);
+    public boolean hasRoom(ServerState s) {
+        return present(s) <= knee(s) - 1 + ROUNDING;
     }
 
     /** Returns the time that a call needs at the server, relative to an idle server of usual speed. */
     public double cost(ServerState s) {
         int slots = Math.max(1, s.server().slots());
-        double waiting = Math.max(0, present(s) + 1 - slots) / (double) slots;
+        double waiting = Math.max(0, present(s) + 1 - slots) / slots;
         double knee = hasRoom(s) ? 1 : KNEE_SLOWDOWN;
         double cold = s.isCold(nowMicros) ? COLD_SLOWDOWN : 1;
         double pace = Math.max(1, s.pace(nowMicros) / USUAL_PACE);
--- a/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
@@ -44,6 +44,7 @@
     private long paceMicros;
     private long refusingUntilMicros;
     private TokenBucket asks;
+    private double askBurst;
 
     /**
      * Creates the state of a server that nothing is known of.
@@ -165,6 +166,7 @@
 
     /** Sets how many questions for its load the server may get from this host per second. */
     public void setAskRate(double perSecond, double burst, long nowMicros) {
+        askBurst = burst;
         if (asks == null) {
             asks = new TokenBucket(perSecond, burst, nowMicros - ASK_HEAD_START_MICROS);
         } else {
@@ -177,6 +179,16 @@
         return asks != null && asks.tryTake(1, nowMicros);
     }
 
+    /** Takes one question when at least half of the budget is left, so that those who need it more find some. */
+    public boolean tryAskSpare(long nowMicros) {
+        return hasSpareAsks(nowMicros) && asks.tryTake(1, nowMicros);
+    }
+
+    /** Returns whether at least half of the budget for questions is left. */
+    public boolean hasSpareAsks(long nowMicros) {
+        return asks != null && asks.microsUntil(askBurst / 2, nowMicros) == 0;
+    }
+
     /** Notes that an attempt starts. */
     public void onStart(long attemptKey, long nowMicros) {
         startedMicros.put(attemptKey, nowMicros);
--- a/core/src/test/java/org/hyssophitch/core/call/LoadRoundsTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/LoadRoundsTest.java
@@ -146,6 +146,26 @@
         assertFalse(engine.servers().get("s0@2").isLeaving());
     }
 
+    /** The load that this answers: so many calls that the budget for questions is used up. */
+    @Test
+    public void anOldReportKeepsNobodyFromAServer() {
+        engine = engine(List.of("z1", "z1", "z2"), 0);
+        List<CallAction> placed = new ArrayList<>();
+        engine.handle(new CallEvent.ReportsReceived(
+                now,
+                List.of(
+                        report("s0", 3, 100).orElseThrow(),
+                        report("s1", 3, 100).orElseThrow(),
+                        report("s2", 3, 100).orElseThrow())));
+        pass(300 * MILLI);
+        for (int id = 1; id <= 2; id++) {
+            placed.addAll(arrive(id));
+            placed.addAll(pass(40 * MILLI));
+        }
+        assertEquals(asked(placed), List.of());
+        assertEquals(started(placed).size(), 2);
+    }
+
     /** The load that this answers: a machine whose speed drops while it runs a call. */
     @Test
     public void hedgesEarlyWhenTheServerOfACallTurnsSlow() {
@@ -306,8 +326,12 @@
     }
 
     private CallEngine engine(List<String> zones) {
+        return engine(zones, 100_000);
+    }
+
+    private CallEngine engine(List<String> zones, double asksPerSecond) {
         EngineSettings settings =
-                new EngineSettings("h", "z1", 1).withFleet(new FleetLimits(0.2, 50, 10_000_000, 100_000, 1));
+                new EngineSettings("h", "z1", 1).withFleet(new FleetLimits(0.2, 50, 10_000_000, asksPerSecond, 1));
         CallEngine created = new CallEngine(settings, new SplittableRandom(1), EventRecorder.NONE);
         Service service = Service.builder("s")
                 .routing(RoutingKind.ASKED_LOAD)
--- /dev/null
+++ b/core/src/test/java/org/hyssophitch/core/routing/LoadPlacementTest.java
@@ -0,0 +1,93 @@
+package org.hyssophitch.core.routing;
+
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.load.LoadReport;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Room and cost of a server by what is known of it. */
+public class LoadPlacementTest {
+
+    private static final long NOW = 10_000_000;
+    private static final long MILLI = 1_000;
+
+    @DataProvider
+    Object[][] rooms() {
+        return new Object[][] {
+            // slots, reported, age in ms, has room
+            {3, 0, 0, true},
+            {3, 1, 0, true},
+            {3, 2, 0, false},
+            {3, 3, 30, false},
+            {3, 3, 400, true},
+            {1, 0, 0, true},
+            {1, 1, 0, false},
+            {1, 1, 400, true},
+            {8, 5, 10, true},
+            {8, 6, 10, false},
+        };
+    }
+
+    @Test(dataProvider = "rooms")
+    public void hasRoomBelowTheKneeByAFreshReportAndByAnOldOneAgain(int slots, int reported, int age, boolean room) {
+        ServerState s = server(slots, "z1");
+        s.onReport(new LoadReport("s", reported, NOW - age * MILLI, false, 1));
+        assertEquals(new LoadPlacement("z1", NOW, 0).hasRoom(s), room);
+    }
+
+    @Test
+    public void aServerThatTellsNothingCanBeUsedWhateverItsSize() {
+        for (int slots = 1; slots < 20; slots++) {
+            assertTrue(new LoadPlacement("z1", NOW, 0).hasRoom(server(slots, "z1")), slots + " slots");
+        }
+    }
+
+    @DataProvider
+    Object[][] costs() {
+        return new Object[][] {
+            // cheaper, dearer: slowdown and zone
+            {1.0, "z1", 4.0, "z1"},
+            {1.0, "z2", 4.0, "z1"},
+            {1.0, "z1", 1.0, "z2"},
+        };
+    }
+
+    @Test(dataProvider = "costs")
+    public void prefersTheServerThatEndsFirst(double fast, String fastZone, double slow, String slowZone) {
+        LoadPlacement p = new LoadPlacement("z1", NOW, 100 * MILLI);
+        assertTrue(p.cost(reporting(fast, fastZone)) < p.cost(reporting(slow, slowZone)));
+    }
+
+    @Test
+    public void countsASlowMachineForAsLongAsItStaysSlow() {
+        double brief = new LoadPlacement("z1", NOW, 50 * MILLI).cost(reporting(4, "z1"));
+        double lengthy = new LoadPlacement("z1", NOW, 800 * MILLI).cost(reporting(4, "z1"));
+        assertTrue(lengthy < brief / 2, lengthy + " and " + brief);
+    }
+
+    @Test
+    public void avoidsAColdServerAndOneThatIsSlowerThanItTells() {
+        LoadPlacement p = new LoadPlacement("z1", NOW, 0);
+        ServerState cold = reporting(1, "z1");
+        cold.setColdUntilMicros(NOW + 1);
+        ServerState lying = reporting(1, "z1");
+        for (int i = 0; i < 10; i++) {
+            lying.onPace(6, NOW);
+        }
+        assertTrue(p.cost(cold) > p.cost(reporting(1, "z2")));
+        assertTrue(p.cost(lying) > 2 * p.cost(reporting(1, "z2")));
+    }
+
+    private static ServerState reporting(double slowdown, String zone) {
+        ServerState s = server(3, zone);
+        s.onReport(new LoadReport("s", 0, NOW, false, slowdown));
+        return s;
+    }
+
+    private static ServerState server(int slots, String zone) {
+        return new ServerState(new BackendServer("s", "10.0.0.1", 80, zone, slots, 220, false), 10);
+    }
+}
--- a/entry/src/test/java/org/hyssophitch/entry/FramingFuzzTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/FramingFuzzTest.java
@@ -100,7 +100,7 @@
         return DataPath.get("/s/last", id + "-9").replaceFirst("\r\n", "\r\nConnection: close\r\n");
     }
 
-    /** Mutates heads; what states a length stays, since changing it moves the end of a body by the sender's own word. */
+    /** Mutates heads; what states a length stays, since a change of it moves the end of a body by its own word. */
     private static String mutateRequest(String text, SplittableRandom random) {
         int line = random.nextInt(9);
         String[] lines = text.split("(?<=\r\n)", -1);
