Fade an old report towards what servers usually carry; learn from peers that a watch is silent

A watch whose connection goes silent told nothing for 8 s. Change: the usual load is learnt from answers, so an old report of a full server stands where servers are usually full; a host that hears twice of a newer configuration than its own lists anew.

--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -13,6 +13,7 @@
 import org.hyssophitch.core.configuration.Service;
 import org.hyssophitch.core.health.SuspectRegister.Verdict;
 import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.core.routing.LoadPlacement;
 import org.hyssophitch.core.routing.ServerState;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.core.timeline.EventRecorder;
@@ -208,10 +209,18 @@
     private void onAsked(ServiceState service, CallEvent.LoadAnswered e) {
         if (e.outcome() == CallEvent.AskOutcome.ACCEPTING) {
             service.round().onTold(e.report().isPresent());
+            noteFill(service, e);
         }
         starter.rounds().onAnswer(service, e.server(), e.nowMicros());
     }
 
+    private void noteFill(ServiceState service, CallEvent.LoadAnswered e) {
+        ServerState server = state.servers().get(e.server());
+        if (server != null && e.report().isPresent()) {
+            service.addFill((double) server.othersAtReport() / LoadPlacement.knee(server));
+        }
+    }
+
     private void startWaiting(long nowMicros) {
         state.services().values().forEach(s -> starter.startWaiting(s, nowMicros));
     }
--- a/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
+++ b/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
@@ -226,7 +226,8 @@
     }
 
     private boolean placeOne(ActiveCall call, double mostCost, long nowMicros) {
-        LoadPlacement placement = new LoadPlacement(state.settings().zone(), nowMicros, needed(call));
+        LoadPlacement placement = new LoadPlacement(
+                state.settings().zone(), nowMicros, needed(call), call.service().usualFill());
         boolean isHedge = !call.attempts().isEmpty();
         List<ServerState> untried = call.service().untried(call.tried()).stream()
                 .filter(s -> s.isEligible(nowMicros) && !s.isRefusing(nowMicros))
--- a/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
@@ -9,6 +9,7 @@
 import org.hyssophitch.core.retry.AttemptBudget;
 import org.hyssophitch.core.retry.RatioBudget;
 import org.hyssophitch.core.retry.WindowBudget;
+import org.hyssophitch.core.routing.LoadPlacement;
 import org.hyssophitch.core.routing.RoutingPolicy;
 import org.hyssophitch.core.routing.ServerState;
 
@@ -28,6 +29,9 @@
 
     private static final double SHARE_WEIGHT = 0.03;
 
+    private static final double FILL_WEIGHT = 0.05;
+    private static final double MOST_FILL = 2;
+
     private Service service;
     private RoutingPolicy policy;
     private List<ServerState> servers;
@@ -36,6 +40,7 @@
     private AttemptBudget hedges;
     private final Optional<WindowBudget> shared;
     private double usualShare = FIRST_SHARE;
+    private double usualFill = LoadPlacement.UNKNOWN_FILL;
     private final LoadRound round = new LoadRound();
     private final LatencyTracker latency = new LatencyTracker();
 
@@ -113,6 +118,16 @@
         usualShare += SHARE_WEIGHT * (Math.min(share, MOST_SHARE) - usualShare);
     }
 
+    /** Returns the part of a server's usable slots that other hosts' calls usually take. */
+    double usualFill() {
+        return usualFill;
+    }
+
+    /** Notes what other hosts' calls took of a server's usable slots when it was asked. */
+    void addFill(double fill) {
+        usualFill += FILL_WEIGHT * (Math.min(fill, MOST_FILL) - usualFill);
+    }
+
     LoadRound round() {
         return round;
     }
--- a/core/src/main/java/org/hyssophitch/core/routing/LoadPlacement.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/LoadPlacement.java
@@ -25,9 +25,10 @@
     /** Age in microseconds up to which a report counts in full. */
     private static final double FRESH_MICROS = 40_000;
     /** Further age in microseconds at which half of a reported load has probably gone. */
-    private static final double FADE_MICROS = 60_000;
-    /** Part of a server's usable slots that others are assumed to take while nothing is known of it. */
-    private static final double USUAL_OTHERS = 0.4;
+    private static final double FADE_MICROS = 100_000;
+    /** Part of a server's usable slots that others are assumed to take before any server has told its load. */
+    public static final double UNKNOWN_FILL = 0.4;
+
     /** Part of a call that doesn't fill a place. */
     private static final double ROUNDING = 0.45;
     /** Age in microseconds up to which a report still tells a server's speed. */
@@ -41,6 +42,7 @@
     private final String zone;
     private final long nowMicros;
     private final double workMicros;
+    private final double usualFill;
 
     /**
      * Creates a placement for one moment.
@@ -48,8 +50,10 @@
      * @param zone availability zone of this entry host
      * @param nowMicros current time in microseconds
      * @param workMicros time in microseconds that the call usually takes; 0 when it isn't known
+     * @param usualFill part of a server's usable slots that other hosts' calls usually take
      */
-    public LoadPlacement(String zone, long nowMicros, double workMicros) {
+    public LoadPlacement(String zone, long nowMicros, double workMicros, double usualFill) {
+        this.usualFill = usualFill;
         this.zone = zone;
         this.nowMicros = nowMicros;
         this.workMicros = workMicros;
@@ -65,7 +69,7 @@
      * towards the usual number with the report's age, so that an old report keeps nobody from a server.
      */
     public double present(ServerState s) {
-        double usual = USUAL_OTHERS * knee(s);
+        double usual = usualFill * knee(s);
         double others = s.report()
                 .map(r -> {
                     double weight = Math.pow(2, -Math.max(0, r.ageMicros(nowMicros) - FRESH_MICROS) / FADE_MICROS);
--- a/core/src/main/java/org/hyssophitch/core/routing/ServerSelector.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerSelector.java
@@ -82,7 +82,8 @@
             case RoutingPolicy.PowerOfTwo p -> ServerState::inFlight;
             case RoutingPolicy.PowerOfD p -> s -> s.inFlight() + fadedReport(s, nowMicros);
             case RoutingPolicy.EstimatedDelay e -> new DelayEstimator(e.zone(), compared, nowMicros)::estimate;
-            case RoutingPolicy.AskedLoad a -> new LoadPlacement(a.zone(), nowMicros, 0)::cost;
+            case RoutingPolicy.AskedLoad a ->
+                new LoadPlacement(a.zone(), nowMicros, 0, LoadPlacement.UNKNOWN_FILL)::cost;
         };
     }
 
--- a/core/src/test/java/org/hyssophitch/core/routing/LoadPlacementTest.java
+++ b/core/src/test/java/org/hyssophitch/core/routing/LoadPlacementTest.java
@@ -6,6 +6,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /** Room and cost of a server by what is known of it. */
@@ -35,13 +36,22 @@
     public void hasRoomBelowTheKneeByAFreshReportAndByAnOldOneAgain(int slots, int reported, int age, boolean room) {
         ServerState s = server(slots, "z1");
         s.onReport(new LoadReport("s", reported, NOW - age * MILLI, false, 1));
-        assertEquals(new LoadPlacement("z1", NOW, 0).hasRoom(s), room);
+        assertEquals(new LoadPlacement("z1", NOW, 0, LoadPlacement.UNKNOWN_FILL).hasRoom(s), room);
+    }
+
+    @Test
+    public void anOldReportOfAFullServerStandsWhereServersAreUsuallyFull() {
+        ServerState s = server(3, "z1");
+        s.onReport(new LoadReport("s", 2, NOW - 400 * MILLI, false, 1));
+        assertFalse(new LoadPlacement("z1", NOW, 0, 1.0).hasRoom(s));
     }
 
     @Test
     public void aServerThatTellsNothingCanBeUsedWhateverItsSize() {
         for (int slots = 1; slots < 20; slots++) {
-            assertTrue(new LoadPlacement("z1", NOW, 0).hasRoom(server(slots, "z1")), slots + " slots");
+            assertTrue(
+                    new LoadPlacement("z1", NOW, 0, LoadPlacement.UNKNOWN_FILL).hasRoom(server(slots, "z1")),
+                    slots + " slots");
         }
     }
 
@@ -57,20 +67,20 @@
 
     @Test(dataProvider = "costs")
     public void prefersTheServerThatEndsFirst(double fast, String fastZone, double slow, String slowZone) {
-        LoadPlacement p = new LoadPlacement("z1", NOW, 100 * MILLI);
+        LoadPlacement p = new LoadPlacement("z1", NOW, 100 * MILLI, LoadPlacement.UNKNOWN_FILL);
         assertTrue(p.cost(reporting(fast, fastZone)) < p.cost(reporting(slow, slowZone)));
     }
 
     @Test
     public void countsASlowMachineForAsLongAsItStaysSlow() {
-        double brief = new LoadPlacement("z1", NOW, 50 * MILLI).cost(reporting(4, "z1"));
-        double lengthy = new LoadPlacement("z1", NOW, 800 * MILLI).cost(reporting(4, "z1"));
+        double brief = new LoadPlacement("z1", NOW, 50 * MILLI, LoadPlacement.UNKNOWN_FILL).cost(reporting(4, "z1"));
+        double lengthy = new LoadPlacement("z1", NOW, 800 * MILLI, LoadPlacement.UNKNOWN_FILL).cost(reporting(4, "z1"));
         assertTrue(lengthy < brief / 2, lengthy + " and " + brief);
     }
 
     @Test
     public void avoidsAColdServerAndOneThatIsSlowerThanItTells() {
-        LoadPlacement p = new LoadPlacement("z1", NOW, 0);
+        LoadPlacement p = new LoadPlacement("z1", NOW, 0, LoadPlacement.UNKNOWN_FILL);
         ServerState cold = reporting(1, "z1");
         cold.setColdUntilMicros(NOW + 1);
         ServerState lying = reporting(1, "z1");
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -101,6 +101,7 @@
                 log,
                 router::version,
                 this::isReady,
+                this::onStoreReturned,
                 s -> carrier.handle(new CallEvent.SuspicionsReceived(WallClock.nowMicros(), s)),
                 n -> carrier.handle(new CallEvent.FleetChanged(WallClock.nowMicros(), n)));
         LoopTimers timers = new LoopTimers(loop);
@@ -231,7 +232,7 @@
         peers.refreshReadiness();
     }
 
-    /** After an outage that one call has shown, answers that other calls wait for may be lost. */
+    /** After an outage that one call or another host has shown, answers that calls wait for may be lost. */
     private void onStoreReturned() {
         servers.onStoreReturned();
         configurations.refresh();
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -59,10 +59,12 @@
     private final RandomGenerator random;
     private final LongSupplier configurationVersion;
     private final BooleanSupplier ready;
+    private final Runnable onBehind;
     private final Consumer<List<Suspicion>> onSuspicions;
     private final Consumer<Map<String, Integer>> onFleet;
     private DatagramEndpoint endpoint;
     private boolean isAccepting;
+    private boolean wasBehind;
     private Map<String, Integer> mostLive = Map.of();
 
     Peers(
@@ -73,6 +75,7 @@
             EventRecorder recorder,
             LongSupplier configurationVersion,
             BooleanSupplier ready,
+            Runnable onBehind,
             Consumer<List<Suspicion>> onSuspicions,
             Consumer<Map<String, Integer>> onFleet) {
         this.loop = loop;
@@ -80,6 +83,7 @@
         this.recorder = recorder;
         this.configurationVersion = configurationVersion;
         this.ready = ready;
+        this.onBehind = onBehind;
         this.onSuspicions = onSuspicions;
         this.onFleet = onFleet;
         Member self = new Member(
@@ -182,6 +186,20 @@
         membership.stateSelfQuietly(membership.self().withConfigurationVersion(configurationVersion.getAsLong()));
         membership.onTime(WallClock.nowMicros()).forEach(h -> send(h.to(), Optional.of(h)));
         countFleet();
+        compareVersions();
+    }
+
+    /**
+     * Tells when another host has a newer configuration for more than a moment: then this host's connection to the store
+     * has gone silent although the store is there.
+     */
+    private void compareVersions() {
+        long own = configurationVersion.getAsLong();
+        boolean isBehind = membership.live().stream().anyMatch(m -> m.configurationVersion() > own);
+        if (isBehind && wasBehind) {
+            onBehind.run();
+        }
+        wasBehind = isBehind && !wasBehind;
     }
 
     /** The largest number seen counts, so that hosts which see fewer of the others stay within their part. */
--- a/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
@@ -153,6 +153,24 @@
         assertTrue(directory(settings).contains(settings.addresses().front()));
     }
 
+    /** A connection that has gone silent shows by nothing but the others' newer configuration. */
+    @Test
+    public void learnsFromAnotherHostThatItsWatchIsSilent() throws Exception {
+        configure(1, "svc");
+        register("i-1", first, "svc", "ready");
+        register("i-2", second, "other", "ready");
+        start(settings);
+        await(() -> request(settings, "/s/x").endsWith("first"));
+        store.setMood(StoreStandin.Mood.DEAF);
+        configure(2, "other");
+        Thread.sleep(500);
+        assertTrue(request(settings, "/s/x").endsWith("first"));
+        long start = System.nanoTime();
+        start(settings("host-2"));
+        await(() -> request(settings, "/s/x").endsWith("second"));
+        assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(6), "it took as long as a watch lasts");
+    }
+
     @Test
     public void registersItselfOnceAlthoughTheAnswerIsLost() throws Exception {
         store.put(
--- a/entry/src/test/java/org/hyssophitch/entry/StoreStandin.java
+++ b/entry/src/test/java/org/hyssophitch/entry/StoreStandin.java
@@ -33,6 +33,8 @@
         REFUSING,
         THROTTLING,
         SILENT,
+        /** Watches hear nothing until their time is over; all else works. */
+        DEAF,
         /** Writes are done, and their answers are lost. */
         LOSING_WRITE_ANSWERS
     }
@@ -130,7 +132,7 @@
         List<Event> news = history.stream()
                 .filter(e -> e.kind().equals(kind) && e.revision() > since)
                 .toList();
-        if (!news.isEmpty()) {
+        if (!news.isEmpty() && mood != Mood.DEAF) {
             return done(events(news));
         }
         CompletableFuture<HttpReply> answer = new CompletableFuture<>();
@@ -190,6 +192,9 @@
 
     private void tell(Event event) {
         history.add(event);
+        if (mood == Mood.DEAF) {
+            return;
+        }
         List<Waiting> met = waiting.stream()
                 .filter(w -> w.kind().equals(event.kind()) && w.revision() < event.revision())
                 .toList();
