--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -190,8 +190,8 @@
     }
 
     /**
-     * Tells when another host has a newer configuration for more than a moment: then this host's connection to the store
-     * has gone silent although the store is there.
+     * Tells when another host has a newer configuration for more than a moment: then this host's connection to the
+     * store has gone silent although the store is there.
      */
     private void compareVersions() {
         long own = configurationVersion.getAsLong();
