--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -174,9 +174,9 @@
         Pause.millis(POLL_MILLIS);
     }
 
-    /** Takes over settings that changed while the process runs; addresses stay as they are until the next start. */
+    /** Notes that the settings file changed; what it says counts from the next start. */
     void onSettings(EntrySettings changed) {
-        Logger.info("settings of {} are in force from now on where they don't need a start", changed.host());
+        Logger.info("settings of {} changed; they count from the next start", changed.host());
     }
 
     private void beginStop() {
