Judge histories of many callers beside faulty servers

Twelve callers at once, four servers that shed, reset, cut, repeat, misname, garble or promise falsely: no non-idempotent request runs twice, no refusal is false, every answer is whole and the caller's own.

--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/ConcurrentHistoryTest.java
@@ -0,0 +1,131 @@
+package org.hyssophitch.entry;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Histories of many callers at once, beside servers that break the protocol: judged by what callers and servers saw. */
+public class ConcurrentHistoryTest {
+
+    private static final int CALLERS = 12;
+    private static final int REQUESTS_PER_CALLER = 40;
+    private static final int SERVERS = 4;
+    /** Requests in a hundred that meet a fault. */
+    private static final int FAULT_PERCENT = 15;
+
+    /** What a caller saw of one request. */
+    private record Seen(String id, boolean idempotent, int status, String answer) {}
+
+    @DataProvider
+    Object[][] seeds() {
+        return IntStream.range(0, 4).mapToObj(i -> new Object[] {i}).toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "seeds")
+    public void keepsItsPromisesBesideFaultyServers(int seed) throws Exception {
+        Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+        Queue<Seen> seen = new ConcurrentLinkedQueue<>();
+        List<ScriptedServer> servers = new ArrayList<>();
+        for (int i = 0; i < SERVERS; i++) {
+            servers.add(new ScriptedServer(faulty(new SplittableRandom(seed * 100L + i), runs)));
+        }
+        try (DataPath path = new DataPath(DataPath.LIMITS, servers.toArray(ScriptedServer[]::new))) {
+            call(path, seed, seen);
+        }
+        for (ScriptedServer s : servers) {
+            s.close();
+        }
+        assertEquals(seen.size(), CALLERS * REQUESTS_PER_CALLER);
+        seen.forEach(
+                s -> judge(s, runs.getOrDefault(s.id(), new AtomicInteger()).get()));
+        long served = seen.stream().filter(s -> s.status() == 200).count();
+        assertTrue(served > seen.size() / 2, served + " of " + seen.size() + " served");
+    }
+
+    private static void judge(Seen s, int runs) {
+        assertTrue(s.idempotent() || runs <= 1, s + " ran " + runs + " times");
+        switch (s.status()) {
+            case 200 -> assertTrue(s.answer().endsWith("own-" + s.id() + "!") && runs >= 1, s + " ran " + runs);
+            case 503 -> assertTrue(s.idempotent() || runs == 0, s + " was said not to have run, and ran");
+            case 502, 504 -> assertTrue(!s.answer().contains("own-"), s.toString());
+            default -> assertEquals(s.status(), 0, s.toString());
+        }
+    }
+
+    private static void call(DataPath path, int seed, Queue<Seen> seen) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(CALLERS);
+        for (int c = 0; c < CALLERS; c++) {
+            int caller = c;
+            Thread.startVirtualThread(() -> {
+                for (int i = 0; i < REQUESTS_PER_CALLER; i++) {
+                    boolean isIdempotent = (caller + i) % 3 != 0;
+                    seen.add(request(path, "r" + seed + "-" + caller + "-" + i, isIdempotent));
+                }
+                done.countDown();
+            });
+        }
+        assertTrue(done.await(60, TimeUnit.SECONDS), "callers are still waiting");
+    }
+
+    private static Seen request(DataPath path, String id, boolean isIdempotent) {
+        String text = isIdempotent ? DataPath.get("/s/" + id, id) : DataPath.post("/u/" + id, id, "body of " + id);
+        try {
+            String answer = path.exchange(text, 1);
+            boolean isAnswer = answer.startsWith("HTTP/1.1 ");
+            return new Seen(id, isIdempotent, isAnswer ? Integer.parseInt(answer.substring(9, 12)) : 0, answer);
+        } catch (IOException e) {
+            return new Seen(id, isIdempotent, 0, "");
+        }
+    }
+
+    private static ScriptedServer.Script faulty(SplittableRandom random, Map<String, AtomicInteger> runs) {
+        return (r, c) -> {
+            int fault;
+            synchronized (random) {
+                fault = random.nextInt(100) < FAULT_PERCENT ? 1 + random.nextInt(7) : 0;
+            }
+            if (fault == 1) {
+                ScriptedServer.write(
+                        c, ScriptedServer.head(r, 503) + "Hyssophitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+                return true;
+            }
+            runs.computeIfAbsent(r.id(), id -> new AtomicInteger()).incrementAndGet();
+            String body = "own-" + r.id() + "!";
+            String whole = ScriptedServer.head(r, 200) + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+            return answer(c, whole, fault);
+        };
+    }
+
+    /** Answers as the fault says; returns whether the connection is kept. */
+    private static boolean answer(Socket c, String whole, int fault) throws IOException, InterruptedException {
+        switch (fault) {
+            case 2 -> c.setSoLinger(true, 0);
+            case 3 -> ScriptedServer.write(c, whole.substring(0, whole.length() - 3));
+            case 4 -> ScriptedServer.write(c, whole + whole);
+            case 5 -> ScriptedServer.write(c, whole.replaceFirst("Request-Id: [^\r]*", "Request-Id: stranger"));
+            case 6 -> ScriptedServer.write(c, "garbage\r\n\r\n");
+            case 7 -> {
+                Thread.sleep(30);
+                ScriptedServer.write(c, whole.replaceFirst("200 X", "503 X"));
+            }
+            default -> ScriptedServer.write(c, whole);
+        }
+        return fault == 0 || fault == 4 || fault == 7;
+    }
+}
