--- a/entry/src/test/java/org/hyssophitch/entry/ConcurrentHistoryTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/ConcurrentHistoryTest.java
@@ -20,7 +20,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-/** Histories of many callers at once, beside servers that break the protocol: judged by what callers and servers saw. */
+/** Histories of many callers at once beside servers that break the protocol, judged by what both sides saw. */
 public class ConcurrentHistoryTest {
 
     private static final int CALLERS = 12;
