--- a/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
@@ -162,7 +162,8 @@
         }
     }
 
-    private static boolean isAsked(ServiceState service) {
+    /** Returns whether the service's servers are asked for their load when a call arrives. */
+    static boolean isAsked(ServiceState service) {
         return service.policy() instanceof RoutingPolicy.AskedLoad;
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/SpeedChecks.java
+++ b/core/src/main/java/org/hyssophitch/core/call/SpeedChecks.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 
 import org.hyssophitch.core.load.LoadReport;
-import org.hyssophitch.core.routing.RoutingPolicy;
 
 /**
  * Asks the server of a running attempt once whether it has become slow, and hedges the call early if so. Not
@@ -36,8 +35,7 @@
     /** Plans the check of a call's first attempt. */
     void schedule(ActiveCall call, ActiveCall.Attempt a, long nowMicros) {
         long span = call.request().terms().spanMicros();
-        boolean isAsked = call.service().policy() instanceof RoutingPolicy.AskedLoad;
-        if (isAsked && span > 0) {
+        if (AttemptStarter.isAsked(call.service()) && span > 0) {
             long at = nowMicros + (long) (span * CHECK_SHARE);
             state.timers().add(new EngineState.Timer(at, call.callId(), a.number(), EngineState.TimerKind.CHECK));
         }
--- a/entry/src/main/java/org/hyssophitch/entry/ConfigurationListener.java
+++ b/entry/src/main/java/org/hyssophitch/entry/ConfigurationListener.java
@@ -8,8 +8,6 @@
 import org.hyssophitch.core.store.KindFollower;
 import org.hyssophitch.core.store.StoreChanges.Change;
 import org.hyssophitch.core.store.StoredObject;
-import org.hyssophitch.core.timeline.EventBody;
-import org.hyssophitch.wire.duty.WallClock;
 
 /** Passes on each configuration that the store gives out. Not thread-safe; lives on the event loop. */
 final class ConfigurationListener implements KindFollower.Listener<Configuration> {
@@ -49,10 +47,7 @@
 
     @Override
     public void onReachable(boolean isReachable, String detail) {
-        log.record(
-                WallClock.nowMicros(),
-                "",
-                new EventBody.PlatformState((isReachable ? "reachable " : "unreachable ") + detail));
+        log.reachable(isReachable, detail);
         if (isReachable) {
             onReturn.run();
         }
--- a/entry/src/main/java/org/hyssophitch/entry/EventLog.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EventLog.java
@@ -77,6 +77,14 @@
                 : body;
     }
 
+    /** Writes that the platform's store became reachable or unreachable for a kind of objects. */
+    void reachable(boolean isReachable, String detail) {
+        record(
+                WallClock.nowMicros(),
+                "",
+                new EventBody.PlatformState((isReachable ? "reachable " : "unreachable ") + detail));
+    }
+
     /** Writes the final answer of a request. */
     void answered(String requestId, Reason reason, int status, long elapsedMicros, long version) {
         long now = WallClock.nowMicros();
--- a/entry/src/main/java/org/hyssophitch/entry/ServerBeliefs.java
+++ b/entry/src/main/java/org/hyssophitch/entry/ServerBeliefs.java
@@ -13,7 +13,6 @@
 import org.hyssophitch.core.store.StoreChanges.Change;
 import org.hyssophitch.core.store.StoredObject;
 import org.hyssophitch.core.store.Timers;
-import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.http.CallCarrier;
 
 /** Keeps the engine's backend servers as the store tells them. Not thread-safe; lives on the event loop. */
@@ -72,10 +71,7 @@
 
     @Override
     public void onReachable(boolean isReachable, String detail) {
-        log.record(
-                timers.nowMicros(),
-                "",
-                new EventBody.PlatformState((isReachable ? "reachable " : "unreachable ") + detail));
+        log.reachable(isReachable, detail);
         if (isReachable) {
             onReturn.run();
         }
--- a/http/src/main/java/org/hyssophitch/http/CallCarrier.java
+++ b/http/src/main/java/org/hyssophitch/http/CallCarrier.java
@@ -86,10 +86,6 @@
         return dialect;
     }
 
-    EventLoop loop() {
-        return loop;
-    }
-
     long nextCallId() {
         lastCallId++;
         return lastCallId;
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -264,11 +264,6 @@
         }
     }
 
-    /** Frames an answer of unknown length. */
-    void frameByChunks(HttpResponse head) {
-        HttpUtil.setTransferEncodingChunked(head, true);
-    }
-
     void pauseReading() {
         context.channel().config().setAutoRead(false);
     }
--- a/http/src/main/java/org/hyssophitch/http/CallerExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerExchange.java
@@ -162,7 +162,7 @@
         if (length != null && !HttpUtil.isTransferEncodingChunked(head)) {
             copy.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
         } else if (!isHead && head.status().code() != HttpResponseStatus.NO_CONTENT.code()) {
-            connection.frameByChunks(copy);
+            HttpUtil.setTransferEncodingChunked(copy, true);
         }
         add(copy);
     }
