Take ports for tests from outside the range of outgoing connections; end a program that can't listen

The test asked the system for a free port, gave it back and used it later; meanwhile outgoing connections of the same run (polls of the test, calls of three hosts to the store) take their ports from the same range, 32,768 to 60,999. The second failure, in tearDown, was our own: a program whose start failed couldn't be stopped (no listener yet).

Ruled out: a listener that was left open (each test closes its own; the port was never used before in that run), TIME_WAIT (SO_REUSEADDR is set).

A listener that can't be bound ends in a typed error; the entry program logs it and ends with 69 instead of staying half started. SIGHUP is handled before the program starts, since until then it would have ended the process.

--- a/document/src/test/java/org/hyssophitch/document/DocumentStoreTest.java
+++ b/document/src/test/java/org/hyssophitch/document/DocumentStoreTest.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -15,6 +14,7 @@
 import org.hyssophitch.standin.Deployment;
 import org.hyssophitch.standin.DeploymentFiles;
 import org.hyssophitch.standin.PlatformStandin;
+import org.hyssophitch.wire.net.FreePorts;
 import org.hyssophitch.wire.platform.ConfigurationRecords.ConfigurationRecord;
 import org.hyssophitch.wire.platform.PlatformClient;
 import org.hyssophitch.wire.platform.PlatformResult;
@@ -36,7 +36,7 @@
 
     @BeforeMethod
     public void open() {
-        address = "127.0.0.1:" + freePort();
+        address = "127.0.0.1:" + FreePorts.one();
         platform = new PlatformStandin(address);
         store = new DocumentStore(new PlatformClient(address));
     }
@@ -130,12 +130,4 @@
             throw new UncheckedIOException(e);
         }
     }
-
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
--- a/entry/src/main/java/org/hyssophitch/entry/EntryMain.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMain.java
@@ -5,6 +5,7 @@
 import org.hyssophitch.core.entry.EntrySettings;
 import org.hyssophitch.platform.PlatformSettings;
 import org.hyssophitch.wire.duty.Lifecycle;
+import org.hyssophitch.wire.net.ListenFailedException;
 import org.tinylog.Logger;
 
 /** Starts the program of an entry host. */
@@ -14,6 +15,8 @@
     private static final int METRICS_PORT = 9_464;
 
     private static final int EXIT_SETTINGS = 65;
+    /** EX_UNAVAILABLE of sysexits.h. */
+    private static final int EXIT_UNAVAILABLE = 69;
 
     private EntryMain() {}
 
@@ -24,13 +27,16 @@
         try {
             EntrySettings settings = PlatformSettings.read(path, METRICS_PORT);
             EntryProgram program = new EntryProgram(settings);
-            program.start();
             new SettingsWatch(path, METRICS_PORT, settings, program::onSettings).start();
+            program.start();
             Lifecycle.stopOnSignal(program::stop);
             Lifecycle.awaitEnd();
         } catch (PlatformSettings.SettingsException e) {
             Logger.error(e, "not started");
             System.exit(EXIT_SETTINGS);
+        } catch (ListenFailedException e) {
+            Logger.error(e, "not started");
+            System.exit(EXIT_UNAVAILABLE);
         }
     }
 }
--- a/entry/src/main/java/org/hyssophitch/entry/RehearsalMain.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RehearsalMain.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -17,6 +16,7 @@
 import org.hyssophitch.platform.RehearsalBodies;
 import org.hyssophitch.wire.duty.Pause;
 import org.hyssophitch.wire.net.EventLoops;
+import org.hyssophitch.wire.net.FreePorts;
 import org.hyssophitch.wire.net.HttpEndpoint;
 import org.hyssophitch.wire.net.HttpQuery;
 import org.hyssophitch.wire.net.HttpReply;
@@ -43,7 +43,7 @@
      */
     public static void main(String[] arguments) throws IOException, PlatformSettings.SettingsException {
         System.setProperty("tinylog.configuration", "tinylog-entry.properties");
-        int[] ports = freePorts(7);
+        int[] ports = FreePorts.several(7);
         EventLoopGroup group = EventLoops.create(1);
         HttpEndpoint store = endpoint(group, ports[0], q -> RehearsalBodies.store(q, ports[1]));
         HttpEndpoint server = endpoint(group, ports[1], RehearsalMain::serve);
@@ -87,17 +87,4 @@
             in.readAllBytes();
         }
     }
-
-    private static int[] freePorts(int count) throws IOException {
-        ServerSocket[] sockets = new ServerSocket[count];
-        int[] ports = new int[count];
-        for (int i = 0; i < count; i++) {
-            sockets[i] = new ServerSocket(0);
-            ports[i] = sockets[i].getLocalPort();
-        }
-        for (ServerSocket s : sockets) {
-            s.close();
-        }
-        return ports;
-    }
 }
--- a/entry/src/test/java/org/hyssophitch/entry/DataPath.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -3,9 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -37,6 +35,7 @@
 import org.hyssophitch.platform.PlatformHeaders;
 import org.hyssophitch.wire.duty.WallClock;
 import org.hyssophitch.wire.net.EventLoops;
+import org.hyssophitch.wire.net.FreePorts;
 
 /** The data path with real sockets, real engine and scripted servers, for tests. */
 final class DataPath implements AutoCloseable {
@@ -61,7 +60,7 @@
         carrier = new CallCarrier(
                 new CallEngine(settings, new SplittableRandom(2), log), loop, new PlatformHeaders(), s -> {});
         front = new FrontListener(carrier, new EntryRules(router, metrics, log));
-        port = freePort();
+        port = FreePorts.one();
         Configuration c = configuration(limits);
         loop.submit(() -> {
             router.accept(c);
@@ -204,10 +203,4 @@
         }
         return Map.of("svc", all);
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return s.getLocalPort();
-        }
-    }
 }
--- a/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
@@ -1,6 +1,7 @@
 package org.hyssophitch.entry;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -12,6 +13,9 @@
 import java.util.function.BooleanSupplier;
 
 import org.hyssophitch.core.entry.EntrySettings;
+import org.hyssophitch.wire.net.Addresses;
+import org.hyssophitch.wire.net.FreePorts;
+import org.hyssophitch.wire.net.ListenFailedException;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -20,6 +24,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 /** Entry hosts as a whole, against a stand-in of the platform's store. */
@@ -39,7 +44,7 @@
 
     @BeforeMethod
     public void setUp() throws IOException {
-        storePort = freePort();
+        storePort = FreePorts.one();
         store = new StoreStandin(storePort);
         first = new ScriptedServer(ScriptedServer.ok("first"));
         second = new ScriptedServer(ScriptedServer.ok("second"));
@@ -208,6 +213,17 @@
         assertNull(store.get(HOSTS, "host-1"));
     }
 
+    @Test
+    public void refusesToStartWhereAnotherListensAndCanStillBeStopped() throws Exception {
+        configure(1, "svc");
+        int taken = Addresses.parse(settings.addresses().front()).getPort();
+        try (ServerSocket other = new ServerSocket(taken, 1, InetAddress.getByName("127.0.0.1"))) {
+            assertTrue(other.isBound());
+            assertThrows(ListenFailedException.class, () -> start(settings));
+        }
+        programs.remove(0).stop();
+    }
+
     private EntryProgram start(EntrySettings s) {
         EntryProgram program = new EntryProgram(s);
         programs.add(program);
@@ -274,13 +290,13 @@
         }
     }
 
-    private EntrySettings settings(String host) throws IOException {
+    private EntrySettings settings(String host) {
         EntrySettings.Addresses addresses = new EntrySettings.Addresses(
-                "127.0.0.1:" + freePort(),
-                "127.0.0.1:" + freePort(),
-                "127.0.0.1:" + freePort(),
-                "127.0.0.1:" + freePort(),
-                "127.0.0.1:" + freePort());
+                "127.0.0.1:" + FreePorts.one(),
+                "127.0.0.1:" + FreePorts.one(),
+                "127.0.0.1:" + FreePorts.one(),
+                "127.0.0.1:" + FreePorts.one(),
+                "127.0.0.1:" + FreePorts.one());
         return new EntrySettings(
                 host,
                 "z1",
@@ -290,10 +306,4 @@
                 "127.0.0.1:" + storePort,
                 new EntrySettings.Bounds(GRACE_MILLIS, 0.2, 1_000, 10_000, 10_000, 5));
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0)) {
-            return s.getLocalPort();
-        }
-    }
 }
--- a/http/src/main/java/org/hyssophitch/http/FrontListener.java
+++ b/http/src/main/java/org/hyssophitch/http/FrontListener.java
@@ -17,6 +17,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.hyssophitch.core.call.Reason;
+import org.hyssophitch.wire.net.Binding;
 
 /**
  * Listens for callers. Not thread-safe but for {@link #open}; lives on one event loop until {@link #stopListening}.
@@ -44,9 +45,13 @@
         this.rules = rules;
     }
 
-    /** Opens the address; blocks until it is bound. */
+    /**
+     * Opens the address; blocks until it is bound.
+     *
+     * @throws org.hyssophitch.wire.net.ListenFailedException when the address can't be bound
+     */
     public void open(EventLoopGroup group, InetSocketAddress local) {
-        channel = new ServerBootstrap()
+        ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -57,10 +62,8 @@
                     protected void initChannel(SocketChannel c) {
                         initialize(c);
                     }
-                })
-                .bind(local)
-                .syncUninterruptibly()
-                .channel();
+                });
+        channel = Binding.bind(bootstrap, local);
     }
 
     /** Announces with each answer from now on that its connection is closed. */
@@ -71,7 +74,9 @@
     /** Takes no new connections and closes those without a request; the others close after their answer. */
     public void stopListening() {
         isStopping = true;
-        channel.close();
+        if (channel != null) {
+            channel.close();
+        }
         closeIdle();
     }
 
--- a/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
+++ b/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
@@ -1,7 +1,6 @@
 package org.hyssophitch.proxy;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -18,6 +17,7 @@
 import org.hyssophitch.agent.AgentSettings;
 import org.hyssophitch.document.DocumentStore;
 import org.hyssophitch.standin.PlatformStandin;
+import org.hyssophitch.wire.net.FreePorts;
 import org.hyssophitch.wire.platform.PlatformClient;
 import org.hyssophitch.wire.report.CallHeaders;
 import org.testng.annotations.AfterClass;
@@ -58,16 +58,16 @@
     @BeforeClass
     public void open() throws IOException, InterruptedException {
         server = new RawServer(OK, RawServer.End.KEEP);
-        String platformAddress = "127.0.0.1:" + freePort();
-        String agentAddress = "127.0.0.1:" + freePort();
-        proxyAddress = "127.0.0.1:" + freePort();
+        String platformAddress = "127.0.0.1:" + FreePorts.one();
+        String agentAddress = "127.0.0.1:" + FreePorts.one();
+        proxyAddress = "127.0.0.1:" + FreePorts.one();
         platform = new PlatformStandin(platformAddress);
         new DocumentStore(new PlatformClient(platformAddress)).apply(document(), "test", 0);
         agent = new Agent(new AgentSettings(
                 HOST,
                 "z1",
                 agentAddress,
-                "127.0.0.1:" + freePort(),
+                "127.0.0.1:" + FreePorts.one(),
                 proxyAddress,
                 platformAddress,
                 List.of(),
@@ -342,12 +342,6 @@
                 .formatted(server.port());
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     /** Body of one repeated byte, which is never held as a whole. */
     private static final class RepeatedByte extends RequestBody {
         private final int size;
--- a/wire/src/main/java/org/hyssophitch/wire/net/DatagramEndpoint.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/DatagramEndpoint.java
@@ -34,13 +34,9 @@
      * @param receiver called on the event loop for each datagram
      */
     public DatagramEndpoint(EventLoopGroup group, InetSocketAddress local, Consumer<Wire.AgentDatagram> receiver) {
-        channel = new Bootstrap()
-                .group(group)
-                .channel(NioDatagramChannel.class)
-                .handler(new Receiver(receiver))
-                .bind(local)
-                .syncUninterruptibly()
-                .channel();
+        Bootstrap bootstrap =
+                new Bootstrap().group(group).channel(NioDatagramChannel.class).handler(new Receiver(receiver));
+        channel = Binding.bind(bootstrap, local);
     }
 
     /** Sends a datagram; like any datagram it may get lost. */
--- a/wire/src/main/java/org/hyssophitch/wire/net/FrameChannels.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/FrameChannels.java
@@ -46,15 +46,13 @@
 
     /** Opens a listening socket and returns its channel. */
     public static Channel listen(EventLoopGroup group, InetSocketAddress local, Receiver receiver) {
-        return new ServerBootstrap()
+        ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new Pipeline(receiver))
-                .bind(local)
-                .syncUninterruptibly()
-                .channel();
+                .childHandler(new Pipeline(receiver));
+        return Binding.bind(bootstrap, local);
     }
 
     /** Opens a connection; the future ends in the channel or in the failure to connect. */
--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpEndpoint.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpEndpoint.java
@@ -52,7 +52,7 @@
      */
     public HttpEndpoint(
             EventLoopGroup group, InetSocketAddress local, Function<HttpQuery, CompletionStage<HttpReply>> handler) {
-        channel = new ServerBootstrap()
+        ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -65,10 +65,8 @@
                                 .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
                                 .addLast(new Handler(handler));
                     }
-                })
-                .bind(local)
-                .syncUninterruptibly()
-                .channel();
+                });
+        channel = Binding.bind(bootstrap, local);
     }
 
     @Override
