--- a/core/src/main/java/org/hyssophitch/core/call/CallAction.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallAction.java
@@ -29,7 +29,7 @@
     record CancelAttempt(long callId, int attempt) implements CallAction {}
 
     /**
-     * Give the caller the system's own final answer.
+     * Give the caller the system's own final answer; it comes also when the caller has left, and ends the call.
      *
      * @param callId the call
      * @param reason why
--- a/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
@@ -38,9 +38,7 @@
         if (reason == Reason.NO_ROOM) {
             retryAfter += state.random().nextLong(ROOM_RETRY_SPREAD_MILLIS);
         }
-        if (!call.isCallerGone()) {
-            state.emit(new CallAction.AnswerCaller(call.callId(), reason, retryAfter, ""));
-        }
+        state.emit(new CallAction.AnswerCaller(call.callId(), reason, retryAfter, ""));
         close(call, reason, nowMicros);
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/CallRequest.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallRequest.java
@@ -61,6 +61,22 @@
                 CallTerms.NONE);
     }
 
+    /** Returns this request as its caller wants it treated beyond what its route says. */
+    public CallRequest withCaller(boolean isIdempotent, Optional<Ticket> newTicket, int newDepth, boolean newMayRetry) {
+        return new CallRequest(
+                callId,
+                requestId,
+                service,
+                isIdempotent,
+                newTicket,
+                deadlineMicros,
+                newDepth,
+                newMayRetry,
+                replayable,
+                fingerprint,
+                terms);
+    }
+
     /** Returns this request with the deadline given, or this instance when nothing changes. */
     public CallRequest withDeadlineMicros(long value) {
         return value == deadlineMicros
--- a/core/src/main/java/org/hyssophitch/core/call/Reason.java
+++ b/core/src/main/java/org/hyssophitch/core/call/Reason.java
@@ -11,6 +11,8 @@
     BAD_REQUEST(Outcome.NOT_RUN, 400),
     NO_ROUTE(Outcome.NOT_RUN, 404),
     HEAD_TOO_LARGE(Outcome.NOT_RUN, 431),
+    /** A request was begun and its head took too long to arrive. */
+    HEAD_TIMEOUT(Outcome.NOT_RUN, 408),
     BODY_TOO_LARGE(Outcome.NOT_RUN, 413),
     NO_CONFIGURATION(Outcome.NOT_RUN, 503),
     QUEUE_FULL(Outcome.NOT_RUN, 503),
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -91,7 +91,11 @@
         this.settings = settings;
         EngineSettings engine = new EngineSettings(settings.host(), settings.zone(), incarnation).withFleet(fleet());
         carrier = new CallCarrier(
-                new CallEngine(engine, random.split(), log), loop, new PlatformHeaders(), s -> share(s.suspicions()));
+                new CallEngine(engine, random.split(), log),
+                loop,
+                new PlatformHeaders(),
+                CallCarrier.KEEP_SMALL_ANSWERS,
+                s -> share(s.suspicions()));
         front = new FrontListener(carrier, new EntryRules(router, metrics, log));
         peers = new Peers(
                 settings,
@@ -164,7 +168,7 @@
         double grace = settings.bounds().graceMillis();
         Pause.millis((long) (grace * TAKING_PART));
         onLoop(front::stopListening);
-        while (carrier.activeCalls() > 0 && elapsedMillis(startNanos) < grace * ENDING_PART) {
+        while (isBusy() && elapsedMillis(startNanos) < grace * ENDING_PART) {
             Pause.millis(POLL_MILLIS);
         }
         onLoop(() -> {
@@ -174,6 +178,12 @@
         Pause.millis(POLL_MILLIS);
     }
 
+    private boolean isBusy() {
+        return loop.submit(() -> carrier.activeCalls() > 0 || front.busyConnections() > 0)
+                .syncUninterruptibly()
+                .getNow();
+    }
+
     /** Notes that the settings file changed; what it says counts from the next start. */
     void onSettings(EntrySettings changed) {
         Logger.info("settings of {} changed; they count from the next start", changed.host());
--- a/entry/src/main/java/org/hyssophitch/entry/EntryRules.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryRules.java
@@ -21,11 +21,12 @@
     @Override
     public Verdict judge(RequestHead head) {
         if (router.version() == 0) {
-            return new Verdict.Refused(Reason.NO_CONFIGURATION);
+            return new Verdict.Refused(Reason.NO_CONFIGURATION, "");
         }
         return router.find(head.host(), head.path())
                 .<Verdict>map(r -> new Verdict.Accepted(
                         r.idempotent(),
+                        head.target(),
                         (callId, replayable, fingerprint, arrived) -> router.call(
                                 r,
                                 callId,
@@ -34,7 +35,7 @@
                                 replayable,
                                 head.host() + ' ' + fingerprint,
                                 arrived)))
-                .orElseGet(() -> new Verdict.Refused(Reason.NO_ROUTE));
+                .orElseGet(() -> new Verdict.Refused(Reason.NO_ROUTE, ""));
     }
 
     @Override
--- a/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
@@ -20,6 +20,7 @@
 import org.hyssophitch.core.call.AttemptResult.NotRunCause;
 import org.hyssophitch.core.call.CallAction;
 import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.wire.duty.WallClock;
 
 /**
@@ -30,8 +31,8 @@
  */
 final class BackendAttempt implements BackendUse, RequestBody.Sink {
 
-    /** Size in bytes up to which an answer is kept before it is relayed. */
-    private static final int ANSWER_BYTES = 65_536;
+    /** Bytes of an answer that nobody takes yet, above which it isn't read on. */
+    private static final int MAX_UNUSED_BYTES = 131_072;
 
     private static final long MICROS_PER_MILLI = 1_000;
 
@@ -40,6 +41,7 @@
     private final CallCarrier carrier;
     private final Deque<HttpContent> kept = new ArrayDeque<>();
     private BackendConnection connection;
+    private StallWatch stallWatch = StallWatch.NONE;
     private HttpResponse head;
     private Optional<NotRunCause> proof = Optional.empty();
     private int keptBytes;
@@ -62,6 +64,7 @@
     /** Ends the attempt without a word to the engine, which asked for it. */
     void cancel() {
         isOver = true;
+        stallWatch.stop();
         releaseKept();
         if (connection != null && !isWhole) {
             connection.cancel();
@@ -71,12 +74,15 @@
     /** Hands the answer over to the caller, and all that still comes. */
     void relay() {
         isRelaying = true;
-        exchange.beginAnswer(head);
+        exchange.beginAnswer(head, action.server());
         while (!kept.isEmpty()) {
             exchange.answer(kept.poll());
         }
         if (isWhole) {
             exchange.endAnswer();
+        } else {
+            setReading(true);
+            exchange.flush();
         }
     }
 
@@ -84,6 +90,7 @@
     void setReading(boolean isReading) {
         if (connection != null && !isWhole) {
             connection.channel().config().setAutoRead(isReading);
+            stallWatch.setPaused(!isReading);
         }
     }
 
@@ -100,6 +107,7 @@
             return;
         }
         connection = opened;
+        stallWatch = StallWatch.start(carrier.loop(), action.stallMillis(), this::onStall);
         if (now >= action.deadlineMicros()) {
             // The process was paused or the connection came late: what nobody waits for any more isn't sent.
             opened.cancel();
@@ -138,11 +146,13 @@
 
     @Override
     public void onWritable() {
+        stallWatch.onProgress();
         exchange.resumeBody();
     }
 
     @Override
     public void onHead(HttpResponse answer) {
+        stallWatch.onProgress();
         head = answer;
         int status = answer.status().code();
         long now = WallClock.nowMicros();
@@ -151,10 +161,14 @@
                 .ifPresent(r -> carrier.handle(new CallEvent.ReportsReceived(now, List.of(r))));
         proof = carrier.dialect().proofOfNotRun(status, answer.headers());
         isFalsePromise = proof.isEmpty() && carrier.dialect().isPromise(status);
+        if (carrier.keptAnswerBytes() == CallCarrier.RELAY_AT_ONCE && proof.isEmpty() && !isFalsePromise) {
+            startAnswer();
+        }
     }
 
     @Override
     public void onContent(HttpContent content) {
+        stallWatch.onProgress();
         if (isOver || proof.isPresent() || isFalsePromise) {
             content.release();
             return;
@@ -165,14 +179,18 @@
         }
         kept.add(content);
         keptBytes += content.content().readableBytes();
-        if (keptBytes > ANSWER_BYTES && !isStarted) {
+        if (keptBytes > carrier.keptAnswerBytes() && !isStarted) {
             startAnswer();
         }
+        if (keptBytes > MAX_UNUSED_BYTES && !isRelaying) {
+            setReading(false);
+        }
     }
 
     @Override
     public void onComplete() {
         isWhole = true;
+        stallWatch.stop();
         if (isOver) {
             return;
         }
@@ -203,6 +221,11 @@
         }
     }
 
+    private void onStall() {
+        connection.cancel();
+        end(new AttemptResult.Lost(LostCause.STALLED));
+    }
+
     private void startAnswer() {
         isStarted = true;
         carrier.handle(new CallEvent.AnswerStarted(
@@ -213,10 +236,16 @@
     }
 
     private void end(AttemptResult result) {
-        if (!isOver) {
-            isOver = true;
-            releaseKept();
-            carrier.handle(ended(result));
+        if (isOver) {
+            return;
+        }
+        isOver = true;
+        stallWatch.stop();
+        releaseKept();
+        carrier.handle(ended(result));
+        if (isRelaying) {
+            // The engine has let go of an attempt whose error answer was kept, and says nothing about its end.
+            exchange.breakAnswer(Reason.ANSWER_BROKEN);
         }
     }
 
@@ -231,7 +260,8 @@
 
     private HttpRequest requestHead(long remainingMillis) {
         HttpRequest original = exchange.request();
-        DefaultHttpRequest copy = new DefaultHttpRequest(HttpVersion.HTTP_1_1, original.method(), exchange.target());
+        DefaultHttpRequest copy =
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, original.method(), exchange.serverTarget());
         HopByHop.copyEndToEnd(original.headers(), copy.headers());
         String length = original.headers().get(HttpHeaderNames.CONTENT_LENGTH);
         if (length != null) {
@@ -239,7 +269,11 @@
         } else {
             HttpUtil.setTransferEncodingChunked(copy, HttpUtil.isTransferEncodingChunked(original));
         }
-        carrier.dialect().prepareRequest(copy.headers(), action.server(), remainingMillis);
+        carrier.dialect()
+                .prepareRequest(
+                        copy.headers(),
+                        new OutgoingRequest(
+                                action.server(), exchange.requestId(), remainingMillis, action.mayRetryBelow()));
         return copy;
     }
 }
--- a/http/src/main/java/org/hyssophitch/http/BackendPool.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendPool.java
@@ -48,6 +48,11 @@
         return server.name();
     }
 
+    /** Returns whether a server has the address that the connections go to. */
+    boolean isAt(BackendServer other) {
+        return server.host().equals(other.host()) && server.port() == other.port();
+    }
+
     /**
      * Gives a use a connection: an idle one, or a new one.
      *
--- a/http/src/main/java/org/hyssophitch/http/BackendPools.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendPools.java
@@ -17,8 +17,18 @@
         this.loop = loop;
     }
 
+    /** Returns the connections to a server; those to an address that it had before end. */
     BackendPool of(BackendServer server) {
-        return pools.computeIfAbsent(server.name(), n -> new BackendPool(server, loop));
+        BackendPool known = pools.get(server.name());
+        if (known != null && known.isAt(server)) {
+            return known;
+        }
+        if (known != null) {
+            known.close();
+        }
+        BackendPool fresh = new BackendPool(server, loop);
+        pools.put(server.name(), fresh);
+        return fresh;
     }
 
     /** Closes the connections to servers that are not known any more; requests in progress finish. */
--- a/http/src/main/java/org/hyssophitch/http/CallCarrier.java
+++ b/http/src/main/java/org/hyssophitch/http/CallCarrier.java
@@ -21,11 +21,17 @@
  */
 public final class CallCarrier {
 
+    /** Value of {@code keptAnswerBytes} with which an answer that breaks early is replaced by another attempt's. */
+    public static final int KEEP_SMALL_ANSWERS = 65_536;
+    /** Value of {@code keptAnswerBytes} with which a caller gets each piece of an answer as it comes. */
+    public static final int RELAY_AT_ONCE = 0;
+
     private final CallEngine engine;
     private final EventLoop loop;
     private final HeaderDialect dialect;
     private final BackendPools pools;
     private final LoadAsker asker;
+    private final int keptAnswerBytes;
     private final Consumer<CallAction.ShareSuspicions> onSuspicions;
     private final Map<Long, CallerExchange> exchanges = new HashMap<>();
     private final Deque<CallEvent> pending = new ArrayDeque<>();
@@ -40,18 +46,21 @@
      * @param engine the decisions
      * @param loop event loop that everything happens on
      * @param dialect headers of callers and backend servers
+     * @param keptAnswerBytes size in bytes up to which an answer is kept before the caller gets it
      * @param onSuspicions takes suspicions for the other entry hosts
      */
     public CallCarrier(
             CallEngine engine,
             EventLoop loop,
             HeaderDialect dialect,
+            int keptAnswerBytes,
             Consumer<CallAction.ShareSuspicions> onSuspicions) {
         this.engine = engine;
         this.loop = loop;
         this.dialect = dialect;
         this.pools = new BackendPools(loop);
         this.asker = new LoadAsker(this, pools, dialect, loop);
+        this.keptAnswerBytes = keptAnswerBytes;
         this.onSuspicions = onSuspicions;
     }
 
@@ -86,6 +95,14 @@
         return dialect;
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
+    int keptAnswerBytes() {
+        return keptAnswerBytes;
+    }
+
     long nextCallId() {
         lastCallId++;
         return lastCallId;
@@ -115,14 +132,15 @@
             case CallAction.StartAttempt a -> with(a.callId(), x -> x.startAttempt(a, pools));
             case CallAction.CancelAttempt a -> with(a.callId(), x -> x.cancelAttempt(a.attempt()));
             case CallAction.RelayAnswer a -> with(a.callId(), x -> x.relay(a.attempt()));
-            case CallAction.AnswerCaller a -> with(a.callId(), x -> x.refuse(a.reason(), a.retryAfterMillis()));
+            case CallAction.AnswerCaller a ->
+                with(a.callId(), x -> x.refuse(a.reason(), a.retryAfterMillis(), a.detail()));
             case CallAction.BreakAnswer a -> with(a.callId(), x -> x.breakAnswer(a.reason()));
             case CallAction.AskLoad a -> asker.ask(a);
             case CallAction.ShareSuspicions a -> onSuspicions.accept(a);
         }
     }
 
-    /** A call whose caller has left is not known any more; its actions have nothing left to do. */
+    /** A call that has got its answer is not known any more; what the engine still wants has nothing left to do. */
     private void with(long callId, Consumer<CallerExchange> step) {
         CallerExchange exchange = exchanges.get(callId);
         if (exchange != null) {
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -10,11 +10,13 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -93,7 +95,7 @@
             onMalformed(part.decoderResult().cause());
             return;
         }
-        if (part instanceof HttpRequest && !takesRequests) {
+        if (part instanceof HttpRequest && !takesRequests && !exchanges.isEmpty()) {
             ReferenceCountUtil.release(message);
             return;
         }
@@ -130,22 +132,25 @@
         if (hosts.size() != 1 || !exchange.target().startsWith("/")) {
             // What follows a request that isn't understood may be part of it, so nothing more is taken.
             takesRequests = false;
-            exchange.refuse(Reason.BAD_REQUEST, 0);
+            exchange.reject(Reason.BAD_REQUEST, 0, "one Host header and a path are needed");
             return;
         }
         if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
-            exchange.refuse(Reason.BODY_TOO_LARGE, 0);
+            exchange.reject(Reason.BODY_TOO_LARGE, 0, "");
             return;
         }
         long deadline = carrier.dialect().deadlineMillis(request.headers()).orElse(0);
         RequestRules.RequestHead head = new RequestRules.RequestHead(
                 RequestTarget.hostName(hosts.get(0)),
-                RequestTarget.path(exchange.target()),
+                exchange.target(),
                 exchange.requestId(),
                 deadline,
-                request.method().name());
+                request.method().name(),
+                request.headers());
         switch (rules.judge(head)) {
-            case RequestRules.Verdict.Refused r -> exchange.refuse(r.reason(), listener.retryAfterMillis(r.reason()));
+            case RequestRules.Verdict.Refused r ->
+                exchange.reject(r.reason(), listener.retryAfterMillis(r.reason()), r.detail());
+            case RequestRules.Verdict.Answered a -> exchange.reply(a.reply());
             case RequestRules.Verdict.Accepted a -> exchange.accept(a);
         }
     }
@@ -166,7 +171,7 @@
         }
         exchange.body().add(content.content());
         if (exchange.body().size() > rules.limits().maxBodyBytes()) {
-            exchange.refuse(Reason.BODY_TOO_LARGE, 0);
+            exchange.reject(Reason.BODY_TOO_LARGE, 0, "");
             return;
         }
         if (isLast) {
@@ -181,31 +186,29 @@
         boolean isTooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
         Reason reason = isTooLong ? Reason.HEAD_TOO_LARGE : Reason.BAD_REQUEST;
         Logger.debug("malformed request from {}: {}", context.channel().remoteAddress(), cause.toString());
+        boolean isAnnounced = !takesRequests && !exchanges.isEmpty();
+        takesRequests = false;
         if (receiving != null && !receiving.isAnswered()) {
-            receiving.refuse(reason, 0);
-            return;
+            receiving.reject(reason, 0, cause.toString());
+        } else if (receiving == null && !isAnnounced) {
+            refuseUnread(reason);
         }
-        answerAndClose(reason.status());
     }
 
     private void onHeadTimeout() {
         headTimer = null;
-        if (exchanges.isEmpty()) {
-            answerAndClose(HttpResponseStatus.REQUEST_TIMEOUT.code());
+        if (exchanges.isEmpty() && !isClosing) {
+            takesRequests = false;
+            refuseUnread(Reason.HEAD_TIMEOUT);
         }
     }
 
-    private void answerAndClose(int status) {
-        if (isClosing || !exchanges.isEmpty()) {
-            abort();
-            return;
-        }
-        DefaultFullHttpResponse answer = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.EMPTY_BUFFER);
-        answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0);
-        context.write(answer);
-        closeGently();
+    /** Answers what isn't a request, behind the answers to the requests before it, and ends the connection. */
+    private void refuseUnread(Reason reason) {
+        DefaultFullHttpRequest unread = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+        CallerExchange exchange = new CallerExchange(this, carrier, unread, "", "");
+        exchanges.add(exchange);
+        exchange.reject(reason, 0, "");
     }
 
     /** Writes what the exchange at the front of the line has ready, and then of those behind it. */
@@ -252,7 +255,7 @@
 
     private void onAnswerWritten() {
         exchanges.poll();
-        if (closesAfterAnswer) {
+        if (closesAfterAnswer || !takesRequests && exchanges.isEmpty()) {
             closeGently();
             return;
         }
@@ -276,6 +279,12 @@
         rules.onAnswered(exchange.requestId(), reason, status, elapsedMicros);
     }
 
+    /** Returns whether requests of this connection still wait for their answers, or answers for their caller. */
+    boolean isBusy() {
+        ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
+        return !exchanges.isEmpty() || unsent != null && unsent.totalPendingWriteBytes() > 0;
+    }
+
     /** Closes the connection at once, so that an incomplete answer can't look complete. */
     void abort() {
         isClosing = true;
--- a/http/src/main/java/org/hyssophitch/http/CallerExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerExchange.java
@@ -5,10 +5,13 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -21,7 +24,9 @@
 import org.hyssophitch.core.call.CallAction;
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.call.Reason;
+import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.wire.duty.WallClock;
+import org.hyssophitch.wire.net.HttpReply;
 
 /**
  * One request of a caller and its answer. Not thread-safe; lives on one event loop from the request's head to the last
@@ -49,6 +54,7 @@
     private boolean isArrived;
     private boolean isAnswered;
     private boolean isBroken;
+    private boolean isDetached;
     private boolean isOutputComplete;
 
     CallerExchange(
@@ -74,6 +80,11 @@
         return target;
     }
 
+    /** Returns the path and query that a backend server gets. */
+    String serverTarget() {
+        return verdict.target();
+    }
+
     String requestId() {
         return requestId;
     }
@@ -153,7 +164,7 @@
     }
 
     /** Begins to relay a server's answer. */
-    void beginAnswer(HttpResponse head) {
+    void beginAnswer(HttpResponse head, BackendServer server) {
         status = head.status().code();
         DefaultHttpResponse copy = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
         HopByHop.copyEndToEnd(head.headers(), copy.headers());
@@ -164,13 +175,14 @@
         } else if (!isHead && head.status().code() != HttpResponseStatus.NO_CONTENT.code()) {
             HttpUtil.setTransferEncodingChunked(copy, true);
         }
+        carrier.dialect().prepareAnswer(copy.headers(), requestId, server);
         add(copy);
     }
 
     /** Relays a piece of a server's answer. */
     void answer(HttpContent content) {
         boolean isLast = content instanceof LastHttpContent;
-        if (isBroken) {
+        if (isBroken || isDetached) {
             content.release();
             return;
         }
@@ -184,43 +196,73 @@
         connection.flushOutput();
     }
 
+    /** Writes what is there of the answer. */
+    void flush() {
+        connection.flushOutput();
+    }
+
     /** Ends a relayed answer. */
     void endAnswer() {
         finish(Reason.ANSWERED);
     }
 
-    /** Gives the caller the system's own final answer. */
-    void refuse(Reason reason, long retryAfterMillis) {
+    /** Gives the caller the system's own final answer, as the engine decided. */
+    void refuse(Reason reason, long retryAfterMillis, String detail) {
+        if (isDetached) {
+            endDetached(reason);
+            return;
+        }
         if (isAnswered) {
             return;
         }
-        isAnswered = true;
+        Refusal refusal = new Refusal(reason, retryAfterMillis, detail, requestId, target);
+        DefaultHttpHeaders headers = new DefaultHttpHeaders();
+        byte[] content = carrier.dialect().prepareRefusal(headers, refusal);
         status = carrier.dialect().status(reason);
-        DefaultHttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-        carrier.dialect().prepareRefusal(answer.headers(), reason, retryAfterMillis);
-        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-        add(answer);
-        finish(reason);
+        answerWhole(headers, content, reason);
+    }
+
+    /** Turns a request away that can't go on as it came; the engine doesn't know that yet. */
+    void reject(Reason reason, long retryAfterMillis, String detail) {
+        boolean isKnown = isArrived && !isAnswered;
+        refuse(reason, retryAfterMillis, detail);
+        if (isKnown) {
+            carrier.handle(new CallEvent.CallerGone(WallClock.nowMicros(), callId));
+        }
+    }
+
+    /** Gives the caller an answer of this process itself. */
+    void reply(HttpReply reply) {
+        status = reply.status();
+        DefaultHttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(HttpHeaderNames.CONTENT_TYPE, reply.contentType());
+        reply.headers().forEach(headers::set);
+        answerWhole(headers, reply.body(), Reason.ANSWERED);
     }
 
     /** Breaks the connection, because an answer that has begun can't be completed. */
     void breakAnswer(Reason reason) {
+        if (isBroken) {
+            return;
+        }
         isBroken = true;
         connection.onAnswered(this, reason, status, WallClock.nowMicros() - arrivedMicros);
         carrier.unregister(this);
         connection.abort();
     }
 
-    /** Ends everything that still goes on for a caller that has left. */
+    /** Leaves it to the engine what still goes on for a caller that has left: a request with a ticket may. */
     void onCallerGone() {
-        body.release();
-        output.forEach(ReferenceCountUtil::release);
-        output.clear();
-        if (isArrived && !isOutputComplete) {
-            attempts.values().forEach(BackendAttempt::cancel);
-            carrier.unregister(this);
-            carrier.handle(new CallEvent.CallerGone(WallClock.nowMicros(), callId));
+        discardOutput();
+        if (!isArrived || isOutputComplete || isBroken) {
+            body.release();
+            return;
         }
+        isDetached = true;
+        if (relayed != null) {
+            relayed.setReading(true);
+        }
+        carrier.handle(new CallEvent.CallerGone(WallClock.nowMicros(), callId));
     }
 
     /** Returns the next part of the answer that may be written, or null. */
@@ -243,6 +285,30 @@
         output.add(part);
     }
 
+    private void answerWhole(HttpHeaders headers, byte[] content, Reason reason) {
+        isAnswered = true;
+        DefaultHttpResponse answer =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, content.length);
+        add(answer);
+        if (content.length > 0 && !HttpMethod.HEAD.equals(request.method())) {
+            add(new DefaultHttpContent(Unpooled.wrappedBuffer(content)));
+        }
+        finish(reason);
+    }
+
+    private void discardOutput() {
+        output.forEach(ReferenceCountUtil::release);
+        output.clear();
+    }
+
+    private void endDetached(Reason reason) {
+        body.release();
+        attempts.values().forEach(BackendAttempt::cancel);
+        carrier.unregister(this);
+        connection.onAnswered(this, reason, reason.status(), WallClock.nowMicros() - arrivedMicros);
+    }
+
     private void finish(Reason reason) {
         isOutputComplete = true;
         add(LastHttpContent.EMPTY_LAST_CONTENT);
@@ -250,6 +316,10 @@
         attempts.values().stream().filter(a -> a != relayed).forEach(BackendAttempt::cancel);
         carrier.unregister(this);
         connection.onAnswered(this, reason, status, WallClock.nowMicros() - arrivedMicros);
-        connection.flushOutput();
+        if (isDetached) {
+            discardOutput();
+        } else {
+            connection.flushOutput();
+        }
     }
 }
--- a/http/src/main/java/org/hyssophitch/http/FrontListener.java
+++ b/http/src/main/java/org/hyssophitch/http/FrontListener.java
@@ -85,6 +85,11 @@
         List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
+    /** Returns the number of connections on which a request waits for its answer, or an answer for its caller. */
+    public int busyConnections() {
+        return (int) connections.stream().filter(CallerConnection::isBusy).count();
+    }
+
     /** Returns the number of callers' connections. */
     public int connections() {
         return connections.size();
--- a/http/src/main/java/org/hyssophitch/http/HeaderDialect.java
+++ b/http/src/main/java/org/hyssophitch/http/HeaderDialect.java
@@ -20,12 +20,15 @@
     /** Returns how many milliseconds the caller waits for its answer. */
     OptionalLong deadlineMillis(HttpHeaders request);
 
+    /** Sets the headers of a request to a backend server; they hold the caller's own already. */
+    void prepareRequest(HttpHeaders headers, OutgoingRequest request);
+
     /**
-     * Sets the headers of a request to a backend server.
+     * Adds headers to a backend server's answer that is relayed.
      *
-     * @param remainingMillis time in milliseconds that the server has for its answer
+     * @param requestId name of the request
      */
-    void prepareRequest(HttpHeaders headers, BackendServer server, long remainingMillis);
+    default void prepareAnswer(HttpHeaders headers, String requestId, BackendServer server) {}
 
     /** Returns whether the answer to a question for the load comes from the server that was meant. */
     boolean isFrom(HttpHeaders answer, BackendServer server);
@@ -54,6 +57,6 @@
         return reason.status();
     }
 
-    /** Adds headers to an answer that the system itself makes. */
-    void prepareRefusal(HttpHeaders headers, Reason reason, long retryAfterMillis);
+    /** Adds headers to an answer that the system itself makes, and returns its body. */
+    byte[] prepareRefusal(HttpHeaders headers, Refusal refusal);
 }
--- a/http/src/main/java/org/hyssophitch/http/RequestRules.java
+++ b/http/src/main/java/org/hyssophitch/http/RequestRules.java
@@ -1,8 +1,10 @@
 package org.hyssophitch.http;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.configuration.CallerLimits;
+import org.hyssophitch.wire.net.HttpReply;
 
 /**
  * Decides what a caller's request is before the engine gets it. Implementations live on the event loop.
@@ -13,26 +15,43 @@
      * What is known of a request once its head is there. Immutable.
      *
      * @param host host name without a port
-     * @param path path without a query
-     * @param requestId name that the caller gave to the request; empty without one
+     * @param target path and query
+     * @param requestId name of the request; empty without one
      * @param deadlineMillis time in milliseconds that the caller waits; 0 when it doesn't say
      * @param method method of the request
+     * @param headers all headers
      */
-    record RequestHead(String host, String path, String requestId, long deadlineMillis, String method) {}
+    record RequestHead(
+            String host, String target, String requestId, long deadlineMillis, String method, HttpHeaders headers) {
+
+        /** Returns the path without the query. */
+        public String path() {
+            return RequestTarget.path(target);
+        }
+    }
 
     /** Result of looking at a request's head. */
     sealed interface Verdict {
 
-        /** The request is turned away. */
-        record Refused(Reason reason) implements Verdict {}
+        /**
+         * The request is turned away.
+         *
+         * @param reason why
+         * @param detail what is wrong with the request; may be empty
+         */
+        record Refused(Reason reason, String detail) implements Verdict {}
+
+        /** The request is for this process itself. */
+        record Answered(HttpReply reply) implements Verdict {}
 
         /**
          * The request is for a service.
          *
          * @param idempotent whether it may run more than once
+         * @param target path and query to send to the backend server
          * @param plan makes the call once the body is known
          */
-        record Accepted(boolean idempotent, Plan plan) implements Verdict {}
+        record Accepted(boolean idempotent, String target, Plan plan) implements Verdict {}
     }
 
     /** Makes the engine's call of an accepted request. */
--- a/http/src/main/java/org/hyssophitch/http/StrictRequestDecoder.java
+++ b/http/src/main/java/org/hyssophitch/http/StrictRequestDecoder.java
@@ -1,13 +1,19 @@
 package org.hyssophitch.http;
 
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import org.hyssophitch.core.configuration.CallerLimits;
 
 /**
- * Decoder of callers' requests that accepts one reading of a request's length only. Not thread-safe; one connection
- * owns it.
+ * Decoder of callers' requests that accepts one reading of a request's head and length only. Not thread-safe; one
+ * connection owns it.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
 
@@ -23,6 +29,19 @@
         }
     }
 
+    /** A header that goes on in the next line, which recipients read in different ways (RFC 9112, 5.2). */
+    static final class FoldedHeaderException extends IllegalArgumentException {
+        private static final long serialVersionUID = 1L;
+
+        FoldedHeaderException() {
+            super("a header is folded over two lines");
+        }
+    }
+
+    private boolean isInHead = true;
+    private boolean isLineStart;
+    private boolean isFolded;
+
     StrictRequestDecoder(CallerLimits limits) {
         super(new HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.maxHeaderBytes())
@@ -30,8 +49,42 @@
                 .setMaxChunkSize(CHUNK_BYTES));
     }
 
+    /** The decoder joins folded lines, so the bytes that it takes for a head are looked at here. */
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> out) throws Exception {
+        int from = bytes.readerIndex();
+        int known = out.size();
+        super.decode(context, bytes, out);
+        if (isInHead) {
+            lookForFolds(bytes, from);
+        }
+        out.subList(known, out.size()).forEach(this::onDecoded);
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new AmbiguousLengthException();
     }
+
+    private void lookForFolds(ByteBuf bytes, int from) {
+        for (int i = from; i < bytes.readerIndex(); i++) {
+            byte b = bytes.getByte(i);
+            isFolded |= isLineStart && (b == ' ' || b == '\t');
+            isLineStart = b == '\n';
+        }
+    }
+
+    private void onDecoded(Object part) {
+        if (part instanceof HttpMessage message) {
+            if (isFolded) {
+                message.setDecoderResult(DecoderResult.failure(new FoldedHeaderException()));
+            }
+            isInHead = false;
+        }
+        if (part instanceof LastHttpContent) {
+            isInHead = true;
+            isLineStart = false;
+            isFolded = false;
+        }
+    }
 }
--- a/proxy/src/main/java/org/hyssophitch/proxy/AgentLink.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/AgentLink.java
@@ -1,20 +1,18 @@
 package org.hyssophitch.proxy;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 import io.netty.channel.Channel;
-import io.netty.channel.EventLoopGroup;
-import io.reactivex.rxjava3.core.Flowable;
-import io.reactivex.rxjava3.disposables.Disposable;
-import io.reactivex.rxjava3.schedulers.Schedulers;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import org.hyssophitch.core.atmostonce.IssuerView;
 import org.hyssophitch.core.call.CallEvent;
-import org.hyssophitch.core.configuration.Configuration;
 import org.hyssophitch.core.control.ProxyStatus;
 import org.hyssophitch.core.control.ProxyUpdate;
 import org.hyssophitch.core.load.LoadReport;
@@ -25,40 +23,50 @@
 import org.hyssophitch.wire.duty.WallClock;
 import org.hyssophitch.wire.generated.Wire;
 import org.hyssophitch.wire.net.Addresses;
-import org.hyssophitch.wire.net.EventLoops;
 import org.hyssophitch.wire.net.FrameChannels;
 import org.tinylog.Logger;
 
 /**
- * The proxy's connection to its local agent. Thread-safe; runs from {@link #start} until {@link #close}.
+ * The proxy's connection to its local agent. Not thread-safe; lives on the event loop from {@link #start} until
+ * {@link #close}.
  *
  * <p>While the agent is away the proxy goes on with what it knows.
  */
-final class AgentLink implements FrameChannels.Receiver, AutoCloseable {
+final class AgentLink implements FrameChannels.Receiver {
 
     private static final long PERIOD_MILLIS = 200;
 
     private final String address;
-    private final CallDecisions decisions;
+    private final EventLoop loop;
+    private final Consumer<CallEvent> events;
     private final HybridClock clock;
     private final Supplier<ProxyStatus> status;
-    private final EventLoopGroup group = EventLoops.create(1);
-    private final Map<String, String> proxyAddresses = new ConcurrentHashMap<>();
-    private volatile Channel channel;
-    private volatile boolean isConnecting;
-    private Disposable ticks = Disposable.disposed();
+    private final Map<String, String> proxyAddresses = new HashMap<>();
+    private Channel channel;
+    private boolean isConnecting;
+    private ScheduledFuture<?> ticks;
 
-    AgentLink(String address, CallDecisions decisions, HybridClock clock, Supplier<ProxyStatus> status) {
+    AgentLink(
+            String address,
+            EventLoop loop,
+            Consumer<CallEvent> events,
+            HybridClock clock,
+            Supplier<ProxyStatus> status) {
         this.address = address;
-        this.decisions = decisions;
+        this.loop = loop;
+        this.events = events;
         this.clock = clock;
         this.status = status;
     }
 
     void start() {
-        ticks = Flowable.interval(0, PERIOD_MILLIS, TimeUnit.MILLISECONDS, Schedulers.single())
-                .onBackpressureDrop()
-                .subscribe(n -> tick());
+        ticks = loop.scheduleWithFixedDelay(this::tick, 0, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Tells the agent a last time how things are. */
+    void close() {
+        ticks.cancel(false);
+        tick();
     }
 
     /** Returns the address at which callers reach an entry host, or an empty text when it is not known. */
@@ -71,10 +79,9 @@
         long now = WallClock.nowMicros();
         clock.observe(FrameCodec.clock(frame), now);
         switch (frame.getBodyCase()) {
-            case CONFIGURATION -> {
-                Configuration c = ConfigurationCodec.decode(frame.getConfiguration());
-                decisions.put(new CallEvent.ConfigurationAccepted(now, c));
-            }
+            case CONFIGURATION ->
+                events.accept(
+                        new CallEvent.ConfigurationAccepted(now, ConfigurationCodec.decode(frame.getConfiguration())));
             case PROXY_UPDATE -> onUpdate(FrameCodec.decode(frame.getProxyUpdate()), now);
             default -> from.close();
         }
@@ -85,17 +92,9 @@
         channel = null;
     }
 
-    @Override
-    public void close() {
-        ticks.dispose();
-        tick();
-        EventLoops.close(group);
-    }
-
     private void tick() {
-        Channel c = channel;
-        if (c != null) {
-            c.writeAndFlush(FrameCodec.encode(status.get(), clock.tick(WallClock.nowMicros())));
+        if (channel != null) {
+            channel.writeAndFlush(FrameCodec.encode(status.get(), clock.tick(WallClock.nowMicros())));
         } else if (!isConnecting) {
             connect();
         }
@@ -103,26 +102,28 @@
 
     private void connect() {
         isConnecting = true;
-        FrameChannels.connect(group, Addresses.parse(address), this).whenComplete((opened, failure) -> {
+        FrameChannels.connect(loop, Addresses.parse(address), this).whenComplete((opened, failure) -> {
             isConnecting = false;
             if (failure == null) {
                 channel = opened;
                 Logger.info("connected to agent {}", address);
+            } else {
+                Logger.debug("no connection to agent {}: {}", address, failure.toString());
             }
         });
     }
 
     private void onUpdate(ProxyUpdate u, long now) {
         u.members().forEach(m -> proxyAddresses.put(m.host(), m.proxyAddress()));
-        decisions.put(new CallEvent.IssuersChanged(now, issuers(u.members())));
-        decisions.put(new CallEvent.LeavingChanged(now, u.leaving(), "agent"));
+        events.accept(new CallEvent.IssuersChanged(now, issuers(u.members())));
+        events.accept(new CallEvent.LeavingChanged(now, u.leaving(), "agent"));
         if (!u.loads().isEmpty()) {
             List<LoadReport> loads =
                     u.loads().stream().map(l -> l.received(now)).toList();
-            decisions.put(new CallEvent.ReportsReceived(now, loads));
+            events.accept(new CallEvent.ReportsReceived(now, loads));
         }
         if (!u.suspicions().isEmpty()) {
-            decisions.put(new CallEvent.SuspicionsReceived(now, u.suspicions()));
+            events.accept(new CallEvent.SuspicionsReceived(now, u.suspicions()));
         }
     }
 
--- /dev/null
+++ b/proxy/src/main/java/org/hyssophitch/proxy/Fingerprint.java
@@ -0,0 +1,23 @@
+package org.hyssophitch.proxy;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** Identity of a request's content, short enough to be shared with the other entry hosts. Stateless. */
+final class Fingerprint {
+
+    private static final int BYTES = 8;
+
+    private Fingerprint() {}
+
+    static String of(String content) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(digest.digest(content.getBytes(StandardCharsets.UTF_8)), 0, BYTES);
+        } catch (NoSuchAlgorithmException e) {
+            throw new MissingDigestException(e);
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/hyssophitch/proxy/OwnHeaders.java
@@ -0,0 +1,151 @@
+package org.hyssophitch.proxy;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.UUID;
+import java.util.function.UnaryOperator;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.hyssophitch.core.call.AttemptResult.NotRunCause;
+import org.hyssophitch.core.call.Reason;
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.http.HeaderDialect;
+import org.hyssophitch.http.OutgoingRequest;
+import org.hyssophitch.http.Refusal;
+import org.hyssophitch.wire.report.CallHeaders;
+import org.hyssophitch.wire.report.LoadHeaders;
+import org.hyssophitch.wire.report.TimelineJson;
+
+/** Headers of our own deployment's callers and backend servers. Immutable. */
+final class OwnHeaders implements HeaderDialect {
+
+    /**
+     * Body of an answer that the system itself makes. Immutable.
+     *
+     * @param outcome what the caller may conclude
+     * @param reason type of the reason
+     * @param requestId name of the request
+     * @param entryHost entry host that answers
+     * @param retryAfterMillis when to come back in milliseconds; 0 when coming back is of no use
+     * @param detail status of an earlier answer, entry host to use, or what is wrong with the request
+     */
+    record AnswerBody(
+            String outcome, String reason, String requestId, String entryHost, long retryAfterMillis, String detail) {}
+
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private final String entryHost;
+    private final UnaryOperator<String> addressOf;
+
+    /**
+     * Creates the dialect of one entry host.
+     *
+     * @param entryHost name of the entry host
+     * @param addressOf returns the address at which callers reach an entry host
+     */
+    OwnHeaders(String entryHost, UnaryOperator<String> addressOf) {
+        this.entryHost = entryHost;
+        this.addressOf = addressOf;
+    }
+
+    @Override
+    public String requestId(HttpHeaders request) {
+        String given = request.get(CallHeaders.REQUEST_ID);
+        return given == null ? UUID.randomUUID().toString() : given;
+    }
+
+    /** The rules read the caller's deadline, as they refuse a malformed one. */
+    @Override
+    public OptionalLong deadlineMillis(HttpHeaders request) {
+        return OptionalLong.empty();
+    }
+
+    @Override
+    public void prepareRequest(HttpHeaders headers, OutgoingRequest request) {
+        int depth = headers.getInt(CallHeaders.DEPTH, 0) + 1;
+        headers.set(
+                HttpHeaderNames.HOST,
+                request.server().host() + ':' + request.server().port());
+        headers.set(CallHeaders.REQUEST_ID, request.requestId());
+        headers.set(CallHeaders.DEPTH, Integer.toString(depth));
+        headers.set(CallHeaders.DEADLINE_MILLIS, Long.toString(Math.max(1, request.remainingMillis())));
+        headers.set(CallHeaders.MAY_RETRY, Boolean.toString(request.mayRetryBelow()));
+    }
+
+    @Override
+    public void prepareAnswer(HttpHeaders headers, String requestId, BackendServer server) {
+        addOutcome(headers, Reason.ANSWERED, requestId);
+        headers.set(CallHeaders.SERVER, server.name());
+    }
+
+    @Override
+    public boolean isFrom(HttpHeaders answer, BackendServer server) {
+        return true;
+    }
+
+    /** Backend servers of our own deployment don't repeat a request's name. */
+    @Override
+    public boolean isAnswerTo(HttpHeaders answer, String requestId) {
+        return true;
+    }
+
+    @Override
+    public boolean namesRequest(HttpHeaders answer) {
+        return false;
+    }
+
+    @Override
+    public Optional<NotRunCause> proofOfNotRun(int status, HttpHeaders answer) {
+        boolean isStated = status == SERVICE_UNAVAILABLE && CallHeaders.NOT_RUN.equals(answer.get(CallHeaders.OUTCOME));
+        if (!isStated) {
+            return Optional.empty();
+        }
+        boolean isDraining = Boolean.parseBoolean(answer.get(LoadHeaders.DRAINING));
+        return Optional.of(isDraining ? NotRunCause.DRAINING : NotRunCause.SHED);
+    }
+
+    /** Callers go by the outcome header, so no status is a promise by itself. */
+    @Override
+    public boolean isPromise(int status) {
+        return false;
+    }
+
+    @Override
+    public Optional<LoadReport> load(String server, int status, HttpHeaders answer, long nowMicros) {
+        return LoadHeaders.parse(server, answer::get, nowMicros);
+    }
+
+    @Override
+    public byte[] prepareRefusal(HttpHeaders headers, Refusal refusal) {
+        Reason reason = refusal.reason();
+        addOutcome(headers, reason, refusal.requestId());
+        if (reason == Reason.TICKET_ISSUED_ELSEWHERE) {
+            headers.set(HttpHeaderNames.LOCATION, "http://" + addressOf.apply(refusal.detail()) + refusal.target());
+        }
+        long millis = refusal.retryAfterMillis();
+        if (millis > 0) {
+            headers.set(HttpHeaderNames.RETRY_AFTER, Long.toString(Math.ceilDiv(millis, MILLIS_PER_SECOND)));
+            headers.set(CallHeaders.RETRY_AFTER_MILLIS, Long.toString(millis));
+        }
+        headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        AnswerBody body = new AnswerBody(
+                reason.outcome().wireName(),
+                reason.wireName(),
+                refusal.requestId(),
+                entryHost,
+                millis,
+                refusal.detail());
+        return TimelineJson.record(body).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void addOutcome(HttpHeaders headers, Reason reason, String requestId) {
+        headers.set(CallHeaders.OUTCOME, reason.outcome().wireName());
+        headers.set(CallHeaders.REASON, reason.wireName());
+        headers.set(CallHeaders.REQUEST_ID, requestId);
+        headers.set(CallHeaders.ENTRY_HOST, entryHost);
+    }
+}
--- a/proxy/src/main/java/org/hyssophitch/proxy/Proxy.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/Proxy.java
@@ -1,70 +1,52 @@
 package org.hyssophitch.proxy;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.stream.Stream;
 
-import io.javalin.Javalin;
-import io.javalin.compression.CompressionStrategy;
-import io.javalin.config.JavalinConfig;
-import io.javalin.http.Context;
-import io.javalin.http.HandlerType;
-import org.hyssophitch.core.atmostonce.Ticket;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
 import org.hyssophitch.core.call.CallEngine;
+import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.call.EngineSettings;
-import org.hyssophitch.core.call.Reason;
-import org.hyssophitch.core.configuration.Configuration;
 import org.hyssophitch.core.control.ProxyStatus;
 import org.hyssophitch.core.control.ReportedLoad;
+import org.hyssophitch.core.entry.RequestRouter;
+import org.hyssophitch.core.health.SuspectRegister.Suspicion;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.core.timeline.ProcessTimeline;
+import org.hyssophitch.http.CallCarrier;
+import org.hyssophitch.http.FrontListener;
 import org.hyssophitch.wire.duty.Pause;
 import org.hyssophitch.wire.duty.WallClock;
 import org.hyssophitch.wire.net.Addresses;
-import org.hyssophitch.wire.report.MetricsText;
-import org.hyssophitch.wire.report.TimelineJson;
+import org.hyssophitch.wire.net.EventLoops;
 import org.tinylog.Logger;
 
 /**
- * The proxy of one entry host. Thread-safe; runs from {@link #start} until {@link #stop}.
+ * The proxy of one entry host. {@link #start} and {@link #stop} are called from outside; all else happens on one event
+ * loop.
  */
 public final class Proxy {
 
-    private static final int MAX_TICKETS = 100;
     private static final long POLL_MILLIS = 20;
     private static final long SETTLE_MILLIS = 250;
-    private static final List<HandlerType> METHODS = List.of(
-            HandlerType.GET,
-            HandlerType.HEAD,
-            HandlerType.POST,
-            HandlerType.PUT,
-            HandlerType.PATCH,
-            HandlerType.DELETE,
-            HandlerType.OPTIONS,
-            HandlerType.QUERY);
-
-    /** Answer to a caller that asks for tickets. */
-    record TicketAnswer(List<String> tickets) {}
 
     private final ProxySettings settings;
     private final long incarnation = WallClock.nowMicros();
+    private final EventLoopGroup group = EventLoops.create(1);
+    private final EventLoop loop = (EventLoop) group.next();
+    private final SplittableRandom random = new SplittableRandom();
     private final ProcessTimeline timeline;
-    private final CallDecisions decisions;
-    private final BackendClient client = new BackendClient();
+    private final CallEngine engine;
+    private final RequestRouter router = new RequestRouter(random.split());
+    private final CallCarrier carrier;
+    private final FrontListener front;
     private final AgentLink agent;
-    private final AnswerWriter answers;
-    private final ProxyMetrics metrics = new ProxyMetrics();
-    private final AtomicLong callIds = new AtomicLong();
-    private final AtomicInteger inFlight = new AtomicInteger();
-    private final Javalin server;
+    private final List<Suspicion> suspicions = new ArrayList<>();
     private volatile boolean isStopping;
     private volatile boolean isListening;
-    private volatile Configuration inForce = Configuration.NONE;
 
     /**
      * Creates a proxy that does not listen yet.
@@ -73,110 +55,89 @@
      */
     public Proxy(ProxySettings settings) {
         this.settings = settings;
-        this.timeline = new ProcessTimeline("proxy/" + settings.host(), settings.zone(), settings.timelineEvents());
-        EngineSettings engineSettings = new EngineSettings(settings.host(), settings.zone(), incarnation);
-        this.decisions = new CallDecisions(new CallEngine(engineSettings, new SplittableRandom(), timeline));
-        this.agent = new AgentLink(settings.agent(), decisions, timeline.clock(), this::status);
-        this.answers = new AnswerWriter(settings.host(), agent);
-        this.server = Javalin.create(this::configure);
+        timeline = new ProcessTimeline("proxy/" + settings.host(), settings.zone(), settings.timelineEvents());
+        engine = new CallEngine(
+                new EngineSettings(settings.host(), settings.zone(), incarnation), random.split(), timeline);
+        agent = new AgentLink(settings.agent(), loop, this::handle, timeline.clock(), this::status);
+        carrier = new CallCarrier(
+                engine,
+                loop,
+                new OwnHeaders(settings.host(), agent::proxyAddress),
+                CallCarrier.RELAY_AT_ONCE,
+                s -> suspicions.addAll(s.suspicions()));
+        ProxyMetrics metrics = new ProxyMetrics();
+        LocalAnswers local = new LocalAnswers(engine, timeline, metrics);
+        front = new FrontListener(carrier, new CallRules(router, local, metrics));
     }
 
-    /** Starts the duties and listens. */
+    /**
+     * Starts the duties and listens.
+     *
+     * @throws org.hyssophitch.wire.net.ListenFailedException when the address for callers can't be bound
+     */
     public void start() {
-        decisions.start();
-        agent.start();
-        InetSocketAddress listen = Addresses.parse(settings.listen());
-        server.start(listen.getHostString(), listen.getPort());
+        onLoop(agent::start);
+        front.open(group, Addresses.parse(settings.listen()));
         isListening = true;
-        timeline.record(WallClock.nowMicros(), "", new EventBody.ProcessStage("started"));
+        record("started");
         Logger.info("proxy {} listens on {}", settings.host(), settings.listen());
     }
 
     /** Stops as planned: leaves the address answers, serves as long as callers keep them, finishes all in flight. */
     public void stop() {
         isStopping = true;
-        timeline.record(WallClock.nowMicros(), "", new EventBody.ProcessStage("stopping"));
+        record("stopping");
+        onLoop(front::beginStop);
         Logger.info("proxy {} leaves the address answers", settings.host());
-        Pause.millis(TimeUnit.SECONDS.toMillis(inForce.addresses().keepSeconds()) + SETTLE_MILLIS);
-        while (inFlight.get() > 0) {
+        Pause.millis(TimeUnit.SECONDS.toMillis(keepSeconds()) + SETTLE_MILLIS);
+        onLoop(front::stopListening);
+        while (isBusy()) {
             Pause.millis(POLL_MILLIS);
         }
-        timeline.record(WallClock.nowMicros(), "", new EventBody.ProcessStage("stopped"));
-        server.stop();
-        agent.close();
-        decisions.close();
+        record("stopped");
+        onLoop(agent::close);
+        EventLoops.close(group);
         Logger.info("proxy {} stopped with no request in flight", settings.host());
     }
 
-    private void configure(JavalinConfig config) {
-        config.concurrency.useVirtualThreads = true;
-        config.startup.showJavalinBanner = false;
-        config.startup.startupWatcherEnabled = false;
-        config.http.compressionStrategy = CompressionStrategy.NONE;
-        config.http.maxRequestSize = Long.MAX_VALUE;
-        METHODS.forEach(m -> {
-            config.routes.addHttpHandler(m, "/services/{service}", this::handleCall);
-            config.routes.addHttpHandler(m, "/services/{service}/<path>", this::handleCall);
-        });
-        config.routes.post("/tickets", this::handleTickets);
-        config.routes.get("/-/timeline", this::handleTimeline);
-        config.routes.get(
-                "/metrics", c -> c.contentType("text/plain; version=0.0.4").result(MetricsText.of(metrics.registry())));
-    }
-
-    private void handleCall(Context context) throws InterruptedException {
-        inFlight.incrementAndGet();
-        long started = WallClock.nowMicros();
-        try {
-            CallerRequest request = CallerRequest.from(context, callIds.incrementAndGet());
-            if (request.lacksTicket(context)) {
-                answers.refuse(context, Reason.TICKET_REQUIRED, "POST /tickets issues them");
-            } else {
-                new Exchange(context, request, decisions, client, answers, () -> isStopping).run();
-            }
-        } catch (CallerRequest.MalformedRequestException | IllegalArgumentException e) {
-            answers.refuse(context, Reason.BAD_REQUEST, e.getMessage());
-        } catch (IOException e) {
-            Logger.debug("caller's connection failed: {}", e.toString());
-        } finally {
-            metrics.onCall(context, WallClock.nowMicros() - started);
-            inFlight.decrementAndGet();
+    private void handle(CallEvent event) {
+        if (event instanceof CallEvent.ConfigurationAccepted e) {
+            router.accept(e.configuration());
         }
-    }
-
-    private void handleTickets(Context context) {
-        int count = context.queryParamAsClass("count", Integer.class).getOrDefault(1);
-        int bounded = Math.max(1, Math.min(MAX_TICKETS, count));
-        List<String> tickets = decisions
-                .ask(e -> Stream.generate(e::issueTicket)
-                        .limit(bounded)
-                        .map(Ticket::format)
-                        .toList())
-                .join();
-        context.contentType("application/json").result(TimelineJson.record(new TicketAnswer(tickets)));
-    }
-
-    private void handleTimeline(Context context) {
-        long since = context.queryParamAsClass("since", Long.class).getOrDefault(0L);
-        String requestId = context.queryParam("request");
-        context.contentType("application/json")
-                .result(TimelineJson.events(timeline, since, requestId == null ? "" : requestId));
+        carrier.handle(event);
     }
 
     private ProxyStatus status() {
-        return decisions.ask(this::statusOf).join();
-    }
-
-    private ProxyStatus statusOf(CallEngine engine) {
-        inForce = engine.configuration();
         long now = WallClock.nowMicros();
         List<ReportedLoad> loads = engine.servers().values().stream()
                 .flatMap(s -> s.report().stream())
                 .filter(r -> r.ageMicros(now) < TimeUnit.SECONDS.toMicros(1))
                 .map(r -> ReportedLoad.of(r, now))
                 .toList();
-        boolean isAccepting = isListening && !isStopping && inForce.version() > 0;
+        long version = engine.configuration().version();
+        List<Suspicion> shared = List.copyOf(suspicions);
+        suspicions.clear();
         return new ProxyStatus(
-                incarnation, isAccepting, inFlight.get(), inForce.version(), loads, decisions.takeSuspicions());
+                incarnation, isListening && !isStopping && version > 0, carrier.activeCalls(), version, loads, shared);
+    }
+
+    private int keepSeconds() {
+        return loop.submit(() -> engine.configuration().addresses().keepSeconds())
+                .syncUninterruptibly()
+                .getNow();
+    }
+
+    private boolean isBusy() {
+        return loop.submit(() -> carrier.activeCalls() > 0 || front.busyConnections() > 0)
+                .syncUninterruptibly()
+                .getNow();
+    }
+
+    private void record(String stage) {
+        timeline.record(WallClock.nowMicros(), "", new EventBody.ProcessStage(stage));
+    }
+
+    private void onLoop(Runnable step) {
+        loop.submit(step).syncUninterruptibly();
     }
 }
--- a/proxy/src/main/java/org/hyssophitch/proxy/ProxyMetrics.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/ProxyMetrics.java
@@ -1,10 +1,9 @@
 package org.hyssophitch.proxy;
 
-import io.javalin.http.Context;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import org.hyssophitch.wire.report.CallHeaders;
+import org.hyssophitch.core.call.Reason;
 
 /** Metrics of one proxy. Thread-safe. */
 final class ProxyMetrics {
@@ -30,11 +29,8 @@
     }
 
     /** Counts a call that has got its answer. */
-    void onCall(Context context, long elapsedMicros) {
-        String outcome = context.res().getHeader(CallHeaders.OUTCOME);
-        String reason = context.res().getHeader(CallHeaders.REASON);
-        calls.labelValues(outcome == null ? "none" : outcome, reason == null ? "none" : reason)
-                .inc();
+    void onAnswered(Reason reason, long elapsedMicros) {
+        calls.labelValues(reason.outcome().wireName(), reason.wireName()).inc();
         duration.observe(elapsedMicros / MICROS_PER_SECOND);
     }
 }
