Give the document routes, weighted destinations, limits for callers and a health path

Cause: the core knew routes, splits and limits since the platform came, but only the platform's configuration could state them: two models for two worlds.

Change: `routes`, `callers`, and per service `health-path` and `connection-limit` in the YAML document, its schema, its writer, the protobuf codec, `check`, `diff` (by service and route) and the console's forms. A proxy of our own serves requests by host name and longest path prefix beside /services/NAME. A route runs a request once unless it says otherwise; a caller may forbid a repetition, not allow one that the route forbids. Agents ask a server at its service's health path (it was /load, which stays the default).

A test of the console's forms typed a hostile name for a service and expected one fault; the document of the stand-in now has a route to that service, whose fault is right, so the test takes the route away first and expects one fault as before.

Not done: backend servers that register themselves in our own deployment (they stand in its document).

--- a/agent/src/main/java/org/hyssophitch/agent/Agent.java
+++ b/agent/src/main/java/org/hyssophitch/agent/Agent.java
@@ -156,7 +156,7 @@
             case AgentAction.FetchConfiguration f -> links.fetch(f.address(), f.haveVersion());
             case AgentAction.PushConfiguration p -> links.push(p.configuration());
             case AgentAction.PushUpdate p -> links.push(p.update());
-            case AgentAction.Probe p -> prober.request(p.server());
+            case AgentAction.Probe p -> prober.request(p);
         }
     }
 
--- a/agent/src/main/java/org/hyssophitch/agent/Prober.java
+++ b/agent/src/main/java/org/hyssophitch/agent/Prober.java
@@ -11,6 +11,7 @@
 import okhttp3.Request;
 import okhttp3.Response;
 import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.control.AgentAction;
 import org.hyssophitch.core.load.LoadReport;
 import org.hyssophitch.wire.duty.DutyThread;
 import org.hyssophitch.wire.duty.WallClock;
@@ -33,7 +34,7 @@
             .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, 1, TimeUnit.SECONDS))
             .build();
     private final Consumer<LoadReport> sink;
-    private final DutyThread<BackendServer> duty;
+    private final DutyThread<AgentAction.Probe> duty;
     private final LongAdder sent = new LongAdder();
 
     Prober(Consumer<LoadReport> sink) {
@@ -45,8 +46,8 @@
         duty.start();
     }
 
-    void request(BackendServer server) {
-        duty.offer(server);
+    void request(AgentAction.Probe probe) {
+        duty.offer(probe);
     }
 
     long sent() {
@@ -58,9 +59,10 @@
         duty.close();
     }
 
-    private void probe(BackendServer server) {
+    private void probe(AgentAction.Probe probe) {
+        BackendServer server = probe.server();
         Request request = new Request.Builder()
-                .url("http://" + server.host() + ":" + server.port() + "/load")
+                .url("http://" + server.host() + ":" + server.port() + probe.healthPath())
                 .build();
         sent.increment();
         try (Response response = client.newCall(request).execute()) {
--- a/cli/src/main/java/org/hyssophitch/cli/CheckCommand.java
+++ b/cli/src/main/java/org/hyssophitch/cli/CheckCommand.java
@@ -23,11 +23,16 @@
     @Override
     public ExitCode execute() {
         return DocumentFile.withValid(context, file, (text, configuration) -> {
-            context.print(new CheckedDocument(true, configuration.services().size()), file + ": valid");
+            context.print(
+                    new CheckedDocument(
+                            true,
+                            configuration.services().size(),
+                            configuration.routes().size()),
+                    file + ": valid");
             return ExitCode.OK;
         });
     }
 
     /** Output of a successful check. */
-    record CheckedDocument(boolean valid, int services) {}
+    record CheckedDocument(boolean valid, int services, int routes) {}
 }
--- a/cli/src/main/java/org/hyssophitch/cli/DiffCommand.java
+++ b/cli/src/main/java/org/hyssophitch/cli/DiffCommand.java
@@ -5,7 +5,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Arguments;
@@ -13,6 +15,7 @@
 import com.github.rvesse.airline.annotations.help.Examples;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.Route;
 import org.hyssophitch.core.configuration.Service;
 import org.hyssophitch.document.DocumentWriter;
 import org.hyssophitch.wire.platform.ConfigurationRecords.ConfigurationRecord;
@@ -22,11 +25,26 @@
 @Command(name = "diff", description = "shows what a document would change in the accepted one")
 @Examples(
         examples = "hyssophitch diff document.yaml",
-        descriptions = "lists the lines that differ, service by service, defaults written out")
+        descriptions = "lists the lines that differ, by service and route, defaults written out")
 public final class DiffCommand implements ClientCommand {
 
-    /** One difference: the accepted value and the document's, where one may be missing. */
-    record Difference(String service, List<String> removed, List<String> added) {}
+    /**
+     * One difference: the accepted value and the document's, where one may be missing. Immutable.
+     *
+     * @param service service that differs; empty for a route or the document's own fields
+     * @param route route that differs; empty for a service or the document's own fields
+     * @param removed lines that are accepted and not in the document
+     * @param added lines that are in the document and not accepted
+     */
+    record Difference(String service, String route, List<String> removed, List<String> added) {
+
+        private String title() {
+            if (!route.isEmpty()) {
+                return "route " + route;
+            }
+            return service.isEmpty() ? "document" : "service " + service;
+        }
+    }
 
     @AirlineModule
     private ClientContext context = new ClientContext();
@@ -53,30 +71,55 @@
 
     private ExitCode print(Configuration accepted, Configuration candidate) {
         List<Difference> differences = new ArrayList<>();
-        difference("", header(accepted), header(candidate)).ifPresent(differences::add);
-        names(accepted, candidate).forEach(n -> difference(n, lines(accepted, n), lines(candidate, n))
-                .ifPresent(differences::add));
+        difference("", "", header(accepted), header(candidate)).ifPresent(differences::add);
+        names(accepted, candidate, DiffCommand::routeNames)
+                .forEach(n -> difference("", n, routeLines(accepted, n), routeLines(candidate, n))
+                        .ifPresent(differences::add));
+        names(accepted, candidate, DiffCommand::serviceNames)
+                .forEach(n -> difference(n, "", lines(accepted, n), lines(candidate, n))
+                        .ifPresent(differences::add));
         String text = differences.stream().map(DiffCommand::describe).collect(Collectors.joining("\n"));
         context.print(differences, differences.isEmpty() ? "no difference" : text);
         return ExitCode.OK;
     }
 
-    private static Set<String> names(Configuration a, Configuration b) {
-        Set<String> names = new TreeSet<>();
-        a.services().forEach(s -> names.add(s.name()));
-        b.services().forEach(s -> names.add(s.name()));
-        return names;
+    private static Set<String> names(
+            Configuration a, Configuration b, Function<Configuration, Stream<String>> namesOf) {
+        return Stream.concat(namesOf.apply(a), namesOf.apply(b)).collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    private static Stream<String> serviceNames(Configuration c) {
+        return c.services().stream().map(Service::name);
+    }
+
+    private static Stream<String> routeNames(Configuration c) {
+        return c.routes().stream().map(Route::name);
     }
 
-    private static Optional<Difference> difference(String service, List<String> before, List<String> after) {
+    private static Optional<Difference> difference(
+            String service, String route, List<String> before, List<String> after) {
         List<String> removed = before.stream().filter(l -> !after.contains(l)).toList();
         List<String> added = after.stream().filter(l -> !before.contains(l)).toList();
         boolean isSame = removed.isEmpty() && added.isEmpty();
-        return isSame ? Optional.empty() : Optional.of(new Difference(service, removed, added));
+        return isSame ? Optional.empty() : Optional.of(new Difference(service, route, removed, added));
     }
 
     private static List<String> header(Configuration c) {
-        return DocumentWriter.write(c.withServices(List.of())).lines().toList();
+        return written(c.withServices(List.of()).withRoutes(List.of()));
+    }
+
+    private static List<String> routeLines(Configuration c, String name) {
+        List<Route> found =
+                c.routes().stream().filter(r -> r.name().equals(name)).toList();
+        return without(header(c), written(c.withServices(List.of()).withRoutes(found)));
+    }
+
+    private static List<String> written(Configuration c) {
+        return DocumentWriter.write(c).lines().toList();
+    }
+
+    private static List<String> without(List<String> header, List<String> lines) {
+        return lines.stream().filter(l -> !header.contains(l)).toList();
     }
 
     /** Returns a service's rules line by line, and each backend server as one line. */
@@ -84,10 +127,8 @@
         List<String> lines = new ArrayList<>();
         c.service(name).ifPresent(s -> {
             Service rules = s.withServers(List.of());
-            DocumentWriter.write(c.withServices(List.of(rules)))
-                    .lines()
-                    .filter(l -> !header(c).contains(l))
-                    .forEach(lines::add);
+            lines.addAll(
+                    without(header(c), written(c.withServices(List.of(rules)).withRoutes(List.of()))));
             s.servers().forEach(b -> lines.add("  " + b));
         });
         return lines;
@@ -96,7 +137,6 @@
     private static String describe(Difference d) {
         String removed = d.removed().stream().map(l -> "- " + l + "\n").collect(Collectors.joining());
         String added = d.added().stream().map(l -> "+ " + l + "\n").collect(Collectors.joining());
-        String title = d.service().isEmpty() ? "document" : "service " + d.service();
-        return title + ":\n" + removed + added;
+        return d.title() + ":\n" + removed + added;
     }
 }
--- a/console/src/main/java/org/hyssophitch/console/DocumentForm.java
+++ b/console/src/main/java/org/hyssophitch/console/DocumentForm.java
@@ -24,6 +24,8 @@
 
     private static final List<String> BUDGET_FIELDS =
             List.of("probes-per-second-per-server", "probes-per-second-total", "bytes-per-second-total");
+    private static final List<String> SERVICE_FIELDS =
+            List.of("criticality", "routing", "sample-size", "health-path", "connection-limit");
     private static final List<String> RETRY_FIELDS =
             List.of("max-attempts", "retry-ratio", "hedge-ratio", "hedge-after-ms");
     private static final List<String> QUEUE_FIELDS = List.of("max-queued", "default-deadline-ms", "stall-ms");
@@ -62,6 +64,7 @@
                         "keep-seconds",
                         c.addresses().keepSeconds())
                 .raw("</fieldset>");
+        RouteForm.show(html, c);
         List<Service> services = c.services();
         IntStream.range(0, services.size()).forEach(i -> show(html, services.get(i), "s" + i + "."));
         html.raw("<input type=\"hidden\" name=\"services\" value=\"" + services.size() + "\">");
@@ -75,6 +78,7 @@
         BUDGET_FIELDS.forEach(f -> line(text, "  ", f, typed.apply(f)));
         text.append("addresses:\n");
         List.of("per-answer", "keep-seconds").forEach(f -> line(text, "  ", f, typed.apply(f)));
+        RouteForm.write(text, typed);
         text.append("services:\n");
         for (int i = 0; i < count(typed.apply("services")); i++) {
             service(text, typed, "s" + i + ".");
@@ -94,6 +98,8 @@
                         YamlMapping.written(s.criticality()))
                 .choice("routing", prefix + "routing", names(RoutingKind.values()), YamlMapping.written(s.routing()))
                 .field("sample size", "number", prefix + "sample-size", s.sampleSize())
+                .field("load is told at", "text", prefix + "health-path", s.healthPath())
+                .field("connections per server", "number", prefix + "connection-limit", s.connectionLimit())
                 .raw("<br>")
                 .field(
                         "attempts at most",
@@ -157,7 +163,7 @@
 
     private static void service(StringBuilder text, Function<String, String> typed, String prefix) {
         text.append("  - name: ").append(quoted(typed.apply(prefix + "name"))).append('\n');
-        List.of("criticality", "routing", "sample-size").forEach(f -> line(text, "    ", f, typed.apply(prefix + f)));
+        SERVICE_FIELDS.forEach(f -> line(text, "    ", f, typed.apply(prefix + f)));
         text.append("    retry:\n");
         RETRY_FIELDS.forEach(f -> line(text, "      ", f, typed.apply(prefix + f)));
         text.append("    queue:\n");
@@ -187,14 +193,14 @@
                 Boolean.toString(typed.apply(prefix + "draining").equals("true")));
     }
 
-    private static void line(StringBuilder text, String indent, String key, String value) {
+    static void line(StringBuilder text, String indent, String key, String value) {
         if (!value.isBlank()) {
             text.append(indent).append(key).append(": ").append(quoted(value)).append('\n');
         }
     }
 
     /** Quotes what is neither number nor truth value, so that nothing typed can change the document's structure. */
-    private static String quoted(String value) {
+    static String quoted(String value) {
         String typed = value.strip();
         if (typed.matches("-?\\d+(\\.\\d+)?|true|false")) {
             return typed;
@@ -202,7 +208,7 @@
         return '"' + typed.replace("\\", "\\\\").replace("\"", "\\\"").replaceAll("\\s+", " ") + '"';
     }
 
-    private static int count(String value) {
+    static int count(String value) {
         return value.matches("\\d{1,5}") ? Integer.parseInt(value) : 0;
     }
 
--- a/console/src/test/java/org/hyssophitch/console/DocumentFormTest.java
+++ b/console/src/test/java/org/hyssophitch/console/DocumentFormTest.java
@@ -46,6 +46,8 @@
     public void typedTextStaysInItsField(String name) {
         Map<String, String> typed = fields(configuration(DeploymentFiles.document(Deployment.GLENMORVEN)));
         typed.put("s0.name", name);
+        // The route to the service has to go, or its destination would be a fault of its own.
+        typed.put("r0.name", "");
 
         YamlResult<Configuration> result = DocumentReader.read(DocumentForm.document(f -> typed.getOrDefault(f, "")));
 
--- a/core/src/main/java/org/hyssophitch/core/configuration/Configuration.java
+++ b/core/src/main/java/org/hyssophitch/core/configuration/Configuration.java
@@ -73,6 +73,13 @@
                 : new Configuration(version, revisionId, maxEntryHosts, measuring, addresses, value, routes, limits);
     }
 
+    /** Returns this configuration with other routes, or this instance when nothing changes. */
+    public Configuration withRoutes(List<Route> value) {
+        return value.equals(routes)
+                ? this
+                : new Configuration(version, revisionId, maxEntryHosts, measuring, addresses, services, value, limits);
+    }
+
     /** Returns whether this configuration replaces the other. */
     public boolean isNewerThan(Configuration other) {
         return version > other.version;
--- a/core/src/main/java/org/hyssophitch/core/configuration/Service.java
+++ b/core/src/main/java/org/hyssophitch/core/configuration/Service.java
@@ -10,6 +10,11 @@
  */
 public final class Service {
 
+    /** Connections that a backend server accepts in total when nothing else is said. */
+    public static final int DEFAULT_CONNECTION_LIMIT = 220;
+    /** Path at which a backend server tells its load when nothing else is said. */
+    public static final String DEFAULT_HEALTH_PATH = "/load";
+
     private final String name;
     private final Criticality criticality;
     private final RoutingKind routing;
@@ -126,8 +131,6 @@
     /** Builder of {@link Service}; not thread-safe. */
     public static final class Builder {
         private static final int DEFAULT_SAMPLE_SIZE = 32;
-        private static final int DEFAULT_CONNECTION_LIMIT = 220;
-        private static final String DEFAULT_HEALTH_PATH = "/health";
 
         private final String name;
         private Criticality criticality = Criticality.CRITICAL;
--- a/core/src/main/java/org/hyssophitch/core/control/AgentAction.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentAction.java
@@ -18,6 +18,11 @@
     /** Tell the local proxy what else changed. */
     record PushUpdate(ProxyUpdate update) implements AgentAction {}
 
-    /** Ask a backend server for its load. */
-    record Probe(BackendServer server) implements AgentAction {}
+    /**
+     * Ask a backend server for its load.
+     *
+     * @param server whom to ask
+     * @param healthPath path at which the server tells its load
+     */
+    record Probe(BackendServer server, String healthPath) implements AgentAction {}
 }
--- a/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
@@ -158,7 +158,8 @@
 
     private void onTime() {
         membership.onTime(nowMicros).forEach(this::sendHeartbeat);
-        planner.due(membershipEpoch, membership::live, nowMicros).forEach(s -> actions.add(new AgentAction.Probe(s)));
+        planner.due(membershipEpoch, membership::live, nowMicros)
+                .forEach(s -> actions.add(new AgentAction.Probe(s, planner.healthPath(s))));
         fetchIfBehind();
         contactListedHosts();
         boolean isUpdateDue = nowMicros >= nextUpdateMicros;
--- a/core/src/main/java/org/hyssophitch/core/load/ProbePlanner.java
+++ b/core/src/main/java/org/hyssophitch/core/load/ProbePlanner.java
@@ -36,6 +36,7 @@
     private final Map<String, Long> lastReportMicros = new HashMap<>();
     private final TokenBucket total;
     private final TokenBucket bytes;
+    private final Map<String, String> healthPaths = new HashMap<>();
     private List<BackendServer> owned = List.of();
     private int ownedEpoch = NO_EPOCH;
     private Configuration configuration = Configuration.NONE;
@@ -52,10 +53,17 @@
         this.bytes = new TokenBucket(0, BYTES_PER_PROBE, nowMicros);
     }
 
+    /** Returns the path at which a known backend server tells its load. */
+    public String healthPath(BackendServer server) {
+        return healthPaths.get(server.name());
+    }
+
     /** Takes over the budgets and backend servers of a configuration. */
     public void onConfiguration(Configuration accepted, long nowMicros) {
         configuration = accepted;
         ownedEpoch = NO_EPOCH;
+        healthPaths.clear();
+        accepted.services().forEach(s -> s.servers().forEach(b -> healthPaths.put(b.name(), s.healthPath())));
         MeasuringBudget budget = accepted.measuring();
         double hosts = Math.max(1, accepted.maxEntryHosts());
         total.setRate(budget.probesPerSecondTotal() / hosts, ONE_PROBE, nowMicros);
--- a/document/src/main/java/org/hyssophitch/document/DocumentReader.java
+++ b/document/src/main/java/org/hyssophitch/document/DocumentReader.java
@@ -6,11 +6,13 @@
 
 import org.hyssophitch.core.configuration.AddressRule;
 import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.configuration.CallerLimits;
 import org.hyssophitch.core.configuration.Configuration;
 import org.hyssophitch.core.configuration.Criticality;
 import org.hyssophitch.core.configuration.MeasuringBudget;
 import org.hyssophitch.core.configuration.QueueRule;
 import org.hyssophitch.core.configuration.RetryRule;
+import org.hyssophitch.core.configuration.Route;
 import org.hyssophitch.core.configuration.RoutingKind;
 import org.hyssophitch.core.configuration.Service;
 import org.hyssophitch.wire.yaml.Fault;
@@ -29,6 +31,10 @@
     private static final String NAME = "[a-z0-9][a-z0-9-]{0,62}";
     private static final String NAME_HELP = "a name of lower-case letters, digits and hyphens, at most 63";
     private static final String ADDRESS = "\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}";
+    /** The length is bounded, since the budget for measuring counts a fixed number of bytes for each question. */
+    private static final String PATH = "/[!-~]{0,99}";
+
+    private static final String PATH_HELP = "a path that begins with a slash, at most 100 characters";
     private static final int MAX_PORT = 65_535;
     private static final int DAY_MILLIS = 86_400_000;
     private static final int MAX_ENTRY_HOSTS = 10_000;
@@ -56,7 +62,9 @@
         if (services.isEmpty()) {
             m.report(Fault.Kind.MISSING_KEY, "services", "nothing", "a list of at least one service");
         }
-        return new Configuration(0, "", maxEntryHosts, measuring, addresses, services);
+        CallerLimits limits = m.mapping("callers", RouteReader::limits).orElse(CallerLimits.DEFAULT);
+        List<Route> routes = new RouteReader(services).routes(m);
+        return new Configuration(0, "", maxEntryHosts, measuring, addresses, services, routes, limits);
     }
 
     private static MeasuringBudget measuring(YamlMapping m) {
@@ -77,7 +85,8 @@
     private Service service(YamlMapping m) {
         String name = m.text("name", NAME, NAME_HELP);
         checkUnique(m, "name", "service", name);
-        List<BackendServer> servers = m.list("servers", this::server);
+        int connectionLimit = m.integer("connection-limit", 1, MAX_CONNECTIONS, Service.DEFAULT_CONNECTION_LIMIT);
+        List<BackendServer> servers = m.list("servers", s -> server(s, connectionLimit));
         if (servers.isEmpty()) {
             m.report(Fault.Kind.MISSING_KEY, "servers", "nothing", "a list of at least one backend server");
         }
@@ -87,6 +96,8 @@
                 .sampleSize(m.integer("sample-size", 1, 1_000, 32))
                 .retry(m.mapping("retry", DocumentReader::retry).orElse(RetryRule.DEFAULT))
                 .queue(m.mapping("queue", DocumentReader::queue).orElse(QueueRule.DEFAULT))
+                .healthPath(m.text("health-path", PATH, PATH_HELP, Service.DEFAULT_HEALTH_PATH))
+                .connectionLimit(connectionLimit)
                 .servers(servers)
                 .build();
     }
@@ -116,12 +127,12 @@
                 m.integer("stall-ms", 10, DAY_MILLIS, d.stallMillis()));
     }
 
-    private BackendServer server(YamlMapping m) {
+    private BackendServer server(YamlMapping m, int usualLimit) {
         String name = m.text("name", NAME, NAME_HELP);
         checkUnique(m, "name", "backend server", name);
         String address = m.text("address", ADDRESS, "an IPv4 address and port of the form ip:port");
         checkUnique(m, "address", "address", address);
-        int connectionLimit = m.integer("connection-limit", 1, MAX_CONNECTIONS, 220);
+        int connectionLimit = m.integer("connection-limit", 1, MAX_CONNECTIONS, usualLimit);
         int leastConnections = BackendServer.LEAST_CONNECTIONS_PER_HOST * maxEntryHosts;
         if (connectionLimit < leastConnections) {
             m.report(
--- a/document/src/main/java/org/hyssophitch/document/DocumentWriter.java
+++ b/document/src/main/java/org/hyssophitch/document/DocumentWriter.java
@@ -5,7 +5,9 @@
 import java.util.Map;
 
 import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.configuration.CallerLimits;
 import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.Route;
 import org.hyssophitch.core.configuration.Service;
 import org.hyssophitch.wire.yaml.YamlMapping;
 import org.yaml.snakeyaml.DumperOptions;
@@ -28,6 +30,8 @@
         root.put("max-entry-hosts", c.maxEntryHosts());
         root.put("measuring", measuring(c));
         root.put("addresses", addresses(c));
+        root.put("callers", limits(c.limits()));
+        root.put("routes", c.routes().stream().map(DocumentWriter::route).toList());
         root.put("services", c.services().stream().map(DocumentWriter::service).toList());
         return root;
     }
@@ -47,12 +51,46 @@
         return m;
     }
 
+    private static Map<String, Object> limits(CallerLimits l) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("max-header-bytes", l.maxHeaderBytes());
+        m.put("max-body-bytes", l.maxBodyBytes());
+        m.put("header-timeout-ms", l.headerTimeoutMillis());
+        m.put("idle-timeout-ms", l.idleTimeoutMillis());
+        return m;
+    }
+
+    private static Map<String, Object> route(Route r) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("name", r.name());
+        m.put("host", r.host());
+        m.put("path-prefix", r.pathPrefix());
+        m.put("idempotent", r.idempotent());
+        m.put("timeout-ms", r.timeoutMillis());
+        m.put("target-latency-ms", r.targetLatencyMillis());
+        m.put("max-attempts", r.maxAttempts());
+        m.put("priority", r.priority());
+        m.put(
+                "destinations",
+                r.destinations().stream().map(DocumentWriter::destination).toList());
+        return m;
+    }
+
+    private static Map<String, Object> destination(Route.Destination d) {
+        Map<String, Object> m = new LinkedHashMap<>();
+        m.put("service", d.service());
+        m.put("weight", d.weight());
+        return m;
+    }
+
     private static Map<String, Object> service(Service s) {
         Map<String, Object> m = new LinkedHashMap<>();
         m.put("name", s.name());
         m.put("criticality", YamlMapping.written(s.criticality()));
         m.put("routing", YamlMapping.written(s.routing()));
         m.put("sample-size", s.sampleSize());
+        m.put("health-path", s.healthPath());
+        m.put("connection-limit", s.connectionLimit());
         m.put("retry", retry(s));
         m.put("queue", queue(s));
         List<Map<String, Object>> servers =
--- /dev/null
+++ b/document/src/main/java/org/hyssophitch/document/RouteReader.java
@@ -0,0 +1,103 @@
+package org.hyssophitch.document;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.hyssophitch.core.configuration.CallerLimits;
+import org.hyssophitch.core.configuration.Route;
+import org.hyssophitch.core.configuration.Route.Destination;
+import org.hyssophitch.core.configuration.Service;
+import org.hyssophitch.wire.yaml.Fault;
+import org.hyssophitch.wire.yaml.YamlMapping;
+
+/** Reads the routes of a document and its limits for callers. Not thread-safe; used within one reading. */
+final class RouteReader {
+
+    private static final String HOST = "[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?";
+    private static final String HOST_HELP = "a host name in lower case, without a port";
+    private static final String PREFIX = "/|/[!-~&&[^?#]]{0,510}/";
+    private static final String PREFIX_HELP = "a path that begins and ends with a slash";
+    private static final int DAY_MILLIS = 86_400_000;
+    private static final int DEFAULT_TIMEOUT_MILLIS = 2_000;
+    private static final int DEFAULT_ATTEMPTS = 2;
+    private static final int MAX_ATTEMPTS = 16;
+    private static final int LOWEST_PRIORITY = 100;
+    private static final int MAX_WEIGHT = 1_000_000;
+    private static final int MAX_HEADER_BYTES = 1_048_576;
+
+    private final Set<String> services;
+    private final Map<String, String> firstUses = new HashMap<>();
+
+    RouteReader(List<Service> services) {
+        this.services = services.stream().map(Service::name).collect(Collectors.toSet());
+    }
+
+    List<Route> routes(YamlMapping document) {
+        return document.list("routes", this::route);
+    }
+
+    static CallerLimits limits(YamlMapping m) {
+        CallerLimits d = CallerLimits.DEFAULT;
+        return new CallerLimits(
+                m.integer("max-header-bytes", 256, MAX_HEADER_BYTES, d.maxHeaderBytes()),
+                m.integer("max-body-bytes", 0, Integer.MAX_VALUE, (int) d.maxBodyBytes()),
+                m.integer("header-timeout-ms", 1, DAY_MILLIS, d.headerTimeoutMillis()),
+                m.integer("idle-timeout-ms", 1, DAY_MILLIS, d.idleTimeoutMillis()));
+    }
+
+    private Route route(YamlMapping m) {
+        String name = m.name("name");
+        checkUnique(m, "name", "route", name);
+        String host = m.text("host", HOST, HOST_HELP);
+        String prefix = m.text("path-prefix", PREFIX, PREFIX_HELP, "/");
+        checkUnique(m, "path-prefix", "path prefix of " + host, prefix);
+        int timeout = m.integer("timeout-ms", 1, DAY_MILLIS, DEFAULT_TIMEOUT_MILLIS);
+        int target = m.integer("target-latency-ms", 1, DAY_MILLIS, timeout);
+        if (target > timeout) {
+            m.report(
+                    Fault.Kind.CONTRADICTION,
+                    "target-latency-ms",
+                    Integer.toString(target),
+                    "at most timeout-ms " + timeout);
+        }
+        return new Route(
+                name,
+                host,
+                prefix,
+                m.flag("idempotent", false),
+                timeout,
+                target,
+                m.integer("max-attempts", 1, MAX_ATTEMPTS, DEFAULT_ATTEMPTS),
+                m.integer("priority", 0, LOWEST_PRIORITY, 1),
+                destinations(m));
+    }
+
+    private List<Destination> destinations(YamlMapping m) {
+        List<Destination> destinations = m.list("destinations", this::destination);
+        boolean hasWeight = destinations.stream().anyMatch(d -> d.weight() > 0);
+        if (destinations.isEmpty()) {
+            m.report(Fault.Kind.MISSING_KEY, "destinations", "nothing", "a list of at least one service");
+        } else if (!hasWeight) {
+            m.report(Fault.Kind.CONTRADICTION, "destinations", "no weight above 0", "at least one weight above 0");
+        }
+        return destinations;
+    }
+
+    private Destination destination(YamlMapping m) {
+        String service = m.name("service");
+        if (!service.isEmpty() && !services.contains(service)) {
+            m.report(Fault.Kind.CONTRADICTION, "service", service, "a service of this document");
+        }
+        return new Destination(service, m.integer("weight", 0, MAX_WEIGHT, 1));
+    }
+
+    private void checkUnique(YamlMapping m, String key, String kind, String value) {
+        String first = firstUses.putIfAbsent(kind + ' ' + value, m.path(key));
+        if (first != null && !value.isEmpty()) {
+            m.report(Fault.Kind.DUPLICATE, key, value, "a " + kind + " that is not used at " + first);
+        }
+    }
+}
--- a/document/src/test/java/org/hyssophitch/document/DocumentReaderTest.java
+++ b/document/src/test/java/org/hyssophitch/document/DocumentReaderTest.java
@@ -28,6 +28,8 @@
 
     private static final Path SCHEMA = Path.of("..", "docs", "schema", "configuration.schema.json");
     private static final String SERVER = "      - {name: b1, address: 10.0.0.1:80, zone: z1}\n";
+    private static final String ROUTE = "  - name: r1\n    host: a.example\n    path-prefix: /x/\n"
+            + "    destinations: [{service: s1, weight: 3}]\n";
     private static final String SERVICE = "  - name: s1\n    servers:\n" + SERVER;
 
     @DataProvider
@@ -101,6 +103,61 @@
         };
     }
 
+    @DataProvider
+    public Object[][] faultyRoutes() {
+        return new Object[][] {
+            {
+                "route to nowhere",
+                "routes:\n" + ROUTE.replace("s1", "s9") + "services:\n" + SERVICE,
+                List.of("CONTRADICTION routes[0].destinations[0].service 5"),
+                false
+            },
+            {
+                "route without a destination",
+                "routes:\n  - {name: r1, host: a.example, destinations: []}\nservices:\n" + SERVICE,
+                List.of("MISSING_KEY routes[0].destinations 2"),
+                true
+            },
+            {
+                "route without weight",
+                "routes:\n" + ROUTE.replace("weight: 3", "weight: 0") + "services:\n" + SERVICE,
+                List.of("CONTRADICTION routes[0].destinations 5"),
+                false
+            },
+            {
+                "two routes of one prefix",
+                "routes:\n" + ROUTE + ROUTE.replace("r1", "r2") + "services:\n" + SERVICE,
+                List.of("DUPLICATE routes[1].path-prefix 8"),
+                false
+            },
+            {
+                "route that wants an answer after its time-out",
+                "routes:\n" + ROUTE + "    timeout-ms: 100\n    target-latency-ms: 200\nservices:\n" + SERVICE,
+                List.of("CONTRADICTION routes[0].target-latency-ms 7"),
+                false
+            },
+            {
+                "odd host and prefix",
+                "routes:\n" + ROUTE.replace("a.example", "A:80").replace("/x/", "x") + "services:\n" + SERVICE,
+                List.of("NOT_ALLOWED routes[0].host 3", "NOT_ALLOWED routes[0].path-prefix 4"),
+                true
+            },
+            {
+                "limit for callers out of range",
+                "callers: {max-header-bytes: 0}\nservices:\n" + SERVICE,
+                List.of("OUT_OF_RANGE callers.max-header-bytes 1"),
+                true
+            },
+        };
+    }
+
+    @Test(dataProvider = "faultyRoutes")
+    public void everyFaultOfARouteIsNamedWithItsLine(
+            String name, String text, List<String> expected, boolean isOfSchema) throws IOException {
+        everyFaultIsNamedWithItsLine(name, text, expected, isOfSchema);
+        schemaAgreesOnFaults(name, text, expected, isOfSchema);
+    }
+
     @Test(dataProvider = "faultyDocuments")
     public void everyFaultIsNamedWithItsLine(String name, String text, List<String> expected, boolean isOfSchema) {
         List<String> found = faults(text).stream()
--- a/entry/src/test/java/org/hyssophitch/entry/DataPath.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -186,6 +186,7 @@
                 .routing(RoutingKind.ASKED_LOAD)
                 .retry(RetryRule.DEFAULT)
                 .queue(new QueueRule(100, 5_000, 0))
+                .healthPath("/health")
                 .build();
         return new Configuration(
                 1,
--- /dev/null
+++ b/proxy/src/test/java/org/hyssophitch/proxy/ProxyRouteTest.java
@@ -0,0 +1,50 @@
+package org.hyssophitch.proxy;
+
+import java.io.IOException;
+import java.time.Duration;
+
+import okhttp3.Response;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Requests that a route of the configuration takes to its services. */
+public class ProxyRouteTest extends ProxyFixture {
+
+    /** Requests of a route are shared by weight, and keep their path. */
+    @Test
+    public void routeSharesItsRequestsByWeight() throws IOException {
+        for (int i = 0; i < 80; i++) {
+            try (Response r = send(routed("/a/x?q=1"))) {
+                assertEquals(r.code(), 200);
+            }
+        }
+        assertEquals(server.requestLines().size(), 60, 8);
+        assertEquals(other.requestLines().size(), 20, 8);
+        assertEquals(other.requestLines().get(0), "GET /a/x?q=1 HTTP/1.1");
+    }
+
+    /** The longest prefix counts, and a route that isn't known to be idempotent runs once, whatever the method. */
+    @Test
+    public void routeDecidesWhatMayRunTwice() throws IOException {
+        server.become("", RawServer.End.CLOSE);
+        assertAnswer(routed("/a/book/1"), 502, "unknown", "connection-lost");
+        assertEquals(server.requestLines().size(), 1);
+    }
+
+    @Test
+    public void routeTimesOut() throws IOException {
+        server.become(OK, RawServer.End.SILENT);
+        other.become(OK, RawServer.End.SILENT);
+        long started = System.nanoTime();
+        assertAnswer(routed("/a/x"), 504, "unknown", "deadline-passed");
+        long millis = Duration.ofNanos(System.nanoTime() - started).toMillis();
+        assertTrue(millis >= 680 && millis < 700 + 500, "answered after " + millis + " ms");
+    }
+
+    @Test
+    public void requestWithoutARouteIsRefused() throws IOException {
+        assertAnswer(routed("/b/x"), 404, "not-run", "no-route");
+    }
+}
--- a/standin/src/main/java/org/hyssophitch/standin/DeploymentFiles.java
+++ b/standin/src/main/java/org/hyssophitch/standin/DeploymentFiles.java
@@ -49,12 +49,33 @@
                 addresses:
                   per-answer: 3
                   keep-seconds: %d
-                services:
+                callers:
+                  idle-timeout-ms: 15000
+                routes:
                 """
                         .formatted(Deployment.MAX_ENTRY_HOSTS, KEEP_SECONDS)
+                + d.services().stream().map(DeploymentFiles::route).collect(Collectors.joining())
+                + "services:\n"
                 + d.services().stream().map(s -> service(d, s)).collect(Collectors.joining());
     }
 
+    /** Callers of an old client reach each service by host name too; what they send isn't known to be idempotent. */
+    private static String route(Deployment.ServiceSize s) {
+        return """
+                  - name: %s
+                    host: %s
+                    path-prefix: /
+                    destinations:
+                      - service: %s
+                """
+                .formatted(s.name(), routeHost(s), s.name());
+    }
+
+    /** Returns the host name by which a service is reached. */
+    public static String routeHost(Deployment.ServiceSize s) {
+        return s.name() + ".example";
+    }
+
     private static String service(Deployment d, Deployment.ServiceSize s) {
         boolean isBulk = s.answerBytes() > 1_000;
         String head =
@@ -62,6 +83,7 @@
                   - name: %s
                     criticality: %s
                     routing: estimated-delay
+                    health-path: /load
                     queue:
                       max-queued: 64
                       default-deadline-ms: %d
--- a/wire/src/main/java/org/hyssophitch/wire/codec/ConfigurationCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/ConfigurationCodec.java
@@ -4,6 +4,7 @@
 
 import org.hyssophitch.core.configuration.AddressRule;
 import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.configuration.CallerLimits;
 import org.hyssophitch.core.configuration.Configuration;
 import org.hyssophitch.core.configuration.Criticality;
 import org.hyssophitch.core.configuration.MeasuringBudget;
@@ -36,7 +37,9 @@
                 new MeasuringBudget(
                         c.getProbesPerSecondPerServer(), c.getProbesPerSecondTotal(), c.getBytesPerSecondTotal()),
                 new AddressRule(c.getAddressesPerAnswer(), c.getKeepSeconds()),
-                c.getServicesList().stream().map(ConfigurationCodec::decode).toList());
+                c.getServicesList().stream().map(ConfigurationCodec::decode).toList(),
+                c.getRoutesList().stream().map(RouteCodec::decode).toList(),
+                c.hasCallerLimits() ? RouteCodec.decode(c.getCallerLimits()) : CallerLimits.DEFAULT);
     }
 
     /** Encodes a change. */
@@ -63,7 +66,9 @@
                 .setProbesPerSecondTotal(c.measuring().probesPerSecondTotal())
                 .setBytesPerSecondTotal(c.measuring().bytesPerSecondTotal())
                 .setAddressesPerAnswer(c.addresses().addressesPerAnswer())
-                .setKeepSeconds(c.addresses().keepSeconds());
+                .setKeepSeconds(c.addresses().keepSeconds())
+                .addAllRoutes(c.routes().stream().map(RouteCodec::encode).toList())
+                .setCallerLimits(RouteCodec.encode(c.limits()));
     }
 
     private static List<Wire.Service> encodeServices(List<Service> services) {
@@ -83,14 +88,19 @@
                 .setMaxQueued(s.queue().maxQueued())
                 .setDefaultDeadlineMillis(s.queue().defaultDeadlineMillis())
                 .setStallMillis(s.queue().stallMillis())
+                .setHealthPath(s.healthPath())
+                .setConnectionLimit(s.connectionLimit())
                 .addAllServers(
                         s.servers().stream().map(ConfigurationCodec::encode).toList())
                 .build();
     }
 
     private static Service decode(Wire.Service s) {
-        return Service.builder(s.getName())
-                .criticality(CRITICALITIES[Math.floorMod(s.getCriticality(), CRITICALITIES.length)])
+        Service.Builder b = Service.builder(s.getName());
+        if (!s.getHealthPath().isEmpty()) {
+            b.healthPath(s.getHealthPath()).connectionLimit(s.getConnectionLimit());
+        }
+        return b.criticality(CRITICALITIES[Math.floorMod(s.getCriticality(), CRITICALITIES.length)])
                 .routing(ROUTINGS[Math.floorMod(s.getRouting(), ROUTINGS.length)])
                 .sampleSize(s.getSampleSize())
                 .retry(new RetryRule(s.getMaxAttempts(), s.getRetryRatio(), s.getHedgeRatio(), s.getHedgeAfterMillis()))
--- a/wire/src/main/java/org/hyssophitch/wire/yaml/YamlMapping.java
+++ b/wire/src/main/java/org/hyssophitch/wire/yaml/YamlMapping.java
@@ -83,6 +83,11 @@
         return value;
     }
 
+    /** Returns an optional text that matches a regular expression. */
+    public String text(String key, String pattern, String allowed, String defaultValue) {
+        return values.containsKey(key) ? text(key, pattern, allowed) : text(key, defaultValue);
+    }
+
     /** Returns a required name, as hosts and availability zones have. */
     public String name(String key) {
         return text(key, "[a-z0-9][a-z0-9-]{0,62}", "a name of lower-case letters, digits and hyphens");
