Measure several proxies in turn in bin/bench latency

Cause: before and after couldn't be measured in one run, so that the machine's state was part of the difference.

--- a/bench/src/main/java/org/hyssophitch/bench/LatencyBench.java
+++ b/bench/src/main/java/org/hyssophitch/bench/LatencyBench.java
@@ -1,6 +1,9 @@
 package org.hyssophitch.bench;
 
 import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 import okhttp3.OkHttpClient;
@@ -18,12 +21,13 @@
     /**
      * Result in milliseconds. Immutable.
      *
+     * @param url URL of the calls through a proxy
      * @param directP50 median of direct calls
      * @param directP99 99th percentile of direct calls
      * @param proxiedP50 median of calls through the proxy
      * @param proxiedP99 99th percentile of calls through the proxy
      */
-    public record LatencyRow(double directP50, double directP99, double proxiedP50, double proxiedP99) {
+    public record LatencyRow(String url, double directP50, double directP99, double proxiedP50, double proxiedP99) {
 
         /** Returns the added latency at the 99th percentile in milliseconds. */
         public double addedP99() {
@@ -34,26 +38,40 @@
     private LatencyBench() {}
 
     /**
-     * Measures alternating calls.
+     * Measures calls in turn: one at the server, one through each proxy, and again.
      *
      * @param directUrl URL at the server
-     * @param proxiedUrl URL of the same resource through a proxy
+     * @param proxiedUrls URLs of the same resource through proxies
      * @param calls number of measured calls of each kind
      * @throws IOException when a call fails
      */
-    public static LatencyRow run(String directUrl, String proxiedUrl, int calls) throws IOException {
+    public static List<LatencyRow> run(String directUrl, List<String> proxiedUrls, int calls) throws IOException {
         OkHttpClient client = new OkHttpClient();
         Histogram direct = new Histogram(MAX_MICROS, 3);
-        Histogram proxied = new Histogram(MAX_MICROS, 3);
-        for (int i = 0; i < WARM_UP; i++) {
-            call(client, directUrl);
-            call(client, proxiedUrl);
+        Map<String, Histogram> proxied = new LinkedHashMap<>();
+        proxiedUrls.forEach(u -> proxied.put(u, new Histogram(MAX_MICROS, 3)));
+        for (int i = 0; i < WARM_UP + calls; i++) {
+            boolean isMeasured = i >= WARM_UP;
+            measure(client, directUrl, direct, isMeasured);
+            for (Map.Entry<String, Histogram> p : proxied.entrySet()) {
+                measure(client, p.getKey(), p.getValue(), isMeasured);
+            }
         }
-        for (int i = 0; i < calls; i++) {
-            direct.recordValue(call(client, directUrl));
-            proxied.recordValue(call(client, proxiedUrl));
+        return proxied.entrySet().stream()
+                .map(p -> row(p.getKey(), direct, p.getValue()))
+                .toList();
+    }
+
+    private static LatencyRow row(String url, Histogram direct, Histogram proxied) {
+        return new LatencyRow(url, millis(direct, 50), millis(direct, 99), millis(proxied, 50), millis(proxied, 99));
+    }
+
+    private static void measure(OkHttpClient client, String url, Histogram histogram, boolean isMeasured)
+            throws IOException {
+        long micros = call(client, url);
+        if (isMeasured) {
+            histogram.recordValue(micros);
         }
-        return new LatencyRow(millis(direct, 50), millis(direct, 99), millis(proxied, 50), millis(proxied, 99));
     }
 
     private static long call(OkHttpClient client, String url) throws IOException {
