Outlive a clock that was ahead, a lost registration and changed bounds; tell of calls that wait

Change: a process raises its incarnation above an earlier one of its host, three times at most; lists without the own object lead to a new registration; bounds apply at once, in the engine by LimitsChanged; CallQueued once per call that waits, HedgeSkipped for the other case; the metric hyssophitch_log_lines_lost.

Tests: succeedsAProcessWhoseClockWasAhead, registersAgainWhenItsObjectIsGone, appliesChangedBoundsWithoutARestart, recordsOnceThatACallWaits, grantsNothingBeyondNarrowerLimits.

--- a/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
@@ -46,6 +46,7 @@
     private boolean mayHaveRun;
     private boolean isCallerGone;
     private boolean isSuspectRunning;
+    private boolean isWaiting;
     private Reason lastLoss = Reason.CONNECTION_LOST;
 
     ActiveCall(CallRequest request, ServiceState service, long arrivedMicros) {
@@ -188,6 +189,13 @@
         unsentAttempts++;
     }
 
+    /** Notes that the call waits for a server with room; returns whether that is new. */
+    boolean markWaiting() {
+        boolean isNew = !isWaiting;
+        isWaiting = true;
+        return isNew;
+    }
+
     /** Returns the time in microseconds until which the call may wait for a server with room. */
     long waitUntilMicros() {
         return waitUntilMicros;
--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -65,6 +65,7 @@
             case CallEvent.LoadAnswered e -> onLoadAnswered(e);
             case CallEvent.ServersRegistered e -> onRegistered(e.servers(), e.nowMicros());
             case CallEvent.FleetChanged e -> onFleet(e.hostsByZone(), e.nowMicros());
+            case CallEvent.LimitsChanged e -> definitions.limit(e.limits(), e.nowMicros());
             case CallEvent.LeavingChanged e -> onLeaving(e.servers(), e.source(), e.nowMicros());
             case CallEvent.SuspicionsReceived e -> e.suspicions().forEach(state.suspects()::merge);
             case CallEvent.IssuersChanged e -> state.setIssuers(e.issuers());
--- a/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
@@ -66,6 +66,9 @@
      */
     record FleetChanged(long nowMicros, Map<String, Integer> hostsByZone) implements CallEvent {}
 
+    /** The operator changed the limits that all entry hosts keep together. */
+    record LimitsChanged(long nowMicros, FleetLimits limits) implements CallEvent {}
+
     /** The set of leaving backend servers changed, as the platform or other entry hosts tell it. */
     record LeavingChanged(long nowMicros, Set<String> servers, String source) implements CallEvent {}
 
--- a/core/src/main/java/org/hyssophitch/core/call/CrashWatch.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CrashWatch.java
@@ -33,7 +33,7 @@
                 .filter(c -> c.attempts().stream().anyMatch(a -> a.server() == server))
                 .map(c -> c.request().fingerprint())
                 .collect(Collectors.toSet());
-        if (state.settings().fleet().isEmpty()) {
+        if (state.fleet().isEmpty()) {
             blame(server.name(), inFlight, nowMicros);
         } else if (inFlightAtLoss.putIfAbsent(server.name(), inFlight) == null) {
             state.emit(new CallAction.AskLoad(
--- a/core/src/main/java/org/hyssophitch/core/call/EngineState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/EngineState.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.random.RandomGenerator;
 
@@ -46,6 +47,7 @@
     private final Map<Long, ActiveCall> calls = new HashMap<>();
     private final PriorityQueue<Timer> timers =
             new PriorityQueue<>(Comparator.comparingLong(Timer::atMicros).thenComparingLong(Timer::callId));
+    private Optional<FleetLimits> fleet;
     private Configuration configuration = Configuration.NONE;
     private IssuerView issuers = host -> IssuerView.GONE;
     private int bulkInFlight;
@@ -55,6 +57,7 @@
 
     EngineState(EngineSettings settings, RandomGenerator random, EventRecorder recorder) {
         this.settings = settings;
+        this.fleet = settings.fleet();
         this.random = random;
         this.selector = new ServerSelector(random);
         this.recorder = recorder;
@@ -66,6 +69,16 @@
         return settings;
     }
 
+    /** Returns the limits that all entry hosts keep together; empty where each service has budgets of its own. */
+    Optional<FleetLimits> fleet() {
+        return fleet;
+    }
+
+    /** Changes limits that all entry hosts keep together; without effect where there are none. */
+    void setFleet(FleetLimits value) {
+        fleet = fleet.map(f -> value);
+    }
+
     boolean isOn(EngineFeature feature) {
         return settings.isOn(feature);
     }
@@ -78,6 +91,10 @@
         return random;
     }
 
+    Map<String, Integer> hostsByZone() {
+        return hostsByZone;
+    }
+
     /** Returns the number of entry hosts that share the fleet's limits. */
     int hosts() {
         return hostsByZone.values().stream().mapToInt(Integer::intValue).sum();
--- a/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
+++ b/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
@@ -123,9 +123,28 @@
         place(service, hasFurther ? GOOD_COST : Double.MAX_VALUE, nowMicros);
         if (hasFurther && service.queue().size() > 0) {
             start(service, round.asked(), nowMicros);
+        } else {
+            recordWaiting(service, nowMicros);
         }
     }
 
+    /** Records once for each call that no server that was asked has room for it. */
+    private void recordWaiting(ServiceState service, long nowMicros) {
+        service.queue().waiting().stream()
+                .map(w -> state.calls().get(w.callId()))
+                .filter(c -> c != null && c.attempts().isEmpty() && c.markWaiting())
+                .forEach(c -> recordQueued(c, nowMicros));
+    }
+
+    private void recordQueued(ActiveCall call, long nowMicros) {
+        ServiceState service = call.service();
+        state.record(
+                nowMicros,
+                call,
+                new EventBody.CallQueued(
+                        service.service().name(), service.queue().size()));
+    }
+
     private void start(ServiceState service, Set<String> asked, long nowMicros) {
         List<ServerState> candidates = service.round().isUseful() ? candidates(service, asked, nowMicros) : List.of();
         if (candidates.isEmpty()) {
@@ -283,9 +302,7 @@
             state.record(
                     nowMicros,
                     call,
-                    new EventBody.CallQueued(
-                            call.service().service().name(),
-                            call.service().queue().size()));
+                    new EventBody.HedgeSkipped(call.service().service().name()));
         }
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
@@ -66,13 +66,19 @@
     void share(Map<String, Integer> hostsByZone, long nowMicros) {
         state.setHosts(hostsByZone);
         int hosts = state.hosts();
-        state.settings().fleet().ifPresent(f -> {
-            state.services().values().forEach(s -> s.setSharedAllowance(f.repeatAllowancePart(hosts)));
+        state.fleet().ifPresent(f -> {
+            state.services().values().forEach(s -> s.setSharedPart(f.repeatRatioPart(), f.repeatAllowancePart(hosts)));
             state.servers().values().forEach(s -> setAskRate(s, f, nowMicros));
         });
         redefineAll(nowMicros);
     }
 
+    /** Takes over changed limits; the window of those on repeats stays as long as it was at the start. */
+    void limit(FleetLimits limits, long nowMicros) {
+        state.setFleet(limits);
+        share(state.hostsByZone(), nowMicros);
+    }
+
     private void redefineAll(long nowMicros) {
         Set<String> names = new HashSet<>();
         Set<String> servers = new HashSet<>();
@@ -109,8 +115,7 @@
     }
 
     private Optional<WindowBudget> sharedBudget(long nowMicros) {
-        return state.settings()
-                .fleet()
+        return state.fleet()
                 .map(f -> new WindowBudget(
                         f.repeatRatioPart(), f.repeatAllowancePart(state.hosts()), f.repeatWindowMicros(), nowMicros));
     }
@@ -120,7 +125,7 @@
         int limit = server.attemptLimit(hosts);
         ServerState known = state.servers().computeIfAbsent(server.name(), n -> {
             ServerState created = new ServerState(server.withDraining(false), limit);
-            state.settings().fleet().ifPresent(f -> setAskRate(created, f, nowMicros));
+            state.fleet().ifPresent(f -> setAskRate(created, f, nowMicros));
             return created;
         });
         boolean wasLeaving = known.isLeaving();
--- a/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
@@ -104,8 +104,8 @@
     }
 
     /** Changes this host's part of the budget that all entry hosts share. */
-    void setSharedAllowance(double value) {
-        shared.ifPresent(b -> b.setAllowance(value));
+    void setSharedPart(double ratio, double allowance) {
+        shared.ifPresent(b -> b.setLimits(ratio, allowance));
     }
 
     /** Returns the part of a call's time to its target that answers of this service usually take. */
--- a/core/src/main/java/org/hyssophitch/core/entry/EntrySettings.java
+++ b/core/src/main/java/org/hyssophitch/core/entry/EntrySettings.java
@@ -54,4 +54,11 @@
     public EntrySettings {
         regions = Map.copyOf(regions);
     }
+
+    /** Returns these settings with other bounds, or this instance when nothing changes. */
+    public EntrySettings withBounds(Bounds value) {
+        return value.equals(bounds)
+                ? this
+                : new EntrySettings(host, zone, region, regions, addresses, storeAddress, value);
+    }
 }
--- a/core/src/main/java/org/hyssophitch/core/membership/Member.java
+++ b/core/src/main/java/org/hyssophitch/core/membership/Member.java
@@ -46,6 +46,24 @@
                         configurationVersion);
     }
 
+    /** Returns this member with a later incarnation, whose statements begin anew. */
+    public Member withIncarnation(long value) {
+        return value == incarnation
+                ? this
+                : new Member(
+                        host,
+                        value,
+                        0,
+                        state,
+                        zone,
+                        agentAddress,
+                        proxyAddress,
+                        proxyIncarnation,
+                        isAccepting,
+                        callsInFlight,
+                        configurationVersion);
+    }
+
     /** Returns this member with a later revision of its own statements. */
     public Member withRevision(int value) {
         return value == revision
--- a/core/src/main/java/org/hyssophitch/core/membership/MembershipEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/membership/MembershipEngine.java
@@ -26,6 +26,9 @@
     /** Heartbeats per round where datagrams have no price. */
     public static final int HEARTBEATS_PER_PERIOD = 2;
 
+    /** Times that a process may raise its incarnation. */
+    private static final int MAX_SUCCESSIONS = 3;
+
     private static final long ACK_TIMEOUT_MICROS = 200_000;
     private static final long INDIRECT_TIMEOUT_MICROS = 400_000;
     private static final long SUSPICION_MICROS = 1_000_000;
@@ -45,6 +48,7 @@
     private Member self;
     private List<Member> all = List.of();
     private boolean isAllStale = true;
+    private int successions;
     private long nextCheckMicros;
     private long nextRoundMicros;
     private long sequence;
@@ -77,6 +81,7 @@
         members.put(self.host(), self);
     }
 
+    /** Returns this host's own statement. */
     public Member self() {
         return self;
     }
@@ -273,7 +278,29 @@
     }
 
     /** Contradicts a statement that this host is not running; returns whether there was something to contradict. */
+    /**
+     * Raises this host's incarnation above the one given, which a process of this host had before. Its clock was ahead
+     * then, and all others would take this process for the older one. Bounded, so that two processes which run under
+     * one name by mistake don't outbid each other for ever.
+     *
+     * @return whether this host now has the latest incarnation
+     */
+    public boolean succeed(long earlierIncarnation) {
+        if (earlierIncarnation <= self.incarnation()) {
+            return true;
+        }
+        if (successions == MAX_SUCCESSIONS || self.state() != MemberState.ALIVE) {
+            return false;
+        }
+        successions++;
+        putSelf(self.withIncarnation(earlierIncarnation + 1));
+        return true;
+    }
+
     private boolean refute(Member statement) {
+        if (statement.incarnation() > self.incarnation()) {
+            return succeed(statement.incarnation());
+        }
         boolean isOfThisProcess = statement.incarnation() == self.incarnation();
         boolean isContradiction = statement.state() != MemberState.ALIVE && self.state() == MemberState.ALIVE;
         if (isOfThisProcess && isContradiction && statement.revision() >= self.revision()) {
--- a/core/src/main/java/org/hyssophitch/core/retry/WindowBudget.java
+++ b/core/src/main/java/org/hyssophitch/core/retry/WindowBudget.java
@@ -12,7 +12,7 @@
 
     private static final int BUCKETS = 40;
 
-    private final double ratio;
+    private double ratio;
     private final long bucketMicros;
     private final long startMicros;
     private final int[] calls = new int[BUCKETS];
@@ -37,9 +37,15 @@
         this.bucket = nowMicros / bucketMicros;
     }
 
-    /** Changes this host's part of the allowance. */
-    public void setAllowance(double value) {
-        allowance = value;
+    /**
+     * Changes this host's part of the limits; what was spent already counts on.
+     *
+     * @param newRatio further attempts per call
+     * @param newAllowance further attempts per window whatever the load
+     */
+    public void setLimits(double newRatio, double newAllowance) {
+        ratio = newRatio;
+        allowance = newAllowance;
     }
 
     @Override
--- a/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
+++ b/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
@@ -16,6 +16,9 @@
     /** A call waits for a backend server with free capacity. */
     record CallQueued(String service, int position) implements EventBody {}
 
+    /** No server had room for a second attempt beside the first, so that the first goes on alone. */
+    record HedgeSkipped(String service) implements EventBody {}
+
     /** A backend server was chosen for an attempt; lists every candidate that was looked at. */
     record ServerChosen(String service, int attempt, String cause, String server, List<CandidateView> candidates)
             implements EventBody {}
--- a/core/src/test/java/org/hyssophitch/core/call/LoadRoundsTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/LoadRoundsTest.java
@@ -18,6 +18,7 @@
 import org.hyssophitch.core.configuration.RoutingKind;
 import org.hyssophitch.core.configuration.Service;
 import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.core.timeline.EventRecorder;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -33,12 +34,14 @@
     private static final long SPAN = 300 * MILLI;
     private static final long DEADLINE = 2_500 * MILLI;
 
+    private final List<EventBody> recorded = new ArrayList<>();
     private CallEngine engine;
     private long now;
 
     @BeforeMethod
     public void setUp() {
         now = 100_000 * MILLI;
+        recorded.clear();
         engine = engine(List.of("z1", "z1", "z2"));
     }
 
@@ -77,6 +80,17 @@
         assertEquals(started(answer("s1", 2, 100)), List.of("s0"));
     }
 
+    @Test
+    public void recordsOnceThatACallWaits() {
+        arrive(1);
+        for (int i = 0; i < 5; i++) {
+            answerAll(3);
+            pass(5 * MILLI);
+        }
+        assertEquals(
+                recorded.stream().filter(EventBody.CallQueued.class::isInstance).count(), 1);
+    }
+
     @Test
     public void refusesACallOnceItCantBeInTimeAndTellsWhenToComeBack() {
         arrive(1);
@@ -332,7 +346,8 @@
     private CallEngine engine(List<String> zones, double asksPerSecond) {
         EngineSettings settings =
                 new EngineSettings("h", "z1", 1).withFleet(new FleetLimits(0.2, 50, 10_000_000, asksPerSecond, 1));
-        CallEngine created = new CallEngine(settings, new SplittableRandom(1), EventRecorder.NONE);
+        EventRecorder recorder = (at, request, body) -> recorded.add(body);
+        CallEngine created = new CallEngine(settings, new SplittableRandom(1), recorder);
         Service service = Service.builder("s")
                 .routing(RoutingKind.ASKED_LOAD)
                 .retry(RetryRule.DEFAULT)
--- a/core/src/test/java/org/hyssophitch/core/retry/WindowBudgetTest.java
+++ b/core/src/test/java/org/hyssophitch/core/retry/WindowBudgetTest.java
@@ -24,6 +24,24 @@
         return IntStream.range(0, 20).mapToObj(i -> new Object[] {i}).toArray(Object[][]::new);
     }
 
+    /** Limits that become narrower count at once, with what was spent before. */
+    @Test
+    public void grantsNothingBeyondNarrowerLimits() {
+        WindowBudget budget = new WindowBudget(RATIO, ALLOWANCE, WINDOW, 0);
+        long now = 2 * WINDOW;
+        for (int i = 0; i < 100; i++) {
+            budget.earn(now);
+        }
+        for (int i = 0; i < 10; i++) {
+            assertTrue(budget.trySpend(now));
+        }
+        budget.setLimits(RATIO / 2, 0);
+        assertFalse(budget.trySpend(now));
+        budget.setLimits(RATIO / 2, 1);
+        assertTrue(budget.trySpend(now));
+        assertFalse(budget.trySpend(now));
+    }
+
     @Test(dataProvider = "seeds")
     public void grantsNothingBeyondTheBoundOfTheWindowThatEndsThen(int seed) {
         SplittableRandom random = new SplittableRandom(seed);
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -19,7 +19,6 @@
 import org.hyssophitch.core.configuration.RetryRule;
 import org.hyssophitch.core.configuration.RoutingKind;
 import org.hyssophitch.core.configuration.Service;
-import org.hyssophitch.core.entry.EntryHost;
 import org.hyssophitch.core.entry.EntrySettings;
 import org.hyssophitch.core.entry.RequestRouter;
 import org.hyssophitch.core.health.SuspectRegister.Suspicion;
@@ -43,6 +42,7 @@
 import org.hyssophitch.wire.net.HttpEndpoint;
 import org.hyssophitch.wire.net.HttpQuery;
 import org.hyssophitch.wire.net.HttpReply;
+import org.hyssophitch.wire.report.JsonLineWriter;
 import org.hyssophitch.wire.report.MetricsText;
 import org.tinylog.Logger;
 
@@ -70,7 +70,7 @@
     private static final QueueRule QUEUE = new QueueRule(256, 10_000, 0);
     private static final int LEAST_HOSTS = 13;
 
-    private final EntrySettings settings;
+    private volatile EntrySettings settings;
     private final long incarnation = WallClock.nowMicros();
     private final EventLoopGroup group = EventLoops.create(1);
     private final EventLoop loop = (EventLoop) group.next();
@@ -121,7 +121,9 @@
                 new ConfigurationListener(
                         ConfigurationKind.CURRENT, this::onConfiguration, this::onStoreReturned, log));
         registration = new Registration(
-                store, new EntryHostKind(), self(), timers, peers, this::onStoreReturned, random.split());
+                store, new EntryHostKind(), settings.host(), timers, peers, this::onStoreReturned, random.split());
+        metrics.gauge(
+                "hyssophitch_log_lines_lost", "log lines lost because their ring was full", JsonLineWriter::dropped);
         metrics.gauge("hyssophitch_calls_in_flight", "requests without a final answer", carrier::activeCalls);
         metrics.gauge("hyssophitch_backend_connections", "connections to backend servers", carrier::backendConnections);
         metrics.gauge("hyssophitch_caller_connections", "connections of callers", front::connections);
@@ -184,9 +186,15 @@
                 .getNow();
     }
 
-    /** Notes that the settings file changed; what it says counts from the next start. */
+    /** Takes over the bounds of changed settings; host, zone and addresses count from the next start. */
     void onSettings(EntrySettings changed) {
-        Logger.info("settings of {} changed; they count from the next start", changed.host());
+        EntrySettings applied = settings.withBounds(changed.bounds());
+        if (!applied.equals(changed)) {
+            Logger.warn("settings of {} beside its bounds changed; they count from the next start", changed.host());
+        }
+        settings = applied;
+        onLoop(() -> carrier.handle(new CallEvent.LimitsChanged(WallClock.nowMicros(), fleet())));
+        record("settings applied");
     }
 
     private void beginStop() {
@@ -262,11 +270,6 @@
                 LEAST_HOSTS);
     }
 
-    private EntryHost self() {
-        EntrySettings.Addresses a = settings.addresses();
-        return new EntryHost(settings.host(), incarnation, settings.zone(), a.peers(), a.front());
-    }
-
     private void record(String stage) {
         log.record(WallClock.nowMicros(), "", new EventBody.ProcessStage(stage));
     }
--- a/entry/src/main/java/org/hyssophitch/entry/EventLog.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EventLog.java
@@ -50,6 +50,7 @@
                     case EventBody.CallArrived b -> false;
                     case EventBody.CallAnswered b -> false;
                     case EventBody.CallQueued b -> usual.tryTake(1, nowMicros);
+                    case EventBody.HedgeSkipped b -> usual.tryTake(1, nowMicros);
                     case EventBody.ServerChosen b -> usual.tryTake(1, nowMicros);
                     case EventBody.AttemptEnded b ->
                         b.result().equals("completed") ? usual.tryTake(1, nowMicros) : trouble.tryTake(1, nowMicros);
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -112,6 +112,17 @@
         loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns this host as the others have to know it. */
+    EntryHost self() {
+        Member m = membership.self();
+        return new EntryHost(m.host(), m.incarnation(), m.zone(), m.agentAddress(), m.proxyAddress());
+    }
+
+    /** Makes this process the successor of one that had the incarnation given; false when it can't be. */
+    boolean succeed(long incarnation) {
+        return membership.succeed(incarnation);
+    }
+
     /** Takes over the entry hosts that the store lists. */
     void onListed(Map<String, StoredObject<EntryHost>> objects) {
         long now = WallClock.nowMicros();
--- a/entry/src/main/java/org/hyssophitch/entry/Registration.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Registration.java
@@ -28,18 +28,22 @@
     /** Time in microseconds between two looks at the others' objects; they show too whether the store is there. */
     private static final long LIST_MICROS = 3_000_000;
 
+    /** Lists in a row without this host's object after which it counts as gone. */
+    private static final int MISSING_LISTS = 2;
+
     private static final long FIRST_BACKOFF_MILLIS = 100;
     private static final long MOST_BACKOFF_MILLIS = 1_500;
     private static final long MICROS_PER_MILLI = 1_000;
 
     private final ObjectStore store;
     private final ObjectKind<EntryHost> kind;
-    private final EntryHost self;
+    private final String host;
     private final Timers timers;
     private final Peers peers;
     private final Backoff backoff;
     private final Runnable onReturn;
     private Map<String, StoredObject<EntryHost>> listed = new HashMap<>();
+    private int missing;
     private boolean isRegistered;
     private boolean hasFailed;
     private boolean isStopped;
@@ -47,14 +51,14 @@
     Registration(
             ObjectStore store,
             ObjectKind<EntryHost> kind,
-            EntryHost self,
+            String host,
             Timers timers,
             Peers peers,
             Runnable onReturn,
             RandomGenerator random) {
         this.store = store;
         this.kind = kind;
-        this.self = self;
+        this.host = host;
         this.timers = timers;
         this.peers = peers;
         this.onReturn = onReturn;
@@ -68,12 +72,13 @@
     /** Removes the object; the process ends whatever comes of it. */
     void stop() {
         isStopped = true;
-        store.delete(kind, self.host(), 0, r -> Logger.info("registration removed: {}", describe(r)));
+        store.delete(kind, host, 0, r -> Logger.info("registration removed: {}", describe(r)));
     }
 
     private void register() {
         if (!isStopped) {
-            store.create(kind, self.host(), self, this::onCreated);
+            missing = 0;
+            store.create(kind, host, peers.self(), this::onCreated);
         }
     }
 
@@ -112,6 +117,7 @@
         }
         peers.onListed(listed);
         removeDead();
+        noteMissing();
         if (isRegistered) {
             timers.after(LIST_MICROS, () -> list(""));
         } else {
@@ -119,19 +125,28 @@
         }
     }
 
+    /** A list may be older than the registration, so that one without it tells nothing yet. */
+    private void noteMissing() {
+        missing = listed.containsKey(host) ? 0 : missing + 1;
+        if (isRegistered && missing >= MISSING_LISTS) {
+            Logger.warn("registration of {} is gone from the store", host);
+            isRegistered = false;
+        }
+    }
+
     private void replaceOwn() {
-        StoredObject<EntryHost> known = listed.get(self.host());
+        StoredObject<EntryHost> known = listed.get(host);
         if (known == null) {
             timers.after(backoff.nextMillis() * MICROS_PER_MILLI, this::register);
             return;
         }
         long incarnation = known.value().map(EntryHost::incarnation).orElse(0L);
-        if (incarnation >= self.incarnation()) {
+        if (incarnation == peers.self().incarnation() || !peers.succeed(incarnation)) {
             isRegistered = true;
             timers.after(LIST_MICROS, () -> list(""));
             return;
         }
-        store.replace(kind, self.host(), self, known.revision(), r -> {
+        store.replace(kind, host, peers.self(), known.revision(), r -> {
             isRegistered = r instanceof StoreResult.Done<StoredObject<EntryHost>>;
             timers.after(backoff.nextMillis() * MICROS_PER_MILLI, () -> list(""));
         });
@@ -142,7 +157,7 @@
         boolean isFirst = peers.accepting().stream()
                 .map(Member::host)
                 .min(String::compareTo)
-                .filter(self.host()::equals)
+                .filter(host::equals)
                 .isPresent();
         if (isFirst) {
             peers.dead().forEach(m -> Optional.ofNullable(listed.get(m.host()))
--- a/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
@@ -13,6 +13,7 @@
 import java.util.function.BooleanSupplier;
 
 import org.hyssophitch.core.entry.EntrySettings;
+import org.hyssophitch.wire.duty.WallClock;
 import org.hyssophitch.wire.net.Addresses;
 import org.hyssophitch.wire.net.FreePorts;
 import org.hyssophitch.wire.net.ListenFailedException;
@@ -213,6 +214,52 @@
         assertNull(store.get(HOSTS, "host-1"));
     }
 
+    /** A process that ran while the host's clock was ahead has the later start time, and is over all the same. */
+    @Test
+    public void succeedsAProcessWhoseClockWasAhead() throws Exception {
+        long ahead = WallClock.nowMicros() + TimeUnit.SECONDS.toMicros(3);
+        store.put(
+                HOSTS,
+                "host-1",
+                "{\"incarnation\":%d,\"zone\":\"z1\",\"peer\":\"1.1.1.1:1\",\"front\":\"1.1.1.1:2\"}".formatted(ahead));
+        configure(1, "svc");
+        EntrySettings other = settings("host-2");
+        start(other);
+        await(() -> ready(other) == 200);
+        start(settings);
+        await(() -> store.get(HOSTS, "host-1").path("incarnation").asLong() > ahead);
+        assertEquals(
+                store.get(HOSTS, "host-1").path("front").asText(),
+                settings.addresses().front());
+        await(() -> directory(other).contains(settings.addresses().front()));
+    }
+
+    @Test
+    public void registersAgainWhenItsObjectIsGone() throws Exception {
+        configure(1, "svc");
+        start(settings);
+        await(() -> ready(settings) == 200);
+        store.remove(HOSTS, "host-1");
+        Thread.sleep(4_000);
+        await(() -> store.get(HOSTS, "host-1") != null);
+    }
+
+    /** Bounds of changed settings are in force at once; the rest would need other sockets. */
+    @Test
+    public void appliesChangedBoundsWithoutARestart() throws Exception {
+        configure(1, "svc");
+        EntryProgram program = start(settings);
+        await(() -> ready(settings) == 200);
+        EntrySettings.Bounds shorter = new EntrySettings.Bounds(300, 0.2, 1_000, 10_000, 10_000, 1);
+        program.onSettings(settings.withBounds(shorter));
+        assertTrue(directory(settings).contains("\"ttl_s\":1}"), directory(settings));
+        long started = System.nanoTime();
+        program.stop();
+        programs.remove(program);
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - started);
+        assertTrue(millis < GRACE_MILLIS / 2, "stopped after " + millis + " ms");
+    }
+
     @Test
     public void refusesToStartWhereAnotherListensAndCanStillBeStopped() throws Exception {
         configure(1, "svc");
