Check uniqueness in one place; drop a reason that nothing gives any more

Cause: the reader of routes had a copy of the check, and engine-busy stood for a full ring that went with the thread per call.

--- a/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
@@ -77,13 +77,8 @@
             case QUEUE_FULL, DEADLINE_TOO_SHORT, DEADLINE_PASSED_WAITING, ATTEMPTS_REFUSED ->
                 Math.max(MIN_RETRY_AFTER_MILLIS, service.estimatedWaitMicros() / MICROS_PER_MILLI);
             case NO_ROOM -> ROOM_RETRY_AFTER_MILLIS;
-            case NO_SERVER,
-                    NO_CONFIGURATION,
-                    ENGINE_BUSY,
-                    DEADLINE_PASSED,
-                    CONNECTION_LOST,
-                    ANSWER_BROKEN,
-                    TICKET_RUNNING -> SHORT_RETRY_AFTER_MILLIS;
+            case NO_SERVER, NO_CONFIGURATION, DEADLINE_PASSED, CONNECTION_LOST, ANSWER_BROKEN, TICKET_RUNNING ->
+                SHORT_RETRY_AFTER_MILLIS;
             default -> 0;
         };
     }
--- a/document/src/main/java/org/hyssophitch/document/DocumentReader.java
+++ b/document/src/main/java/org/hyssophitch/document/DocumentReader.java
@@ -1,8 +1,6 @@
 package org.hyssophitch.document;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
 import org.hyssophitch.core.configuration.AddressRule;
 import org.hyssophitch.core.configuration.BackendServer;
@@ -42,7 +40,7 @@
     private static final int MAX_PROBES = 1_000_000;
     private static final int MAX_CONNECTIONS = 100_000;
 
-    private final Map<String, String> firstUses = new HashMap<>();
+    private final FirstUses firstUses = new FirstUses();
     private int maxEntryHosts = DEFAULT_ENTRY_HOSTS;
 
     private DocumentReader() {}
@@ -84,7 +82,7 @@
 
     private Service service(YamlMapping m) {
         String name = m.text("name", NAME, NAME_HELP);
-        checkUnique(m, "name", "service", name);
+        firstUses.check(m, "name", "service", name);
         int connectionLimit = m.integer("connection-limit", 1, MAX_CONNECTIONS, Service.DEFAULT_CONNECTION_LIMIT);
         List<BackendServer> servers = m.list("servers", s -> server(s, connectionLimit));
         if (servers.isEmpty()) {
@@ -129,9 +127,9 @@
 
     private BackendServer server(YamlMapping m, int usualLimit) {
         String name = m.text("name", NAME, NAME_HELP);
-        checkUnique(m, "name", "backend server", name);
+        firstUses.check(m, "name", "backend server", name);
         String address = m.text("address", ADDRESS, "an IPv4 address and port of the form ip:port");
-        checkUnique(m, "address", "address", address);
+        firstUses.check(m, "address", "address", address);
         int connectionLimit = m.integer("connection-limit", 1, MAX_CONNECTIONS, usualLimit);
         int leastConnections = BackendServer.LEAST_CONNECTIONS_PER_HOST * maxEntryHosts;
         if (connectionLimit < leastConnections) {
@@ -155,11 +153,4 @@
                 connectionLimit,
                 m.flag("draining", false));
     }
-
-    private void checkUnique(YamlMapping m, String key, String kind, String value) {
-        String first = firstUses.putIfAbsent(kind + ' ' + value, m.path(key));
-        if (first != null && !value.isEmpty()) {
-            m.report(Fault.Kind.DUPLICATE, key, value, "a " + kind + " that is not used at " + first);
-        }
-    }
 }
--- a/document/src/main/java/org/hyssophitch/document/RouteReader.java
+++ b/document/src/main/java/org/hyssophitch/document/RouteReader.java
@@ -1,8 +1,6 @@
 package org.hyssophitch.document;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -29,7 +27,7 @@
     private static final int MAX_HEADER_BYTES = 1_048_576;
 
     private final Set<String> services;
-    private final Map<String, String> firstUses = new HashMap<>();
+    private final FirstUses firstUses = new FirstUses();
 
     RouteReader(List<Service> services) {
         this.services = services.stream().map(Service::name).collect(Collectors.toSet());
@@ -50,10 +48,10 @@
 
     private Route route(YamlMapping m) {
         String name = m.name("name");
-        checkUnique(m, "name", "route", name);
+        firstUses.check(m, "name", "route", name);
         String host = m.text("host", HOST, HOST_HELP);
         String prefix = m.text("path-prefix", PREFIX, PREFIX_HELP, "/");
-        checkUnique(m, "path-prefix", "path prefix of " + host, prefix);
+        firstUses.check(m, "path-prefix", "path prefix of " + host, prefix);
         int timeout = m.integer("timeout-ms", 1, DAY_MILLIS, DEFAULT_TIMEOUT_MILLIS);
         int target = m.integer("target-latency-ms", 1, DAY_MILLIS, timeout);
         if (target > timeout) {
@@ -93,11 +91,4 @@
         }
         return new Destination(service, m.integer("weight", 0, MAX_WEIGHT, 1));
     }
-
-    private void checkUnique(YamlMapping m, String key, String kind, String value) {
-        String first = firstUses.putIfAbsent(kind + ' ' + value, m.path(key));
-        if (first != null && !value.isEmpty()) {
-            m.report(Fault.Kind.DUPLICATE, key, value, "a " + kind + " that is not used at " + first);
-        }
-    }
 }
