Derive what was kept twice, and call one piece where the change had copies

Cause, found by reading the whole change once more: - both programs asked the event loop in the same words whether anything is still under way, and each had its own way onto the loop - the caller's deadline was read for every request by a dialect that in our own deployment only returned "none", as its rules read it themselves - the engine kept the fleet's limits beside the settings that hold them - the event of a waiting call, the end of a detached exchange, the parsing of query parameters and an entry host's own member were each written twice

Ruled out, left as they are: one class for the metrics of both programs (names and bounds are all there is to them); a builder for Member and CallRequest, whose withX methods copy every field (five and two of them, most older than this change); the generated classes.

Change: FrontListener.isBusy, EventLoops.call and run, HttpQuery.of, EngineState.recordQueued; HeaderDialect and RequestHead lose the deadline, which EntryRules reads from the headers when the call is made; EngineState replaces its settings; CallerExchange ends in one way. Behaviour and assertions are unchanged.

--- a/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
@@ -152,11 +152,7 @@
         if (isTooLate && state.isOn(EngineFeature.EARLY_REFUSAL)) {
             finisher.answer(call, notRunReason(call, Reason.DEADLINE_TOO_SHORT), nowMicros);
         } else if (service.queue().offer(call.waiting())) {
-            state.record(
-                    nowMicros,
-                    call,
-                    new EventBody.CallQueued(
-                            service.service().name(), service.queue().size()));
+            state.recordQueued(call, nowMicros);
         } else {
             finisher.answer(call, notRunReason(call, Reason.QUEUE_FULL), nowMicros);
         }
--- a/core/src/main/java/org/hyssophitch/core/call/EngineState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/EngineState.java
@@ -35,7 +35,7 @@
 
     record Timer(long atMicros, long callId, int attempt, TimerKind kind) {}
 
-    private final EngineSettings settings;
+    private EngineSettings settings;
     private final RandomGenerator random;
     private final ServerSelector selector;
     private final EventRecorder recorder;
@@ -47,7 +47,6 @@
     private final Map<Long, ActiveCall> calls = new HashMap<>();
     private final PriorityQueue<Timer> timers =
             new PriorityQueue<>(Comparator.comparingLong(Timer::atMicros).thenComparingLong(Timer::callId));
-    private Optional<FleetLimits> fleet;
     private Configuration configuration = Configuration.NONE;
     private IssuerView issuers = host -> IssuerView.GONE;
     private int bulkInFlight;
@@ -57,7 +56,6 @@
 
     EngineState(EngineSettings settings, RandomGenerator random, EventRecorder recorder) {
         this.settings = settings;
-        this.fleet = settings.fleet();
         this.random = random;
         this.selector = new ServerSelector(random);
         this.recorder = recorder;
@@ -65,18 +63,28 @@
         this.tickets = new TicketRegister(settings.host(), settings.incarnation());
     }
 
+    /** Records that a call waits for a server with room. */
+    void recordQueued(ActiveCall call, long nowMicros) {
+        ServiceState service = call.service();
+        record(
+                nowMicros,
+                call,
+                new EventBody.CallQueued(
+                        service.service().name(), service.queue().size()));
+    }
+
     EngineSettings settings() {
         return settings;
     }
 
     /** Returns the limits that all entry hosts keep together; empty where each service has budgets of its own. */
     Optional<FleetLimits> fleet() {
-        return fleet;
+        return settings.fleet();
     }
 
     /** Changes limits that all entry hosts keep together; without effect where there are none. */
     void setFleet(FleetLimits value) {
-        fleet = fleet.map(f -> value);
+        settings = settings.fleet().isPresent() ? settings.withFleet(value) : settings;
     }
 
     boolean isOn(EngineFeature feature) {
--- a/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
+++ b/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
@@ -133,16 +133,7 @@
         service.queue().waiting().stream()
                 .map(w -> state.calls().get(w.callId()))
                 .filter(c -> c != null && c.attempts().isEmpty() && c.markWaiting())
-                .forEach(c -> recordQueued(c, nowMicros));
-    }
-
-    private void recordQueued(ActiveCall call, long nowMicros) {
-        ServiceState service = call.service();
-        state.record(
-                nowMicros,
-                call,
-                new EventBody.CallQueued(
-                        service.service().name(), service.queue().size()));
+                .forEach(c -> state.recordQueued(c, nowMicros));
     }
 
     private void start(ServiceState service, Set<String> asked, long nowMicros) {
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -90,13 +90,14 @@
     EntryProgram(EntrySettings settings) {
         this.settings = settings;
         EngineSettings engine = new EngineSettings(settings.host(), settings.zone(), incarnation).withFleet(fleet());
+        PlatformHeaders headers = new PlatformHeaders();
         carrier = new CallCarrier(
                 new CallEngine(engine, random.split(), log),
                 loop,
-                new PlatformHeaders(),
+                headers,
                 CallCarrier.KEEP_SMALL_ANSWERS,
                 s -> share(s.suspicions()));
-        front = new FrontListener(carrier, new EntryRules(router, metrics, log));
+        front = new FrontListener(carrier, new EntryRules(router, headers, metrics, log));
         peers = new Peers(
                 settings,
                 incarnation,
@@ -170,7 +171,7 @@
         double grace = settings.bounds().graceMillis();
         Pause.millis((long) (grace * TAKING_PART));
         onLoop(front::stopListening);
-        while (isBusy() && elapsedMillis(startNanos) < grace * ENDING_PART) {
+        while (EventLoops.call(loop, front::isBusy) && elapsedMillis(startNanos) < grace * ENDING_PART) {
             Pause.millis(POLL_MILLIS);
         }
         onLoop(() -> {
@@ -180,12 +181,6 @@
         Pause.millis(POLL_MILLIS);
     }
 
-    private boolean isBusy() {
-        return loop.submit(() -> carrier.activeCalls() > 0 || front.busyConnections() > 0)
-                .syncUninterruptibly()
-                .getNow();
-    }
-
     /** Takes over the bounds of changed settings; host, zone and addresses count from the next start. */
     void onSettings(EntrySettings changed) {
         EntrySettings applied = settings.withBounds(changed.bounds());
@@ -275,7 +270,7 @@
     }
 
     private void onLoop(Runnable step) {
-        loop.submit(step).syncUninterruptibly();
+        EventLoops.run(loop, step);
     }
 
     private static long elapsedMillis(long startNanos) {
--- a/entry/src/main/java/org/hyssophitch/entry/EntryRules.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryRules.java
@@ -4,16 +4,19 @@
 import org.hyssophitch.core.configuration.CallerLimits;
 import org.hyssophitch.core.entry.RequestRouter;
 import org.hyssophitch.http.RequestRules;
+import org.hyssophitch.platform.PlatformHeaders;
 
 /** Rules for requests on the platform: a route by host and path. Not thread-safe; lives on the event loop. */
 final class EntryRules implements RequestRules {
 
     private final RequestRouter router;
+    private final PlatformHeaders headers;
     private final EntryMetrics metrics;
     private final EventLog log;
 
-    EntryRules(RequestRouter router, EntryMetrics metrics, EventLog log) {
+    EntryRules(RequestRouter router, PlatformHeaders headers, EntryMetrics metrics, EventLog log) {
         this.router = router;
+        this.headers = headers;
         this.metrics = metrics;
         this.log = log;
     }
@@ -31,7 +34,7 @@
                                 r,
                                 callId,
                                 head.requestId(),
-                                head.deadlineMillis(),
+                                headers.deadlineMillis(head.headers()).orElse(0),
                                 replayable,
                                 head.host() + ' ' + fingerprint,
                                 arrived)))
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -86,19 +86,16 @@
         this.onBehind = onBehind;
         this.onSuspicions = onSuspicions;
         this.onFleet = onFleet;
-        Member self = new Member(
-                settings.host(),
-                incarnation,
-                0,
-                MemberState.ALIVE,
-                settings.zone(),
-                settings.addresses().peers(),
-                settings.addresses().front(),
-                incarnation,
-                false,
-                0,
-                0);
-        this.membership = new MembershipEngine(self, HEARTBEATS, random, this::onNews);
+        this.membership = new MembershipEngine(
+                member(new EntryHost(
+                        settings.host(),
+                        incarnation,
+                        settings.zone(),
+                        settings.addresses().peers(),
+                        settings.addresses().front())),
+                HEARTBEATS,
+                random,
+                this::onNews);
     }
 
     /** Opens the address for datagrams; not to be called on the event loop. */
--- a/entry/src/test/java/org/hyssophitch/entry/DataPath.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -64,7 +64,7 @@
                 new PlatformHeaders(),
                 CallCarrier.KEEP_SMALL_ANSWERS,
                 s -> {});
-        front = new FrontListener(carrier, new EntryRules(router, metrics, log));
+        front = new FrontListener(carrier, new EntryRules(router, new PlatformHeaders(), metrics, log));
         port = FreePorts.one();
         Configuration c = configuration(limits);
         loop.submit(() -> {
@@ -78,12 +78,12 @@
 
     /** Does something on the event loop. */
     void onLoop(Runnable step) {
-        loop.submit(step).syncUninterruptibly();
+        EventLoops.run(loop, step);
     }
 
     /** Returns the callers' connections on which something is still due. */
     int busyConnections() {
-        return loop.submit(front::busyConnections).syncUninterruptibly().getNow();
+        return EventLoops.call(loop, front::busyConnections);
     }
 
     FrontListener front() {
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -139,12 +139,10 @@
             exchange.reject(Reason.BODY_TOO_LARGE, 0, "");
             return;
         }
-        long deadline = carrier.dialect().deadlineMillis(request.headers()).orElse(0);
         RequestRules.RequestHead head = new RequestRules.RequestHead(
                 RequestTarget.hostName(hosts.get(0)),
                 exchange.target(),
                 exchange.requestId(),
-                deadline,
                 request.method().name(),
                 request.headers());
         switch (rules.judge(head)) {
--- a/http/src/main/java/org/hyssophitch/http/CallerExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerExchange.java
@@ -209,7 +209,9 @@
     /** Gives the caller the system's own final answer, as the engine decided. */
     void refuse(Reason reason, long retryAfterMillis, String detail) {
         if (isDetached) {
-            endDetached(reason);
+            relayed = null;
+            status = reason.status();
+            finish(reason);
             return;
         }
         if (isAnswered) {
@@ -302,13 +304,6 @@
         output.clear();
     }
 
-    private void endDetached(Reason reason) {
-        body.release();
-        attempts.values().forEach(BackendAttempt::cancel);
-        carrier.unregister(this);
-        connection.onAnswered(this, reason, reason.status(), WallClock.nowMicros() - arrivedMicros);
-    }
-
     private void finish(Reason reason) {
         isOutputComplete = true;
         add(LastHttpContent.EMPTY_LAST_CONTENT);
--- a/http/src/main/java/org/hyssophitch/http/FrontListener.java
+++ b/http/src/main/java/org/hyssophitch/http/FrontListener.java
@@ -77,12 +77,12 @@
         if (channel != null) {
             channel.close();
         }
-        closeIdle();
+        List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
-    /** Closes the connections without a request. */
-    public void closeIdle() {
-        List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
+    /** Returns whether a call, or an answer on its way to a caller, would be cut off by the end of the process. */
+    public boolean isBusy() {
+        return carrier.activeCalls() > 0 || busyConnections() > 0;
     }
 
     /** Returns the number of connections on which a request waits for its answer, or an answer for its caller. */
--- a/http/src/main/java/org/hyssophitch/http/HeaderDialect.java
+++ b/http/src/main/java/org/hyssophitch/http/HeaderDialect.java
@@ -1,7 +1,6 @@
 package org.hyssophitch.http;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import org.hyssophitch.core.call.AttemptResult.NotRunCause;
@@ -17,9 +16,6 @@
     /** Returns the name that the caller gave to its request; empty without one. */
     String requestId(HttpHeaders request);
 
-    /** Returns how many milliseconds the caller waits for its answer. */
-    OptionalLong deadlineMillis(HttpHeaders request);
-
     /** Sets the headers of a request to a backend server; they hold the caller's own already. */
     void prepareRequest(HttpHeaders headers, OutgoingRequest request);
 
--- a/http/src/main/java/org/hyssophitch/http/RequestRules.java
+++ b/http/src/main/java/org/hyssophitch/http/RequestRules.java
@@ -17,12 +17,10 @@
      * @param host host name without a port
      * @param target path and query
      * @param requestId name of the request; empty without one
-     * @param deadlineMillis time in milliseconds that the caller waits; 0 when it doesn't say
      * @param method method of the request
      * @param headers all headers
      */
-    record RequestHead(
-            String host, String target, String requestId, long deadlineMillis, String method, HttpHeaders headers) {
+    record RequestHead(String host, String target, String requestId, String method, HttpHeaders headers) {
 
         /** Returns the path without the query. */
         public String path() {
--- a/proxy/src/main/java/org/hyssophitch/proxy/OwnHeaders.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/OwnHeaders.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.function.UnaryOperator;
 
@@ -58,12 +57,6 @@
         return given == null ? UUID.randomUUID().toString() : given;
     }
 
-    /** The rules read the caller's deadline, as they refuse a malformed one. */
-    @Override
-    public OptionalLong deadlineMillis(HttpHeaders request) {
-        return OptionalLong.empty();
-    }
-
     @Override
     public void prepareRequest(HttpHeaders headers, OutgoingRequest request) {
         int depth = headers.getInt(CallHeaders.DEPTH, 0) + 1;
--- a/proxy/src/main/java/org/hyssophitch/proxy/Proxy.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/Proxy.java
@@ -91,7 +91,7 @@
         Logger.info("proxy {} leaves the address answers", settings.host());
         Pause.millis(TimeUnit.SECONDS.toMillis(keepSeconds()) + SETTLE_MILLIS);
         onLoop(front::stopListening);
-        while (isBusy()) {
+        while (EventLoops.call(loop, front::isBusy)) {
             Pause.millis(POLL_MILLIS);
         }
         record("stopped");
@@ -122,15 +122,7 @@
     }
 
     private int keepSeconds() {
-        return loop.submit(() -> engine.configuration().addresses().keepSeconds())
-                .syncUninterruptibly()
-                .getNow();
-    }
-
-    private boolean isBusy() {
-        return loop.submit(() -> carrier.activeCalls() > 0 || front.busyConnections() > 0)
-                .syncUninterruptibly()
-                .getNow();
+        return EventLoops.call(loop, () -> engine.configuration().addresses().keepSeconds());
     }
 
     private void record(String stage) {
@@ -138,6 +130,6 @@
     }
 
     private void onLoop(Runnable step) {
-        loop.submit(step).syncUninterruptibly();
+        EventLoops.run(loop, step);
     }
 }
--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpEndpoint.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpEndpoint.java
@@ -27,7 +27,6 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.QueryStringDecoder;
 import org.tinylog.Logger;
 
 /**
@@ -99,13 +98,10 @@
         }
 
         private static HttpQuery query(FullHttpRequest request) {
-            QueryStringDecoder uri = new QueryStringDecoder(request.uri());
-            Map<String, String> parameters = new HashMap<>();
-            uri.parameters().forEach((name, values) -> parameters.put(name, values.get(0)));
             Map<String, String> headers = new HashMap<>();
             request.headers().forEach(h -> headers.putIfAbsent(h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
             byte[] body = ByteBufUtil.getBytes(request.content());
-            return new HttpQuery(request.method().name(), uri.path(), parameters, headers, body);
+            return HttpQuery.of(request.method().name(), request.uri(), headers, body);
         }
 
         private static void write(ChannelHandlerContext context, HttpReply reply, boolean isKept) {
--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpQuery.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpQuery.java
@@ -1,8 +1,11 @@
 package org.hyssophitch.wire.net;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 
+import io.netty.handler.codec.http.QueryStringDecoder;
+
 /**
  * One request to a small HTTP endpoint. Immutable.
  *
@@ -15,6 +18,14 @@
 public record HttpQuery(
         String method, String path, Map<String, String> parameters, Map<String, String> headers, byte[] body) {
 
+    /** Creates a query from a request's target, the path and parameters as they were sent. */
+    public static HttpQuery of(String method, String target, Map<String, String> headers, byte[] body) {
+        QueryStringDecoder decoded = new QueryStringDecoder(target);
+        Map<String, String> parameters = new HashMap<>();
+        decoded.parameters().forEach((name, values) -> parameters.put(name, values.get(0)));
+        return new HttpQuery(method, decoded.path(), parameters, headers, body);
+    }
+
     /** Returns a query parameter, or the default. */
     public String parameter(String name, String defaultValue) {
         return parameters.getOrDefault(name, defaultValue);
