--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/SvgChart.java
@@ -0,0 +1,80 @@
+package org.hyssophitch.bench;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/** An SVG picture of curves with a legend at the right. Not thread-safe; built by one thread. */
+public final class SvgChart {
+
+    /** Width of the picture. */
+    public static final int WIDTH = 720;
+    /** Height of the picture. */
+    public static final int HEIGHT = 400;
+    /** Left end of the plotted area. */
+    public static final int LEFT = 60;
+    /** Distance of the plotted area from the right end. */
+    public static final int RIGHT = 150;
+    /** Upper end of the plotted area. */
+    public static final int TOP = 40;
+    /** Distance of the plotted area from the lower end. */
+    public static final int BOTTOM = 40;
+
+    private static final List<String> COLOURS =
+            List.of("#7f7f7f", "#bcbd22", "#1f77b4", "#9467bd", "#2ca02c", "#d62728", "#ff7f0e");
+    private static final int LEGEND_STEP = 18;
+
+    /**
+     * A point of a curve.
+     *
+     * @param x pixels from the left
+     * @param y pixels from the top
+     */
+    public record Point(int x, int y) {}
+
+    private final StringBuilder svg = new StringBuilder();
+    private int curves;
+
+    /** Creates a picture with a title. */
+    public SvgChart(String title) {
+        svg.append(String.format(
+                "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%d\" height=\"%d\" font-family=\"sans-serif\""
+                        + " font-size=\"12\">%n<rect width=\"100%%\" height=\"100%%\" fill=\"#fff\"/>%n",
+                WIDTH, HEIGHT));
+        text(LEFT, TOP - 16, title);
+    }
+
+    /** Adds a text. */
+    public void text(int x, int y, String text) {
+        svg.append(String.format(Locale.ROOT, "<text x=\"%d\" y=\"%d\" fill=\"#333\">%s</text>%n", x, y, text));
+    }
+
+    /** Adds a horizontal line with its value at the left. */
+    public void gridLine(int y, String value) {
+        svg.append(String.format(
+                "<line x1=\"%d\" x2=\"%d\" y1=\"%d\" y2=\"%d\" stroke=\"#e0e0e0\"/>%n", LEFT, WIDTH - RIGHT, y, y));
+        text(8, y + 4, value);
+    }
+
+    /** Adds a value below the plotted area. */
+    public void mark(int x, String value) {
+        text(x - 10, HEIGHT - BOTTOM + 18, value);
+    }
+
+    /** Adds a curve and its name; each gets the next colour. */
+    public void curve(String name, List<Point> points) {
+        String colour = COLOURS.get(curves % COLOURS.size());
+        String path = points.stream().map(p -> p.x() + "," + p.y()).collect(Collectors.joining(" "));
+        svg.append(String.format(
+                "<polyline points=\"%s\" fill=\"none\" stroke=\"%s\" stroke-width=\"2\"/>%n", path, colour));
+        svg.append(String.format(
+                "<text x=\"%d\" y=\"%d\" fill=\"%s\">%s</text>%n",
+                WIDTH - RIGHT + 12, TOP + 12 + curves * LEGEND_STEP, colour, name));
+        curves++;
+    }
+
+    /** Returns the picture. */
+    public String picture() {
+        return svg + "</svg>\n";
+    }
+}
--- a/bench/src/main/java/org/hyssophitch/bench/command/BenchMain.java
+++ b/bench/src/main/java/org/hyssophitch/bench/command/BenchMain.java
@@ -24,7 +24,8 @@
                 ChoicesCommand.class,
                 ControlCommand.class,
                 LatencyCommand.class,
-                SlopesCommand.class);
+                SlopesCommand.class,
+                DayCommand.class);
         try {
             System.exit(builder.build().parse(arguments).execute());
         } catch (ParseException e) {
--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/command/DayCommand.java
@@ -0,0 +1,79 @@
+package org.hyssophitch.bench.command;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import org.hyssophitch.bench.day.DayPlan;
+import org.hyssophitch.bench.day.DayPlot;
+import org.hyssophitch.bench.day.DayReader;
+import org.hyssophitch.bench.day.DayResult;
+import org.hyssophitch.bench.day.DayRun;
+import org.hyssophitch.bench.day.DayWorth;
+import org.hyssophitch.core.configuration.RoutingKind;
+import org.hyssophitch.wire.yaml.SettingsFile;
+import org.hyssophitch.wire.yaml.YamlMapping;
+
+/** Plays days with each policy and tells what they were worth to the callers. */
+@Command(name = "day", description = "plays days of a file in virtual time; repeats to the digit")
+public final class DayCommand implements BenchCommand {
+
+    @Arguments(title = "file", description = "YAML files, each with a deployment and a day of it")
+    private List<String> files = new ArrayList<>();
+
+    @Option(name = "--seed", title = "seed", description = "seed of every run")
+    private long seed = 1;
+
+    @Option(name = "--policy", title = "name", description = "plays this policy only; may be repeated")
+    private List<RoutingKind> policies = new ArrayList<>();
+
+    @Option(name = "--plots", title = "directory", description = "where to write plots; none without it")
+    private String plots = "";
+
+    @Override
+    public int execute() throws IOException {
+        System.out.println("| day | policy | worth | worst windows | whole day | served | worst kind | requests"
+                + " | repeats per request | questions per request | violations |");
+        System.out.println("|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|");
+        boolean isSound = true;
+        for (String file : files) {
+            isSound &= play(Path.of(file));
+        }
+        return isSound ? 0 : 1;
+    }
+
+    private boolean play(Path file) throws IOException {
+        DayPlan plan = SettingsFile.readOrExit(file, m -> new DayReader().read(m));
+        List<RoutingKind> chosen = policies.isEmpty() ? DayRun.POLICIES : policies;
+        List<DayResult> results =
+                chosen.parallelStream().map(p -> DayRun.play(plan, p, seed)).toList();
+        results.forEach(r -> print(plan, r));
+        if (!plots.isEmpty()) {
+            Files.createDirectories(Path.of(plots));
+            Files.writeString(Path.of(plots, "day-" + plan.name() + ".svg"), DayPlot.draw(plan, results));
+        }
+        return results.stream().allMatch(r -> r.violations().isEmpty());
+    }
+
+    private static void print(DayPlan plan, DayResult r) {
+        DayWorth w = r.worth();
+        System.out.printf(
+                "| %s | %s | %.3f | %.3f | %.3f | %.3f | %.3f | %d | %.3f | %.2f | %d |%n",
+                plan.name(),
+                YamlMapping.written(r.policy()),
+                w.total(),
+                w.worstWindows(),
+                w.wholeDay(),
+                w.served(),
+                w.worstKind(),
+                r.requests(),
+                r.repeats(),
+                r.questions(),
+                r.violations().size());
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/day/DayPlot.java
@@ -0,0 +1,47 @@
+package org.hyssophitch.bench.day;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+
+import org.hyssophitch.bench.SvgChart;
+import org.hyssophitch.wire.yaml.YamlMapping;
+
+/** Draws what each second of a day was worth with each policy. Stateless. */
+public final class DayPlot {
+
+    private static final int GRID_STEP_PERCENT = 25;
+    private static final double PERCENT = 100;
+    private static final int MARK_SECONDS = 4;
+
+    private DayPlot() {}
+
+    /** Draws the results of one day. */
+    public static String draw(DayPlan plan, List<DayResult> results) {
+        SvgChart chart = new SvgChart("Worth of each second, " + plan.name());
+        IntStream.rangeClosed(0, (int) PERCENT / GRID_STEP_PERCENT)
+                .map(i -> i * GRID_STEP_PERCENT)
+                .forEach(p -> chart.gridLine(y(p / PERCENT), p + " %"));
+        IntStream.rangeClosed(0, (int) plan.seconds() / MARK_SECONDS)
+                .map(i -> i * MARK_SECONDS)
+                .forEach(s -> chart.mark(x(plan, s), s + " s"));
+        results.forEach(r -> chart.curve(
+                YamlMapping.written(r.policy()),
+                r.bySecond().entrySet().stream().map(e -> point(plan, e)).toList()));
+        return chart.picture();
+    }
+
+    private static SvgChart.Point point(DayPlan plan, Map.Entry<Long, Double> second) {
+        return new SvgChart.Point(x(plan, second.getKey()), y(second.getValue()));
+    }
+
+    private static int x(DayPlan plan, double second) {
+        int width = SvgChart.WIDTH - SvgChart.LEFT - SvgChart.RIGHT;
+        return SvgChart.LEFT + (int) Math.round(width * second / plan.seconds());
+    }
+
+    private static int y(double worth) {
+        int height = SvgChart.HEIGHT - SvgChart.TOP - SvgChart.BOTTOM;
+        return SvgChart.HEIGHT - SvgChart.BOTTOM - (int) Math.round(height * worth);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/day/DayWorth.java
@@ -0,0 +1,77 @@
+package org.hyssophitch.bench.day;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
+
+/**
+ * What a day was worth to its callers, in the parts that the users weigh. Each part goes from 0 to 1. Immutable.
+ *
+ * @param worstWindows credit earned per credit owed in the two worst windows
+ * @param wholeDay credit earned per credit owed over the whole day
+ * @param served part of the requests that were answered, also late
+ * @param worstKind credit earned per credit owed of the kind of request that fared worst
+ */
+public record DayWorth(double worstWindows, double wholeDay, double served, double worstKind) {
+
+    /** Length of a window in seconds. */
+    static final int WINDOW_SECONDS = 4;
+
+    private static final int WORST_WINDOWS = 2;
+    private static final double WORST_WINDOWS_WEIGHT = 0.4;
+    private static final double WHOLE_DAY_WEIGHT = 0.28;
+    private static final double SERVED_WEIGHT = 0.2;
+    private static final double WORST_KIND_WEIGHT = 0.12;
+    private static final long MICROS_PER_SECOND = 1_000_000;
+
+    /** Works out the parts. */
+    static DayWorth of(List<DayOutcome> outcomes) {
+        double worstWindows =
+                ratios(outcomes, o -> o.startMicros() / (WINDOW_SECONDS * MICROS_PER_SECOND)).values().stream()
+                        .sorted()
+                        .limit(WORST_WINDOWS)
+                        .mapToDouble(r -> r)
+                        .average()
+                        .orElse(0);
+        double served = outcomes.stream()
+                .mapToInt(o -> o.isAnswered() ? 1 : 0)
+                .average()
+                .orElse(0);
+        return new DayWorth(worstWindows, ratio(outcomes), served, worstKind(outcomes));
+    }
+
+    /** Returns the credit earned per credit owed in each second of the day. */
+    static Map<Long, Double> bySecond(List<DayOutcome> outcomes) {
+        return ratios(outcomes, o -> o.startMicros() / MICROS_PER_SECOND);
+    }
+
+    /** Returns the parts in one figure, without prices. */
+    public double total() {
+        return WORST_WINDOWS_WEIGHT * worstWindows
+                + WHOLE_DAY_WEIGHT * wholeDay
+                + SERVED_WEIGHT * served
+                + WORST_KIND_WEIGHT * worstKind;
+    }
+
+    private static double worstKind(List<DayOutcome> outcomes) {
+        return outcomes.stream().collect(Collectors.groupingBy(o -> o.kind().name())).values().stream()
+                .mapToDouble(DayWorth::ratio)
+                .min()
+                .orElse(0);
+    }
+
+    private static Map<Long, Double> ratios(List<DayOutcome> outcomes, ToLongFunction<DayOutcome> group) {
+        return outcomes.stream()
+                .collect(Collectors.groupingBy(
+                        group::applyAsLong,
+                        TreeMap::new,
+                        Collectors.collectingAndThen(Collectors.toList(), DayWorth::ratio)));
+    }
+
+    private static double ratio(List<DayOutcome> outcomes) {
+        double owed = outcomes.stream().mapToDouble(o -> o.kind().worth()).sum();
+        return owed == 0 ? 0 : outcomes.stream().mapToDouble(DayOutcome::credit).sum() / owed;
+    }
+}
--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
@@ -42,7 +42,8 @@
      */
     public record Answer(Reason reason, boolean isBroken, boolean isServerError, long retryAfterMillis, String detail) {
 
-        Outcome outcome() {
+        /** Returns what is known of the request's run. */
+        public Outcome outcome() {
             return reason.outcome();
         }
     }
@@ -58,7 +59,11 @@
 
     private record Connection(int epoch, long usedMicros, boolean isSilent) {}
 
-    private record Running(ModelServer server, ModelServer.Job job) {}
+    private record Running(ModelServer server, ModelServer.Job job, boolean isError) {
+        Running withError() {
+            return new Running(server, job, true);
+        }
+    }
 
     private final String name;
     private final String zone;
@@ -72,10 +77,19 @@
     private final Consumer<CallAction.ShareSuspicions> onSuspicion;
     private boolean isDead;
     private boolean isTickScheduled;
-    private boolean isErrorRelayed;
     private long questions;
 
-    ModelEntryHost(
+    /**
+     * Creates a host whose engine knows no configuration yet.
+     *
+     * @param settings settings of its engine
+     * @param time virtual time
+     * @param servers the servers by name; may grow
+     * @param random randomness of the engine
+     * @param recorder where the engine tells its decisions
+     * @param onSuspicion told what the host shares with the others
+     */
+    public ModelEntryHost(
             EngineSettings settings,
             VirtualTime time,
             Map<String, ModelServer> servers,
@@ -103,7 +117,7 @@
     }
 
     /** Returns the number of questions for load that this host has sent. */
-    long questions() {
+    public long questions() {
         return questions;
     }
 
@@ -136,7 +150,7 @@
     }
 
     /** Takes a caller's request. */
-    void call(CallRequest request, Consumer<Answer> caller) {
+    public void call(CallRequest request, Consumer<Answer> caller) {
         callers.put(request.callId(), caller);
         requests.put(request.callId(), request);
         handle(new CallEvent.CallArrived(time.nowMicros(), request));
@@ -202,7 +216,7 @@
         boolean isCrashing = request.fingerprint().startsWith("poison");
         ModelServer.Job job = new ModelServer.Job(
                 request.requestId(), isCrashing, reply -> time.after(delay(server), () -> onReply(a, server, reply)));
-        running.computeIfAbsent(a.callId(), c -> new HashMap<>()).put(a.attempt(), new Running(server, job));
+        running.computeIfAbsent(a.callId(), c -> new HashMap<>()).put(a.attempt(), new Running(server, job, false));
         if (connection != null && connection.isSilent()) {
             long stall = a.stallMillis() * MICROS_PER_MILLI;
             time.after(stall, () -> endIfRunning(a, new AttemptResult.Lost(LostCause.STALLED)));
@@ -236,9 +250,8 @@
         switch (reply) {
             case ANSWERED -> handle(new CallEvent.AnswerStarted(time.nowMicros(), a.callId(), a.attempt(), OK));
             case ERROR -> {
-                isErrorRelayed = true;
+                attempts.computeIfPresent(a.attempt(), (n, r) -> r.withError());
                 handle(new CallEvent.AnswerStarted(time.nowMicros(), a.callId(), a.attempt(), SERVER_ERROR));
-                isErrorRelayed = false;
             }
             case SHED -> endIfRunning(a, new AttemptResult.NotRun(NotRunCause.SHED));
             case DRAINING -> endIfRunning(a, new AttemptResult.NotRun(NotRunCause.DRAINING));
@@ -259,9 +272,9 @@
     }
 
     private void relay(long callId, int attempt) {
-        boolean isServerError = isErrorRelayed;
         Map<Integer, Running> attempts = running.getOrDefault(callId, new HashMap<>());
-        attempts.remove(attempt);
+        Running relayed = attempts.remove(attempt);
+        boolean isServerError = relayed != null && relayed.isError();
         answer(callId, new Answer(Reason.ANSWERED, false, isServerError, 0, ""));
         time.after(
                 0,
--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelFault.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelFault.java
@@ -33,7 +33,7 @@
         ModelServer server = server(run, target);
         switch (this) {
             case STRAGGLER -> server.setSlowFactor(SLOW);
-            case FAIL_FAST -> server.setFailingFast(true);
+            case FAIL_FAST -> server.setFailedPart(1);
             case SHED -> server.setShedding(true);
             case DRAIN -> {
                 server.setDraining(true);
@@ -54,7 +54,7 @@
     public void end(ModelRun run, int target) {
         ModelServer server = server(run, target);
         server.setSlowFactor(1);
-        server.setFailingFast(false);
+        server.setFailedPart(0);
         server.setShedding(false);
         server.setDraining(false);
         server.setReportLag(0, false);
--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelRun.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelRun.java
@@ -88,7 +88,7 @@
         this.random = new SplittableRandom(seed);
         this.features = features;
         this.configuration = configuration(deployment, rules);
-        deployment.servers().forEach(s -> servers.put(s.name(), new ModelServer(s, time, runs, random.split())));
+        deployment.servers().forEach(s -> servers.put(s.name(), newServer(s)));
         deployment.entryHosts().forEach(h -> hosts.add(newHost(h.name(), h.zone(), FIRST_INCARNATION)));
         deployment
                 .services()
@@ -168,7 +168,6 @@
     /** Makes every request's work longer; to be called before requests arrive. */
     public void setWorkFactor(int value) {
         workFactor = value;
-        servers.values().forEach(s -> s.setWorkFactor(value));
     }
 
     /** Lets callers tell, or not, how soon an answer is of use to them. */
@@ -224,6 +223,11 @@
         hosts.forEach(h -> h.handle(new CallEvent.IssuersChanged(time.nowMicros(), view)));
     }
 
+    private ModelServer newServer(Deployment.Server s) {
+        ModelServer.Work exponential = (id, r) -> -Math.log(1 - r.nextDouble()) * workMicros(s.service());
+        return new ModelServer(s.name(), s.zone(), ServerBehaviour.DEFAULT, exponential, time, runs, random.split());
+    }
+
     private ModelEntryHost newHost(String name, String zone, long incarnation) {
         EngineSettings own = new EngineSettings(name, zone, incarnation).withFeatures(features);
         EngineSettings settings = fleet.map(own::withFleet).orElse(own);
--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelServer.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelServer.java
@@ -9,7 +9,6 @@
 import java.util.function.Consumer;
 
 import org.hyssophitch.core.load.LoadReport;
-import org.hyssophitch.standin.Deployment;
 import org.hyssophitch.standin.RunHistory;
 
 /**
@@ -27,6 +26,19 @@
         LOST
     }
 
+    /** How long requests take. */
+    @FunctionalInterface
+    public interface Work {
+
+        /**
+         * Draws the time in microseconds that a request takes in a slot at the usual speed.
+         *
+         * @param requestId the request
+         * @param random the server's randomness
+         */
+        double micros(String requestId, SplittableRandom random);
+    }
+
     /** One request at the server. */
     public static final class Job {
         private final String requestId;
@@ -45,25 +57,12 @@
         }
     }
 
-    private static final int MAX_QUEUED = 60;
     private static final long RESTART_MICROS = 1_000_000;
-    /** Mean time in microseconds between two changes of speed. */
-    private static final long SPEED_MICROS = 250_000;
-    /** Part of the time in which a changing server is slow, and how many times longer work takes then. */
-    private static final double SLOW_PART = 0.25;
-
-    private static final double SLOW_SPEED_FACTOR = 4;
-    /** Part of the slots above which a changing server slows down, and how many times longer work takes then. */
-    private static final double KNEE = 0.8;
-
-    private static final double CROWDED_FACTOR = 1.5;
-    /** Time in microseconds after a restart in which work takes longer, and how many times. */
-    private static final long COLD_MICROS = 3_000_000;
 
-    private static final double COLD_FACTOR = 2;
-    private static final double MICROS_PER_MILLI = 1_000;
-
-    private final Deployment.Server plan;
+    private final String name;
+    private final String zone;
+    private final ServerBehaviour behaviour;
+    private final Work work;
     private final VirtualTime time;
     private final RunHistory history;
     private final SplittableRandom random;
@@ -72,10 +71,11 @@
     private final Deque<LoadReport> figures = new ArrayDeque<>();
     private double slowFactor = 1;
     private double speedFactor = 1;
-    private int workFactor = 1;
     private boolean isChanging;
+    private boolean wasCrowded;
     private long coldUntilMicros;
-    private boolean isFailingFast;
+    private double failedPart;
+    private double lostPart;
     private boolean isDraining;
     private boolean isShedding;
     private int falseLoad = -1;
@@ -84,23 +84,37 @@
     private long downUntilMicros;
     private int epoch;
 
-    ModelServer(Deployment.Server plan, VirtualTime time, RunHistory history, SplittableRandom random) {
-        this.plan = plan;
+    /**
+     * Creates a server that is warm.
+     *
+     * @param name name of the server
+     * @param zone its availability zone
+     * @param behaviour how it works
+     * @param work how long requests take
+     */
+    public ModelServer(
+            String name,
+            String zone,
+            ServerBehaviour behaviour,
+            Work work,
+            VirtualTime time,
+            RunHistory history,
+            SplittableRandom random) {
+        this.name = name;
+        this.zone = zone;
+        this.behaviour = behaviour;
+        this.work = work;
         this.time = time;
         this.history = history;
         this.random = random;
     }
 
     public String name() {
-        return plan.name();
+        return name;
     }
 
     public String zone() {
-        return plan.zone();
-    }
-
-    void setWorkFactor(int value) {
-        workFactor = value;
+        return zone;
     }
 
     public void setSlowFactor(double value) {
@@ -116,8 +130,14 @@
         changeSpeed();
     }
 
-    public void setFailingFast(boolean value) {
-        isFailingFast = value;
+    /** Sets the part of the requests that the server answers with an error at once. */
+    public void setFailedPart(double value) {
+        failedPart = value;
+    }
+
+    /** Sets the part of the requests that the server runs and whose answers are lost. */
+    public void setLostPart(double value) {
+        lostPart = value;
     }
 
     public void setDraining(boolean value) {
@@ -160,9 +180,11 @@
             job.onEnd.accept(Reply.LOST);
         } else if (isDraining) {
             job.onEnd.accept(Reply.DRAINING);
-        } else if (isShedding || queue.size() >= MAX_QUEUED) {
+        } else if (isShedding) {
             job.onEnd.accept(Reply.SHED);
-        } else if (isFailingFast) {
+        } else if (queue.size() >= behaviour.maxQueued()) {
+            refuse(job);
+        } else if (isDrawn(failedPart)) {
             job.onEnd.accept(Reply.ERROR);
         } else {
             queue.addLast(job);
@@ -170,57 +192,85 @@
         }
     }
 
+    private void refuse(Job job) {
+        if (!behaviour.isSilentWhenFull()) {
+            job.onEnd.accept(Reply.SHED);
+        }
+    }
+
+    /** Draws only where the part leaves something open, so that a run without faults repeats. */
+    private boolean isDrawn(double part) {
+        return part >= 1 || part > 0 && random.nextDouble() < part;
+    }
+
     /** Gives up a request whose connection was closed. */
     void cancel(Job job) {
         job.isCancelled = true;
         queue.remove(job);
         if (running.remove(job)) {
+            followCrowding();
             startWaiting();
         }
     }
 
     /** Loses every request, and refuses connections until the restart. */
     public void crash() {
+        crash(RESTART_MICROS);
+    }
+
+    /** Loses every request, and refuses connections for a time in microseconds. */
+    public void crash(long downMicros) {
         epoch++;
-        downUntilMicros = time.nowMicros() + RESTART_MICROS;
-        coldUntilMicros = downUntilMicros + COLD_MICROS;
+        downUntilMicros = time.nowMicros() + downMicros;
+        coldUntilMicros = downUntilMicros + behaviour.coldMicros();
         Set<Job> lost = new LinkedHashSet<>(running);
         lost.addAll(queue);
         running.clear();
         queue.clear();
+        wasCrowded = false;
         lost.stream().sorted(Comparator.comparing(j -> j.requestId)).forEach(j -> j.onEnd.accept(Reply.LOST));
     }
 
+    /** Makes the server as slow as one that has just started. */
+    public void startCold() {
+        coldUntilMicros = time.nowMicros() + behaviour.coldMicros();
+    }
+
+    /** Returns for how many microseconds the server stays cold. */
+    public long coldMicros() {
+        return Math.max(0, coldUntilMicros - time.nowMicros());
+    }
+
     /** Returns the load report that goes with an answer. */
     LoadReport report() {
         long now = time.nowMicros();
-        figures.addLast(new LoadReport(plan.name(), running.size() + queue.size(), now, isDraining));
+        figures.addLast(new LoadReport(name, running.size() + queue.size(), now, isDraining));
         while (figures.size() > 1 && figures.getFirst().takenMicros() < now - reportLagMicros) {
             figures.removeFirst();
         }
         LoadReport r = figures.getFirst();
         int load = falseLoad >= 0 ? falseLoad : r.inFlight();
-        return new LoadReport(plan.name(), load, isHidingAge ? now : r.takenMicros(), isDraining, speedFactor());
+        return new LoadReport(name, load, isHidingAge ? now : r.takenMicros(), isDraining, speedFactor());
     }
 
     private void startWaiting() {
-        while (running.size() < Deployment.SLOTS && !queue.isEmpty()) {
+        while (running.size() < behaviour.slots() && !queue.isEmpty()) {
             start(queue.pollFirst());
         }
     }
 
     private void start(Job job) {
-        history.onStart(job.requestId, plan.name(), time.nowMicros());
+        history.onStart(job.requestId, name, time.nowMicros());
         running.add(job);
         if (job.isCrashing) {
             crash();
             return;
         }
-        double mean = plan.service().workMillis() * MICROS_PER_MILLI * workFactor;
-        job.leftMicros = -Math.log(1 - random.nextDouble()) * mean;
+        job.leftMicros = work.micros(job.requestId, random);
         job.sinceMicros = time.nowMicros();
         job.factor = factor();
         schedule(job);
+        followCrowding();
     }
 
     private void schedule(Job job) {
@@ -230,13 +280,28 @@
 
     private void finish(Job job, int number) {
         if (job.schedule == number && running.remove(job) && !job.isCancelled) {
-            job.onEnd.accept(Reply.ANSWERED);
+            followCrowding();
+            job.onEnd.accept(isDrawn(lostPart) ? Reply.LOST : Reply.ANSWERED);
             startWaiting();
         }
     }
 
     private void changeSpeed() {
-        speedFactor = random.nextDouble() < SLOW_PART ? SLOW_SPEED_FACTOR : 1;
+        speedFactor = random.nextDouble() < behaviour.slowPart() ? behaviour.slowFactor() : 1;
+        changePace();
+        long mean = behaviour.speedMicros();
+        time.after(mean / 2 + random.nextLong(mean), this::changeSpeed);
+    }
+
+    /** Slows down every running request when the last slots fill, and speeds them up again when they empty. */
+    private void followCrowding() {
+        if (isCrowded() != wasCrowded) {
+            changePace();
+        }
+    }
+
+    private void changePace() {
+        wasCrowded = isCrowded();
         long now = time.nowMicros();
         running.forEach(j -> {
             j.leftMicros = Math.max(0, j.leftMicros - (now - j.sinceMicros) / j.factor);
@@ -244,17 +309,19 @@
             j.factor = factor();
             schedule(j);
         });
-        time.after(SPEED_MICROS / 2 + random.nextLong(SPEED_MICROS), this::changeSpeed);
+    }
+
+    private boolean isCrowded() {
+        return isChanging && running.size() > behaviour.knee() * behaviour.slots();
     }
 
     private double factor() {
-        boolean isCrowded = isChanging && running.size() > KNEE * Deployment.SLOTS;
-        return slowFactor * speedFactor() * (isCrowded ? CROWDED_FACTOR : 1);
+        return slowFactor * speedFactor() * (isCrowded() ? behaviour.crowdedFactor() : 1);
     }
 
     /** Returns how many times longer work takes than usual, as the server tells it. */
     private double speedFactor() {
         boolean isCold = isChanging && time.nowMicros() < coldUntilMicros;
-        return speedFactor * (isCold ? COLD_FACTOR : 1);
+        return speedFactor * (isCold ? behaviour.coldFactor() : 1);
     }
 }
--- /dev/null
+++ b/bench/src/test/java/org/hyssophitch/bench/day/DayRunTest.java
@@ -0,0 +1,153 @@
+package org.hyssophitch.bench.day;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.hyssophitch.core.configuration.RoutingKind;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Days of the project's own files with real engines. */
+public class DayRunTest {
+
+    private static final Path DAYS = Path.of("days");
+    private static final long SEED = 1;
+
+    /** The users' targets of worth for days of each sort; the emulator's figures are before prices. */
+    @DataProvider
+    public Object[][] days() {
+        return new Object[][] {
+            {"glenmorven-quiet", 0.92},
+            {"glenmorven-trouble", 0.75},
+            {"glenmorven-busy", 0.72},
+            {"lakeshore-quiet", 0.92},
+            {"lakeshore-trouble", 0.75},
+            {"lakeshore-busy", 0.60},
+        };
+    }
+
+    /** The platform's policy reaches the target, is the best one, and no run breaks what must always hold. */
+    @Test(dataProvider = "days")
+    public void askedLoadIsWorthMostAndReachesTheTarget(String day, double target) throws IOException {
+        DayPlan plan = plan(day);
+        Map<RoutingKind, DayResult> results = DayRun.POLICIES.parallelStream()
+                .map(p -> DayRun.play(plan, p, SEED))
+                .collect(Collectors.toMap(DayResult::policy, Function.identity()));
+
+        double worth = results.get(RoutingKind.ASKED_LOAD).worth().total();
+        double next = results.values().stream()
+                .filter(r -> r.policy() != RoutingKind.ASKED_LOAD)
+                .mapToDouble(r -> r.worth().total())
+                .max()
+                .orElseThrow();
+
+        assertTrue(worth >= target, day + " is worth " + worth);
+        assertTrue(worth > next, day + " is worth " + worth + ", with another policy " + next);
+        results.values().forEach(r -> assertEquals(r.violations().toString(), "[]", "with " + r.policy()));
+    }
+
+    @Test
+    public void theSameSeedGivesTheSameFigures() throws IOException {
+        DayPlan plan = plan("glenmorven-trouble");
+
+        DayResult first = DayRun.play(plan, RoutingKind.ASKED_LOAD, SEED);
+
+        assertEquals(DayRun.play(plan, RoutingKind.ASKED_LOAD, SEED), first);
+        assertNotEquals(DayRun.play(plan, RoutingKind.ASKED_LOAD, SEED + 1).worth(), first.worth());
+    }
+
+    /** Each kind of event has to cost something, or the emulator wouldn't play it. */
+    @Test(dataProvider = "events")
+    public void anEventIsFelt(String event, String part) {
+        String calm =
+                """
+                name: event
+                seconds: 12
+                zones: [{name: north, hosts: 3}]
+                services:
+                  - name: lookup
+                    servers: [{zone: north, count: 6}]
+                    slow-part: 0
+                kinds:
+                  - name: find
+                    service: lookup
+                    idempotent: true
+                    per-second: 80
+                    target-ms: 250
+                    timeout-ms: 1000
+                    deadline-ms: 2000
+                    work: {mean-ms: 90, spread: 0.3}
+                """;
+        DayPlan without = DayReaderTest.valid(calm);
+        DayPlan with = DayReaderTest.valid(calm + "events: [{at-ms: 3000, for-ms: 5000, " + event + "}]\n");
+
+        DayResult unharmed = DayRun.play(without, RoutingKind.ASKED_LOAD, SEED);
+        DayResult harmed = DayRun.play(with, RoutingKind.ASKED_LOAD, SEED);
+
+        switch (part) {
+            case "worth" -> assertTrue(harmed.worth().total() < unharmed.worth().total(), harmed + " " + unharmed);
+            case "requests-more" -> assertTrue(harmed.requests() > unharmed.requests(), harmed + " " + unharmed);
+            case "requests-less" -> assertTrue(harmed.requests() < unharmed.requests(), harmed + " " + unharmed);
+            case "questions" -> assertNotEquals(harmed.questions(), unharmed.questions());
+            default -> throw new AssertionError(part);
+        }
+    }
+
+    @DataProvider
+    public Object[][] events() {
+        return new Object[][] {
+            {"kind: burst, strength: 2", "requests-more"},
+            {"kind: slow-servers, part: 0.5, strength: 8", "worth"},
+            {"kind: grey-servers, part: 0.9, strength: 0.9", "worth"},
+            {"kind: lost-answers, part: 1, strength: 0.5", "worth"},
+            {"kind: crashed-servers, part: 0.8", "worth"},
+            {"kind: leaving-servers, part: 0.8", "worth"},
+            {"kind: new-servers, part: 1", "questions"},
+            {"kind: killed-hosts, part: 1", "worth"},
+            {"kind: early-leaving, part: 0.5, strength: 0.1", "requests-less"},
+        };
+    }
+
+    /** Callers that repeat at once and often are felt only where there is something to repeat. */
+    @Test
+    public void impatientCallersSendMore() throws IOException {
+        DayPlan busy = plan("glenmorven-busy");
+        DayEvent impatience = new DayEvent(DayEvent.Kind.IMPATIENT_CALLERS, 0, 32_000, 1, 4, "");
+        DayPlan impatient = new DayPlan(
+                busy.name(),
+                busy.seconds(),
+                busy.limits(),
+                busy.zones(),
+                busy.services(),
+                busy.kinds(),
+                Stream.concat(busy.events().stream(), Stream.of(impatience)).toList());
+
+        assertTrue(DayRun.play(impatient, RoutingKind.UNIFORM, SEED).sendings()
+                > DayRun.play(busy, RoutingKind.UNIFORM, SEED).sendings());
+    }
+
+    @Test
+    public void drawsACurveForEachPolicy() throws IOException {
+        DayPlan plan = plan("glenmorven-quiet");
+        String picture = DayPlot.draw(
+                plan,
+                DayRun.POLICIES.stream().map(p -> DayRun.play(plan, p, SEED)).toList());
+
+        assertEquals(picture.split("<polyline", -1).length - 1, DayRun.POLICIES.size());
+        assertTrue(picture.contains(">asked-load</text>"), picture);
+        assertTrue(picture.endsWith("</svg>\n"));
+    }
+
+    private static DayPlan plan(String day) throws IOException {
+        return DayReaderTest.valid(Files.readString(DAYS.resolve(day + ".yaml")));
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/hyssophitch/bench/model/ModelServerTest.java
@@ -0,0 +1,115 @@
+package org.hyssophitch.bench.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+import org.hyssophitch.bench.model.ModelServer.Reply;
+import org.hyssophitch.standin.RunHistory;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** What makes a model server slow, and what it does when it is full. */
+public class ModelServerTest {
+
+    private static final long WORK_MICROS = 100_000;
+    private static final long END_MICROS = 10_000_000;
+    private static final ServerBehaviour STEADY =
+            new ServerBehaviour(3, 2, false, 0.8, 1.7, 0, 4, 300_000, 3_000_000, 2);
+
+    private VirtualTime time;
+    private TreeMap<String, Long> ends;
+    private List<Reply> replies;
+
+    @BeforeMethod
+    public void startAnew() {
+        time = new VirtualTime();
+        ends = new TreeMap<>();
+        replies = new ArrayList<>();
+    }
+
+    /** The third request fills the last slot and slows all three down, from then on. */
+    @Test
+    public void aRequestInTheLastSlotSlowsAllDown() {
+        ModelServer server = server(STEADY);
+        send(server, "a", 0);
+        send(server, "b", 0);
+        send(server, "c", 50_000);
+        time.runUntil(END_MICROS);
+
+        assertEquals(ends.get("a").longValue(), 50_000 + (long) (50_000 * 1.7));
+        assertEquals(ends.get("b"), ends.get("a"));
+        long whenAlone = ends.get("a") + (long) ((WORK_MICROS - 85_000 / 1.7));
+        assertEquals(ends.get("c").longValue(), whenAlone, 2);
+    }
+
+    @Test
+    public void shedsWhatItCantQueue() {
+        ModelServer server = server(STEADY);
+        for (int i = 0; i < 7; i++) {
+            send(server, "r" + i, 0);
+        }
+        time.runUntil(END_MICROS);
+
+        assertEquals(replies.stream().filter(r -> r == Reply.SHED).count(), 2);
+        assertEquals(replies.stream().filter(r -> r == Reply.ANSWERED).count(), 5);
+    }
+
+    @Test
+    public void aSilentServerNeverAnswersWhatItCantQueue() {
+        ModelServer server = server(new ServerBehaviour(3, 2, true, 0.8, 1.7, 0, 4, 300_000, 3_000_000, 2));
+        for (int i = 0; i < 7; i++) {
+            send(server, "r" + i, 0);
+        }
+        time.runUntil(END_MICROS);
+
+        assertEquals(replies.size(), 5);
+    }
+
+    @Test
+    public void aColdServerTakesTwiceAsLongAndSaysSo() {
+        ModelServer server = server(STEADY);
+        server.startCold();
+        assertEquals(server.report().slowdown(), 2.0, 0.0);
+        send(server, "a", 0);
+        time.runUntil(END_MICROS);
+
+        assertEquals(ends.get("a").longValue(), 2 * WORK_MICROS);
+        assertEquals(server.coldMicros(), 0);
+        assertEquals(server.report().slowdown(), 1.0, 0.0);
+    }
+
+    /** Answers are lost after the run, so that the caller can't know. */
+    @Test
+    public void aLostAnswerWasRun() {
+        RunHistory runs = new RunHistory();
+        ModelServer server =
+                new ModelServer("s", "zone", STEADY, (id, r) -> WORK_MICROS, time, runs, new SplittableRandom(1));
+        server.setLostPart(1);
+        send(server, "a", 0);
+        time.runUntil(END_MICROS);
+
+        assertEquals(replies, List.of(Reply.LOST));
+        assertTrue(runs.runs().containsKey("a"));
+    }
+
+    private ModelServer server(ServerBehaviour behaviour) {
+        ModelServer server = new ModelServer(
+                "s", "zone", behaviour, (id, r) -> WORK_MICROS, time, new RunHistory(), new SplittableRandom(1));
+        server.startChanging();
+        return server;
+    }
+
+    private void send(ModelServer server, String id, long atMicros) {
+        time.after(
+                atMicros,
+                () -> server.receive(new ModelServer.Job(id, false, reply -> {
+                    replies.add(reply);
+                    ends.put(id, time.nowMicros());
+                })));
+    }
+}
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -15,12 +15,10 @@
 import org.hyssophitch.core.call.EngineSettings;
 import org.hyssophitch.core.call.FleetLimits;
 import org.hyssophitch.core.configuration.Configuration;
-import org.hyssophitch.core.configuration.QueueRule;
-import org.hyssophitch.core.configuration.RetryRule;
 import org.hyssophitch.core.configuration.RoutingKind;
-import org.hyssophitch.core.configuration.Service;
 import org.hyssophitch.core.entry.EntrySettings;
 import org.hyssophitch.core.entry.RequestRouter;
+import org.hyssophitch.core.entry.ServiceRules;
 import org.hyssophitch.core.health.SuspectRegister.Suspicion;
 import org.hyssophitch.core.store.KindFollower;
 import org.hyssophitch.core.store.ObjectStore;
@@ -67,7 +65,6 @@
     private static final long MOST_STORE_WAIT_MILLIS = 300;
 
     private static final int STORE_CONNECT_MILLIS = 800;
-    private static final QueueRule QUEUE = new QueueRule(256, 10_000, 0);
     private static final int LEAST_HOSTS = 13;
 
     private volatile EntrySettings settings;
@@ -230,14 +227,7 @@
     }
 
     private void onConfiguration(Configuration accepted) {
-        List<Service> services = accepted.services().stream()
-                .map(s -> s.toBuilder()
-                        .routing(RoutingKind.ASKED_LOAD)
-                        .retry(RetryRule.DEFAULT)
-                        .queue(QUEUE)
-                        .build())
-                .toList();
-        Configuration completed = accepted.withServices(services);
+        Configuration completed = ServiceRules.complete(accepted, RoutingKind.ASKED_LOAD);
         if (router.accept(completed)) {
             carrier.handle(new CallEvent.ConfigurationAccepted(WallClock.nowMicros(), completed));
         }
