Backend servers register themselves in our own deployment too; the demo's callers use routes

Servers that come and go had to be written into the document; on the platform they register themselves already, and the engine knows registered servers for that reason. Change: an entry of the platform's host list may hold service, address, zone, slots. Watchers state what changed since their last reading, later statements win, a first reading only fills gaps; statements spread by gossip and reach proxies as updates that say whether they are complete and who is gone. services[].servers may be [] in the document. AgentEngine's news and what its proxy has yet to hear became AgentNews and ProxyOutbox. The stand-in takes registrations with a lease. Half of the demo's idempotent calls go by host name and path. Found on the way: EntryProgramTest failed once, "can't listen" on a UDP port that an earlier test's program held: FreePorts looked at TCP only. Conclusion: one model of registered servers in both worlds.

--- a/agent/src/main/java/org/hyssophitch/agent/Agent.java
+++ b/agent/src/main/java/org/hyssophitch/agent/Agent.java
@@ -89,7 +89,7 @@
         List<ListedHost> seeds = settings.seeds().stream()
                 .map(a -> new ListedHost("seed-" + a, a, false))
                 .toList();
-        decisions.put(new AgentEvent.HostListRead(WallClock.nowMicros(), seeds));
+        decisions.put(new AgentEvent.SeedsGiven(WallClock.nowMicros(), seeds));
         timeline.record(WallClock.nowMicros(), "", new EventBody.ProcessStage("started"));
         Logger.info("agent {} serves {} and {}", settings.host(), settings.agent(), settings.http());
     }
--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelAgents.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelAgents.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 
 import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.control.AgentAction;
 import org.hyssophitch.core.control.AgentEvent;
 import org.hyssophitch.core.control.ProxyUpdate;
@@ -39,6 +40,7 @@
     private final List<ModelAgent> all = new ArrayList<>();
     private final Map<String, Integer> probes = new HashMap<>();
     private final Map<String, Set<String>> leavingByHost = new HashMap<>();
+    private final Map<String, Map<String, RegisteredServer>> registeredByHost = new HashMap<>();
     private final Set<String> draining = new HashSet<>();
     private final SplittableRandom random;
     private final List<String> zones;
@@ -121,6 +123,11 @@
         return leavingByHost.getOrDefault(host, Set.of());
     }
 
+    /** Returns the servers that registered themselves, as a host's proxy knows them. */
+    public Set<String> registeredAt(String host) {
+        return registeredByHost.getOrDefault(host, Map.of()).keySet();
+    }
+
     /** Returns whether every running agent and proxy has a version in force. */
     public boolean isInForceEverywhere(long version) {
         return running().stream()
@@ -185,6 +192,8 @@
 
     void onUpdate(ModelAgent agent, ProxyUpdate update) {
         leavingByHost.put(agent.host(), update.leaving());
+        update.registrations()
+                .ifPresent(r -> r.applyTo(registeredByHost.computeIfAbsent(agent.host(), h -> new HashMap<>())));
     }
 
     /** Writes a configuration when no other was accepted meanwhile, and returns it with its version. */
--- a/bench/src/test/java/org/hyssophitch/bench/model/ModelAgentsTest.java
+++ b/bench/src/test/java/org/hyssophitch/bench/model/ModelAgentsTest.java
@@ -5,7 +5,9 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 
+import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.control.AgentEvent;
 import org.hyssophitch.core.control.ListedHost;
 import org.hyssophitch.core.membership.Member;
@@ -154,6 +156,61 @@
         assertTrue(isReached(run, LEAVE_BOUND, isKnown), "leaving server not known to all");
     }
 
+    /** One host reads the platform's list; all proxies learn of a server that came and of one that went. */
+    @Test(dataProvider = "networks")
+    public void registeredServerIsKnownToAllWithinItsBound(long seed, double loss, double doubling) {
+        ModelAgents run = started(seed, loss, doubling);
+        read(run, 9, List.of());
+        read(run, 9, List.of(registered("late-1")));
+        assertTrue(isReached(run, LEAVE_BOUND, () -> isRegistered(run, "late-1", true)), "not known to all");
+
+        read(run, 9, List.of());
+        assertTrue(isReached(run, LEAVE_BOUND, () -> isRegistered(run, "late-1", false)), "not gone for all");
+    }
+
+    /** A host that starts and reads a list that lags doesn't bring back a server that went. */
+    @Test(dataProvider = "networks")
+    public void aListThatLagsBringsNoServerBack(long seed, double loss, double doubling) {
+        ModelAgents run = started(seed, loss, doubling);
+        read(run, 9, List.of(registered("late-1")));
+        read(run, 9, List.of());
+        assertTrue(isReached(run, LEAVE_BOUND, () -> isRegistered(run, "late-1", false)), "not gone for all");
+        run.time().runUntil(run.time().nowMicros() + SECOND);
+        read(run, 2, List.of(registered("late-1")));
+        run.time().runUntil(run.time().nowMicros() + 2 * SECOND);
+
+        assertTrue(isRegistered(run, "late-1", false), "came back");
+    }
+
+    /** An agent that restarts while the platform is away learns the registered servers from the others. */
+    @Test(dataProvider = "networks")
+    public void restartedHostLearnsTheRegisteredServers(long seed, double loss, double doubling) {
+        ModelAgents run = started(seed, loss, doubling);
+        read(run, 9, List.of());
+        read(run, 9, List.of(registered("late-1"), registered("late-2")));
+        run.time().runUntil(run.time().nowMicros() + 2 * SECOND);
+        run.start("entry-004");
+
+        BooleanSupplier isKnown = () -> run.running().stream()
+                .filter(a -> a.host().equals("entry-004"))
+                .allMatch(a -> a.engine().members().size() >= HOSTS
+                        && run.registeredAt(a.host()).containsAll(List.of("late-1", "late-2")));
+        assertTrue(isReached(run, IN_FORCE_BOUND, isKnown), "not learnt");
+    }
+
+    private static void read(ModelAgents run, int host, List<ListedHost> list) {
+        run.agent(host).handle(new AgentEvent.HostListRead(run.time().nowMicros(), list));
+    }
+
+    private static ListedHost registered(String name) {
+        BackendServer server = new BackendServer(name, "10.9.0.1", 9_000, "stornoway", 3, 0, false);
+        return new ListedHost(name, "", false, Optional.of(new RegisteredServer("mastwatch", server, 0)));
+    }
+
+    private static boolean isRegistered(ModelAgents run, String server, boolean isExpected) {
+        return run.running().stream().allMatch(a -> run.registeredAt(a.host()).contains(server) == isExpected);
+    }
+
     @DataProvider
     public Object[][] measuringFaults() {
         return new Object[][] {{"calm"}, {"partition"}, {"restarts"}, {"freeze"}};
--- a/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
@@ -82,26 +82,15 @@
     private void redefineAll(long nowMicros) {
         Set<String> names = new HashSet<>();
         Set<String> servers = new HashSet<>();
-        state.configuration().services().forEach(s -> {
-            Service defined = withRegistered(s);
+        state.configuration().withRegistered(state.registered()).services().forEach(s -> {
             names.add(s.name());
-            defined.servers().forEach(b -> servers.add(b.name()));
-            defineService(defined, nowMicros);
+            s.servers().forEach(b -> servers.add(b.name()));
+            defineService(s, nowMicros);
         });
         dropServices(names, nowMicros);
         state.servers().keySet().retainAll(servers);
     }
 
-    private Service withRegistered(Service service) {
-        List<RegisteredServer> registered = state.registered().get(service.name());
-        if (registered == null) {
-            return service;
-        }
-        List<BackendServer> servers = new ArrayList<>(service.servers());
-        registered.forEach(r -> servers.add(r.server().withConnectionLimit(service.connectionLimit())));
-        return service.withServers(servers);
-    }
-
     private void defineService(Service service, long nowMicros) {
         List<ServerState> servers = new ArrayList<>();
         service.servers().forEach(b -> servers.add(defineServer(b, nowMicros)));
--- a/core/src/main/java/org/hyssophitch/core/configuration/Configuration.java
+++ b/core/src/main/java/org/hyssophitch/core/configuration/Configuration.java
@@ -73,6 +73,13 @@
                 : new Configuration(version, revisionId, maxEntryHosts, measuring, addresses, value, routes, limits);
     }
 
+    /** Returns this configuration with the servers that registered themselves, by the name of their service. */
+    public Configuration withRegistered(Map<String, List<RegisteredServer>> registered) {
+        return withServices(services.stream()
+                .map(s -> s.withRegistered(registered.getOrDefault(s.name(), List.of())))
+                .toList());
+    }
+
     /** Returns this configuration with other routes, or this instance when nothing changes. */
     public Configuration withRoutes(List<Route> value) {
         return value.equals(routes)
--- a/core/src/main/java/org/hyssophitch/core/configuration/Service.java
+++ b/core/src/main/java/org/hyssophitch/core/configuration/Service.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * One service: its backend servers and the rules for spreading, queueing and retrying its calls.
@@ -57,6 +60,18 @@
         return value.equals(servers) ? this : toBuilder().servers(value).build();
     }
 
+    /**
+     * Returns this service with the servers that registered themselves beside its own; a server that the document names
+     * stays as it stands there.
+     */
+    public Service withRegistered(List<RegisteredServer> registered) {
+        Set<String> named = servers.stream().map(BackendServer::name).collect(Collectors.toSet());
+        Stream<BackendServer> added = registered.stream()
+                .map(r -> r.server().withConnectionLimit(connectionLimit))
+                .filter(s -> !named.contains(s.name()));
+        return withServers(Stream.concat(servers.stream(), added).toList());
+    }
+
     public String name() {
         return name;
     }
--- a/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
@@ -8,6 +8,7 @@
 
 import org.hyssophitch.core.address.AddressAdvisor;
 import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.health.SuspectRegister.Suspicion;
 import org.hyssophitch.core.load.LoadReport;
 import org.hyssophitch.core.load.ProbePlanner;
@@ -35,10 +36,7 @@
     /** Members to which news is passed on at once. */
     private static final int FANOUT = 3;
 
-    private static final int MEMBERS_PER_MESSAGE = 3;
     private static final int LOADS_PER_MESSAGE = 12;
-    private static final int NOTICES_PER_MESSAGE = 4;
-    private static final int NEWS_REPETITIONS = 8;
     private static final int MAX_KNOWN_SUSPICIONS = 10_000;
     private static final long UPDATE_PERIOD_MICROS = 50_000;
     private static final long CONTACT_PERIOD_MICROS = 1_000_000;
@@ -54,15 +52,13 @@
     private final AddressAdvisor addresses;
     private final LoadBoard loads = new LoadBoard();
     private final LeavingBoard leaving = new LeavingBoard();
-    private final NewsBuffer<Member> memberNews = new NewsBuffer<>(NEWS_REPETITIONS);
-    private final NewsBuffer<LeavingNotice> leavingNews = new NewsBuffer<>(NEWS_REPETITIONS);
-    private final NewsBuffer<Suspicion> suspicionNews = new NewsBuffer<>(NEWS_REPETITIONS);
-    private final List<Suspicion> suspicionsForProxy = new ArrayList<>();
+    private final RegistrationBoard registrations = new RegistrationBoard();
+    private final AgentNews news;
+    private final ProxyOutbox outbox = new ProxyOutbox();
     private final RecentKeys knownSuspicions = new RecentKeys(MAX_KNOWN_SUSPICIONS);
     private List<AgentAction> actions = new ArrayList<>();
     private long nowMicros;
     private boolean hasUrgentNews;
-    private boolean isProxyStale = true;
     private boolean isStopping;
     private long nextUpdateMicros;
     private long proxyVersion = -1;
@@ -89,6 +85,7 @@
         this.membership = new MembershipEngine(self, random, this::onMemberChange);
         this.planner = new ProbePlanner(self.host(), nowMicros);
         this.addresses = new AddressAdvisor(random);
+        this.news = new AgentNews(random);
     }
 
     /**
@@ -106,6 +103,7 @@
             case AgentEvent.ConfigurationRead e -> accept(e.configuration());
             case AgentEvent.ChangeReceived e -> onChange(e.change());
             case AgentEvent.FetchFailed e -> nextFetchMicros = nowMicros;
+            case AgentEvent.SeedsGiven e -> contact(e.seeds());
             case AgentEvent.HostListRead e -> onHostList(e.hosts());
             case AgentEvent.ProbeAnswered e -> addReport(e.report());
             case AgentEvent.StopRequested e -> stop();
@@ -177,6 +175,7 @@
         m.loads().forEach(l -> addReport(l.received(nowMicros)));
         m.leaving().forEach(this::addLeaving);
         m.suspicions().forEach(s -> addSuspicion(s, true));
+        m.registrations().forEach(this::addRegistration);
         m.heartbeat().ifPresent(h -> membership
                 .onHeartbeat(h, m.sender().agentAddress(), nowMicros)
                 .forEach(this::sendHeartbeat));
@@ -190,7 +189,7 @@
         Member changed = self.withProxy(status.incarnation(), isAccepting, status.callsInFlight());
         if (isNews) {
             membership.stateSelf(changed);
-            isProxyStale = true;
+            outbox.markStale();
         } else {
             membership.stateSelfQuietly(changed);
         }
@@ -205,6 +204,7 @@
 
     private void onProxyLost() {
         proxyVersion = -1;
+        outbox.markUnregistered();
         Member self = membership.self();
         membership.stateSelf(self.withProxy(0, false, 0));
     }
@@ -218,18 +218,51 @@
     private void onMemberChange(Member m) {
         membershipEpoch++;
         newestVersionSeen = Math.max(newestVersionSeen, m.configurationVersion());
-        memberNews.add(m.host(), m);
+        news.add(m);
         hasUrgentNews = true;
-        isProxyStale = true;
+        outbox.markStale();
         recorder.record(
                 nowMicros,
                 "",
                 new EventBody.MemberChanged(m.host(), m.incarnation(), m.state().name()));
     }
 
+    private void contact(List<ListedHost> seeds) {
+        listed = seeds;
+        seeds.forEach(this::onListedHost);
+    }
+
     private void onHostList(List<ListedHost> hosts) {
-        listed = hosts;
-        hosts.forEach(this::onListedHost);
+        contact(hosts);
+        boolean isFirst = !registrations.isComplete();
+        registrations.onListed(hosts, nowMicros).forEach(this::addRegistration);
+        if (isFirst) {
+            outbox.markUnregistered();
+        }
+    }
+
+    private void addRegistration(RegistrationNotice n) {
+        if (registrations.add(n)) {
+            news.add(n);
+            hasUrgentNews = true;
+            outbox.markUnregistered();
+            String service = n.registration().map(RegisteredServer::service).orElse("");
+            recorder.record(
+                    nowMicros,
+                    "",
+                    new EventBody.ServerRegistered(
+                            n.server(), service, n.registration().isEmpty()));
+            followServers();
+        }
+    }
+
+    /** Measures and remembers the servers that there are, by the document and by registration. */
+    private void followServers() {
+        Configuration known = configuration().withRegistered(registrations.byService(nowMicros));
+        planner.onConfiguration(known, nowMicros);
+        Set<String> servers = known.serversByName().keySet();
+        loads.retain(servers);
+        leaving.retain(servers);
     }
 
     /** A host that knows no other tries those of the host list again. */
@@ -263,10 +296,7 @@
             return;
         }
         recorder.record(nowMicros, "", new EventBody.ConfigurationInForce(candidate.version(), candidate.revisionId()));
-        planner.onConfiguration(candidate, nowMicros);
-        Set<String> servers = candidate.serversByName().keySet();
-        loads.retain(servers);
-        leaving.retain(servers);
+        followServers();
         membership.stateSelf(membership.self().withConfigurationVersion(candidate.version()));
         pushConfiguration();
     }
@@ -302,9 +332,9 @@
 
     private void addLeaving(LeavingNotice n) {
         if (leaving.add(n)) {
-            leavingNews.add(n.server() + '|' + n.source(), n);
+            news.add(n);
             hasUrgentNews = true;
-            isProxyStale = true;
+            outbox.markStale();
             recorder.record(
                     nowMicros, "", new EventBody.ServerLeaving(n.server(), n.source() + (n.isLeaving() ? "" : ":no")));
         }
@@ -315,23 +345,20 @@
         if (!knownSuspicions.add(key)) {
             return;
         }
-        suspicionNews.add(key, s);
+        news.add(key, s);
         hasUrgentNews = true;
         if (isForProxy) {
-            suspicionsForProxy.add(s);
-            isProxyStale = true;
+            outbox.add(s);
         }
     }
 
     private void updateProxy() {
         List<ReportedLoad> changed = loads.takeChanged(nowMicros);
-        if (proxyVersion < 0 || !isProxyStale && changed.isEmpty()) {
+        if (proxyVersion < 0) {
             return;
         }
-        ProxyUpdate update = new ProxyUpdate(members(), leaving.leaving(), changed, List.copyOf(suspicionsForProxy));
-        suspicionsForProxy.clear();
-        isProxyStale = false;
-        actions.add(new AgentAction.PushUpdate(update));
+        outbox.take(members(), leaving.leaving(), changed, registrations, nowMicros)
+                .ifPresent(u -> actions.add(new AgentAction.PushUpdate(u)));
     }
 
     private void pushConfiguration() {
@@ -357,23 +384,9 @@
     }
 
     private void send(String address, Optional<Heartbeat> heartbeat) {
-        AgentMessage m = new AgentMessage(
-                membership.self(),
-                heartbeat,
-                withReminder(memberNews.take(MEMBERS_PER_MESSAGE), membership.all()),
-                loads.freshest(LOADS_PER_MESSAGE, nowMicros),
-                withReminder(leavingNews.take(NOTICES_PER_MESSAGE), leaving.all()),
-                suspicionNews.take(NOTICES_PER_MESSAGE));
+        AgentNews.Known known = new AgentNews.Known(membership.all(), leaving.all(), registrations.all(nowMicros));
+        AgentMessage m =
+                news.message(membership.self(), heartbeat, loads.freshest(LOADS_PER_MESSAGE, nowMicros), known);
         actions.add(new AgentAction.Send(address, m));
     }
-
-    /** Adds one random known item, so that every host learns everything in time although news is repeated seldom. */
-    private <T> List<T> withReminder(List<T> news, List<T> known) {
-        if (known.isEmpty()) {
-            return news;
-        }
-        List<T> extended = new ArrayList<>(news);
-        extended.add(known.get(random.nextInt(known.size())));
-        return extended;
-    }
 }
--- a/core/src/main/java/org/hyssophitch/core/control/AgentEvent.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentEvent.java
@@ -33,6 +33,9 @@
     /** Another agent could not be asked for its configuration. */
     record FetchFailed(long nowMicros) implements AgentEvent {}
 
+    /** The settings name agents to begin with, while no host list is known. */
+    record SeedsGiven(long nowMicros, List<ListedHost> seeds) implements AgentEvent {}
+
     /** The platform delivered its host list. */
     record HostListRead(long nowMicros, List<ListedHost> hosts) implements AgentEvent {}
 
--- a/core/src/main/java/org/hyssophitch/core/control/AgentMessage.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentMessage.java
@@ -16,6 +16,7 @@
  * @param loads load reports
  * @param leaving leaving backend servers
  * @param suspicions suspicions of requests that crash servers
+ * @param registrations backend servers that register themselves
  */
 public record AgentMessage(
         Member sender,
@@ -23,4 +24,5 @@
         List<Member> members,
         List<ReportedLoad> loads,
         List<LeavingNotice> leaving,
-        List<Suspicion> suspicions) {}
+        List<Suspicion> suspicions,
+        List<RegistrationNotice> registrations) {}
--- a/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
+++ b/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
@@ -41,6 +41,9 @@
     /** A backend server gets no new work from this process. */
     record ServerLeaving(String server, String source) implements EventBody {}
 
+    /** A backend server registered itself with the platform, or its registration is gone. */
+    record ServerRegistered(String server, String service, boolean isGone) implements EventBody {}
+
     /** A backend server was ejected or readmitted by outlier detection. */
     record ServerHealthChanged(String server, String state) implements EventBody {}
 
--- a/document/src/main/java/org/hyssophitch/document/DocumentReader.java
+++ b/document/src/main/java/org/hyssophitch/document/DocumentReader.java
@@ -85,8 +85,14 @@
         firstUses.check(m, "name", "service", name);
         int connectionLimit = m.integer("connection-limit", 1, MAX_CONNECTIONS, Service.DEFAULT_CONNECTION_LIMIT);
         List<BackendServer> servers = m.list("servers", s -> server(s, connectionLimit));
-        if (servers.isEmpty()) {
-            m.report(Fault.Kind.MISSING_KEY, "servers", "nothing", "a list of at least one backend server");
+        if (!m.has("servers")) {
+            m.report(
+                    Fault.Kind.MISSING_KEY,
+                    "servers",
+                    "nothing",
+                    "a list of servers; [] when they register themselves");
+        } else if (servers.isEmpty()) {
+            requireConnections(m, connectionLimit);
         }
         return Service.builder(name)
                 .criticality(m.choice("criticality", Criticality.class, Criticality.CRITICAL))
@@ -100,6 +106,17 @@
                 .build();
     }
 
+    private void requireConnections(YamlMapping m, int connectionLimit) {
+        int least = BackendServer.LEAST_CONNECTIONS_PER_HOST * maxEntryHosts;
+        if (connectionLimit < least) {
+            m.report(
+                    Fault.Kind.CONTRADICTION,
+                    "connection-limit",
+                    Integer.toString(connectionLimit),
+                    "at least " + least + ", three for each of max-entry-hosts " + maxEntryHosts);
+        }
+    }
+
     private static RetryRule retry(YamlMapping m) {
         RetryRule d = RetryRule.DEFAULT;
         RetryRule rule = new RetryRule(
@@ -131,14 +148,7 @@
         String address = m.text("address", ADDRESS, "an IPv4 address and port of the form ip:port");
         firstUses.check(m, "address", "address", address);
         int connectionLimit = m.integer("connection-limit", 1, MAX_CONNECTIONS, usualLimit);
-        int leastConnections = BackendServer.LEAST_CONNECTIONS_PER_HOST * maxEntryHosts;
-        if (connectionLimit < leastConnections) {
-            m.report(
-                    Fault.Kind.CONTRADICTION,
-                    "connection-limit",
-                    Integer.toString(connectionLimit),
-                    "at least " + leastConnections + ", three for each of max-entry-hosts " + maxEntryHosts);
-        }
+        requireConnections(m, connectionLimit);
         int colon = address.lastIndexOf(':');
         int port = address.matches(ADDRESS) ? Integer.parseInt(address.substring(colon + 1)) : 0;
         if (port > MAX_PORT) {
--- a/document/src/test/java/org/hyssophitch/document/DocumentReaderTest.java
+++ b/document/src/test/java/org/hyssophitch/document/DocumentReaderTest.java
@@ -103,6 +103,19 @@
         };
     }
 
+    @DataProvider
+    public Object[][] faultyRegistrations() {
+        return new Object[][] {
+            {"no word on servers", "services:\n  - name: s1\n", List.of("MISSING_KEY services[0].servers 2"), true},
+            {
+                "too few connections to servers that register themselves",
+                "services:\n  - {name: s1, connection-limit: 20, servers: []}\n",
+                List.of("CONTRADICTION services[0].connection-limit 2"),
+                false
+            },
+        };
+    }
+
     @DataProvider
     public Object[][] faultyRoutes() {
         return new Object[][] {
@@ -158,6 +171,13 @@
         schemaAgreesOnFaults(name, text, expected, isOfSchema);
     }
 
+    @Test(dataProvider = "faultyRegistrations")
+    public void everyFaultOfARegisteringServiceIsNamedWithItsLine(
+            String name, String text, List<String> expected, boolean isOfSchema) throws IOException {
+        everyFaultIsNamedWithItsLine(name, text, expected, isOfSchema);
+        schemaAgreesOnFaults(name, text, expected, isOfSchema);
+    }
+
     @Test(dataProvider = "faultyDocuments")
     public void everyFaultIsNamedWithItsLine(String name, String text, List<String> expected, boolean isOfSchema) {
         List<String> found = faults(text).stream()
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -240,7 +240,8 @@
                 memberNews.take(NEWS_PER_DATAGRAM),
                 List.of(),
                 List.of(),
-                suspicionNews.take(NEWS_PER_DATAGRAM));
+                suspicionNews.take(NEWS_PER_DATAGRAM),
+                List.of());
         endpoint.send(to, AgentMessageCodec.encode(message, clock.tick(WallClock.nowMicros())));
     }
 
--- a/proxy/src/main/java/org/hyssophitch/proxy/AgentLink.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/AgentLink.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -13,6 +14,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.hyssophitch.core.atmostonce.IssuerView;
 import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.control.ProxyStatus;
 import org.hyssophitch.core.control.ProxyUpdate;
 import org.hyssophitch.core.load.LoadReport;
@@ -42,6 +44,7 @@
     private final HybridClock clock;
     private final Supplier<ProxyStatus> status;
     private final Map<String, String> proxyAddresses = new HashMap<>();
+    private final Map<String, RegisteredServer> registered = new TreeMap<>();
     private Channel channel;
     private boolean isConnecting;
     private ScheduledFuture<?> ticks;
@@ -117,6 +120,7 @@
         u.members().forEach(m -> proxyAddresses.put(m.host(), m.proxyAddress()));
         events.accept(new CallEvent.IssuersChanged(now, issuers(u.members())));
         events.accept(new CallEvent.LeavingChanged(now, u.leaving(), "agent"));
+        u.registrations().ifPresent(r -> onRegistrations(r, now));
         if (!u.loads().isEmpty()) {
             List<LoadReport> loads =
                     u.loads().stream().map(l -> l.received(now)).toList();
@@ -127,6 +131,12 @@
         }
     }
 
+    private void onRegistrations(ProxyUpdate.Registrations r, long now) {
+        r.applyTo(registered);
+        events.accept(new CallEvent.ServersRegistered(
+                now, registered.values().stream().collect(Collectors.groupingBy(RegisteredServer::service))));
+    }
+
     private static IssuerView issuers(List<Member> members) {
         Map<String, Long> live = members.stream()
                 .filter(Member::isLive)
--- a/proxy/src/test/java/org/hyssophitch/proxy/ProxyFixture.java
+++ b/proxy/src/test/java/org/hyssophitch/proxy/ProxyFixture.java
@@ -47,6 +47,7 @@
     RawServer server;
     RawServer other;
     String proxyAddress;
+    String platformAddress;
     private PlatformStandin platform;
     private Agent agent;
     private Proxy proxy;
@@ -55,7 +56,7 @@
     public void open() throws IOException, InterruptedException {
         server = new RawServer(OK, RawServer.End.KEEP);
         other = new RawServer(OK, RawServer.End.KEEP);
-        String platformAddress = "127.0.0.1:" + FreePorts.one();
+        platformAddress = "127.0.0.1:" + FreePorts.one();
         String agentAddress = "127.0.0.1:" + FreePorts.one();
         proxyAddress = "127.0.0.1:" + FreePorts.one();
         platform = new PlatformStandin(platformAddress);
@@ -192,6 +193,7 @@
                     destinations: [{service: s1, weight: 3}, {service: s2, weight: 1}]
                   - {name: unsafe, host: read.example, path-prefix: /a/book/, destinations: [{service: s1}]}
                 services:
+                  - {name: registered, servers: []}
                   - name: s2
                     servers:
                       - {name: b2, address: "127.0.0.1:%d", zone: z1, slots: 100, connection-limit: 5000}
--- /dev/null
+++ b/proxy/src/test/java/org/hyssophitch/proxy/ProxyRegistrationTest.java
@@ -0,0 +1,50 @@
+package org.hyssophitch.proxy;
+
+import java.io.IOException;
+import java.time.Duration;
+
+import okhttp3.Response;
+import org.hyssophitch.standin.SelfRegistration;
+import org.hyssophitch.wire.report.CallHeaders;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Backend servers that register themselves with the platform, through agent and proxy over real sockets. */
+public class ProxyRegistrationTest extends ProxyFixture {
+
+    private static final String PATH = "/services/registered/x";
+    /** The platform's stand-in keeps a registration that isn't renewed for 4.5 s; watchers read every second. */
+    private static final Duration GONE_BOUND = Duration.ofSeconds(9);
+
+    private static final Duration KNOWN_BOUND = Duration.ofSeconds(5);
+
+    /** A server that registers itself gets calls, and none once its registration has lapsed. */
+    @Test
+    public void aRegisteredServerIsServedUntilItsRegistrationIsGone() throws IOException, InterruptedException {
+        assertAnswer(get(PATH), 503, "not-run", "no-server");
+        try (SelfRegistration registration = new SelfRegistration(platformAddress)) {
+            registration.register("b9", "registered", "127.0.0.1:" + other.port(), "z1", 3);
+            registration.register("wrong", "registered", "nowhere", "z1", 3);
+            assertTrue(isReached("completed", KNOWN_BOUND), "not served");
+            try (Response r = send(get(PATH))) {
+                assertEquals(r.header(CallHeaders.SERVER), "b9");
+            }
+        }
+        assertTrue(isReached("no-server", GONE_BOUND), "still served");
+    }
+
+    private boolean isReached(String expected, Duration bound) throws IOException, InterruptedException {
+        long end = System.nanoTime() + bound.toNanos();
+        while (System.nanoTime() < end) {
+            try (Response r = send(get(PATH))) {
+                if (expected.equals(r.header(CallHeaders.REASON)) || expected.equals(r.header(CallHeaders.OUTCOME))) {
+                    return true;
+                }
+            }
+            Thread.sleep(50);
+        }
+        return false;
+    }
+}
--- a/standin/src/main/java/org/hyssophitch/standin/CallerStandin.java
+++ b/standin/src/main/java/org/hyssophitch/standin/CallerStandin.java
@@ -118,13 +118,8 @@
 
     private Sent send(Deployment.ServiceSize service, String requestId, int sending) {
         try {
-            String url = "http://" + book.address(sending) + "/services/" + service.name() + "/item/"
-                    + random.nextInt(1_000_000) + "?size=" + service.answerBytes();
-            Request.Builder request = new Request.Builder().url(url).header(CallHeaders.REQUEST_ID, requestId);
-            if (service.isNonIdempotent()) {
-                request.post(RequestBody.create(new byte[] {'1'}, null));
-            }
-            return exchange(request.build(), requestId, service.answerBytes());
+            Request request = request(service, book.address(sending), requestId);
+            return exchange(request, requestId, service.answerBytes());
         } catch (IOException e) {
             failures.computeIfAbsent(e.toString().replaceAll("[0-9.:/]+", "#"), m -> new LongAdder())
                     .increment();
@@ -133,6 +128,21 @@
         }
     }
 
+    /** Half of the idempotent requests go by route, as those of callers do that know nothing of services. */
+    private Request request(Deployment.ServiceSize service, String address, String requestId) {
+        boolean isByRoute = !service.isNonIdempotent() && random.nextInt(2) == 0;
+        String path = isByRoute ? "/item/" : "/services/" + service.name() + "/item/";
+        String url = "http://" + address + path + random.nextInt(1_000_000) + "?size=" + service.answerBytes();
+        Request.Builder request = new Request.Builder().url(url).header(CallHeaders.REQUEST_ID, requestId);
+        if (isByRoute) {
+            request.header("Host", DeploymentFiles.routeHost(service));
+        }
+        if (service.isNonIdempotent()) {
+            request.post(RequestBody.create(new byte[] {'1'}, null));
+        }
+        return request.build();
+    }
+
     private Sent exchange(Request request, String requestId, int size) throws IOException {
         Request next = request;
         for (int hop = 0; hop < 2; hop++) {
--- a/standin/src/main/java/org/hyssophitch/standin/DeploymentFiles.java
+++ b/standin/src/main/java/org/hyssophitch/standin/DeploymentFiles.java
@@ -59,16 +59,18 @@
                 + d.services().stream().map(s -> service(d, s)).collect(Collectors.joining());
     }
 
-    /** Callers of an old client reach each service by host name too; what they send isn't known to be idempotent. */
+    /** Callers that know nothing of services reach each of them by host name too. */
     private static String route(Deployment.ServiceSize s) {
         return """
                   - name: %s
                     host: %s
                     path-prefix: /
+                    idempotent: %b
+                    timeout-ms: %d
                     destinations:
                       - service: %s
                 """
-                .formatted(s.name(), routeHost(s), s.name());
+                .formatted(s.name(), routeHost(s), !s.isNonIdempotent(), deadlineMillis(s), s.name());
     }
 
     /** Returns the host name by which a service is reached. */
@@ -76,8 +78,15 @@
         return s.name() + ".example";
     }
 
+    private static boolean isBulk(Deployment.ServiceSize s) {
+        return s.answerBytes() > 1_000;
+    }
+
+    private static int deadlineMillis(Deployment.ServiceSize s) {
+        return isBulk(s) ? BULK_DEADLINE_MILLIS : CRITICAL_DEADLINE_MILLIS;
+    }
+
     private static String service(Deployment d, Deployment.ServiceSize s) {
-        boolean isBulk = s.answerBytes() > 1_000;
         String head =
                 """
                   - name: %s
@@ -90,10 +99,7 @@
                       stall-ms: 1000
                     servers:
                 """
-                        .formatted(
-                                s.name(),
-                                isBulk ? "bulk" : "critical",
-                                isBulk ? BULK_DEADLINE_MILLIS : CRITICAL_DEADLINE_MILLIS);
+                        .formatted(s.name(), isBulk(s) ? "bulk" : "critical", deadlineMillis(s));
         return head
                 + d.servers().stream()
                         .filter(b -> b.service().equals(s))
--- a/standin/src/main/java/org/hyssophitch/standin/PlatformStandin.java
+++ b/standin/src/main/java/org/hyssophitch/standin/PlatformStandin.java
@@ -7,9 +7,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoopGroup;
 import org.hyssophitch.core.load.TokenBucket;
@@ -27,6 +30,9 @@
  * <p>{@code POST /faults} takes {@code outage} (true or false), {@code lost-answers} (writes that take effect without
  * an answer), {@code stale-reads} (reads answered from the copy before the latest), {@code rate} (calls per second) and
  * {@code host-lag-ms}.
+ *
+ * <p>{@code PUT /hosts/NAME} registers an entry of the host list, a JSON object, for some seconds; {@code DELETE} takes
+ * it away.
  */
 public final class PlatformStandin implements AutoCloseable {
 
@@ -38,6 +44,10 @@
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
     private static final double DEFAULT_RATE = 2_000;
+    /** Time in microseconds for which a registration holds that isn't renewed. */
+    private static final long LEASE_MICROS = 4_500_000;
+
+    private static final long LEASE_CHECK_MILLIS = 100;
 
     private record Stored(long version, byte[] value) {}
 
@@ -45,11 +55,15 @@
 
     private record HostList(long sinceMicros, byte[] json) {}
 
+    private record Registered(String json, long untilMicros) {}
+
     private final EventLoopGroup group = EventLoops.create(1);
     private final HttpEndpoint endpoint;
     private final Map<String, Deque<Stored>> objects = new HashMap<>();
     private final List<Watch> watches = new ArrayList<>();
     private final Deque<HostList> hostLists = new ArrayDeque<>();
+    private final Map<String, Registered> registered = new TreeMap<>();
+    private String given = "[]";
     private final TokenBucket rate = new TokenBucket(DEFAULT_RATE, DEFAULT_RATE, WallClock.nowMicros());
     private boolean isOutage;
     private long lostAnswers;
@@ -59,14 +73,17 @@
 
     /** Opens the stand-in at an address. */
     public PlatformStandin(String address) {
-        hostLists.add(new HostList(0, "[]".getBytes(StandardCharsets.UTF_8)));
+        hostLists.add(new HostList(0, given.getBytes(StandardCharsets.UTF_8)));
         endpoint = new HttpEndpoint(group, Addresses.parse(address), this::handle);
+        group.scheduleWithFixedDelay(this::dropLapsed, LEASE_CHECK_MILLIS, LEASE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Sets the host list, a JSON array of objects with {@code name}, {@code agent} and {@code leaving}. */
     public void setHosts(String json) {
-        group.execute(
-                () -> hostLists.addLast(new HostList(WallClock.nowMicros(), json.getBytes(StandardCharsets.UTF_8))));
+        group.execute(() -> {
+            given = json;
+            publishHosts();
+        });
     }
 
     @Override
@@ -81,7 +98,8 @@
             return done(HttpReply.json(OK, "{\"calls\":" + calls + "}"));
         }
         if (q.path().equals("/hosts") && q.method().equals("PUT")) {
-            hostLists.addLast(new HostList(WallClock.nowMicros(), q.body()));
+            given = new String(q.body(), StandardCharsets.UTF_8);
+            publishHosts();
             return done(HttpReply.empty(OK));
         }
         calls++;
@@ -91,12 +109,42 @@
         if (!rate.tryTake(1, WallClock.nowMicros())) {
             return done(HttpReply.empty(TOO_MANY_REQUESTS));
         }
+        if (q.path().startsWith("/hosts/")) {
+            return done(register(q.path().substring("/hosts/".length()), q));
+        }
         if (q.path().equals("/hosts")) {
             return done(new HttpReply(OK, "application/json", laggingHosts(), Map.of()));
         }
         return q.path().startsWith("/objects/") ? object(q) : done(HttpReply.notFound());
     }
 
+    private HttpReply register(String name, HttpQuery q) {
+        boolean isRemoval = q.method().equals("DELETE");
+        String entry = isRemoval ? "" : new String(q.body(), StandardCharsets.UTF_8);
+        Registered before = isRemoval
+                ? registered.remove(name)
+                : registered.put(name, new Registered(entry, WallClock.nowMicros() + LEASE_MICROS));
+        if (before == null || !before.json().equals(entry)) {
+            publishHosts();
+        }
+        return HttpReply.empty(OK);
+    }
+
+    private void dropLapsed() {
+        if (registered.values().removeIf(r -> r.untilMicros() <= WallClock.nowMicros())) {
+            publishHosts();
+        }
+    }
+
+    private void publishHosts() {
+        String inner = given.strip().substring(1, given.strip().length() - 1).strip();
+        Stream<String> entries = Stream.concat(
+                inner.isEmpty() ? Stream.empty() : Stream.of(inner),
+                registered.values().stream().map(Registered::json));
+        String json = entries.collect(Collectors.joining(",", "[", "]"));
+        hostLists.addLast(new HostList(WallClock.nowMicros(), json.getBytes(StandardCharsets.UTF_8)));
+    }
+
     private CompletionStage<HttpReply> object(HttpQuery q) {
         String name = q.path().substring("/objects/".length());
         if (q.method().equals("PUT")) {
--- a/wire/src/main/java/org/hyssophitch/wire/codec/AgentMessageCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/AgentMessageCodec.java
@@ -22,7 +22,8 @@
                 .addAllMembers(MemberCodec.encodeMembers(m.members()))
                 .addAllLoads(MemberCodec.encodeLoads(m.loads()))
                 .addAllLeaving(MemberCodec.encodeNotices(m.leaving()))
-                .addAllSuspicions(MemberCodec.encodeSuspicions(m.suspicions()));
+                .addAllSuspicions(MemberCodec.encodeSuspicions(m.suspicions()))
+                .addAllRegistrations(RegistrationCodec.encodeNotices(m.registrations()));
         m.heartbeat().ifPresent(h -> b.setHeartbeat(encode(h)));
         return b.build();
     }
@@ -36,7 +37,8 @@
                 MemberCodec.decodeMembers(d.getMembersList()),
                 MemberCodec.decodeLoads(d.getLoadsList()),
                 MemberCodec.decodeNotices(d.getLeavingList()),
-                MemberCodec.decodeSuspicions(d.getSuspicionsList()));
+                MemberCodec.decodeSuspicions(d.getSuspicionsList()),
+                RegistrationCodec.decodeNotices(d.getRegistrationsList()));
     }
 
     /** Returns the sender's clock. */
--- a/wire/src/main/java/org/hyssophitch/wire/codec/ConfigurationCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/ConfigurationCodec.java
@@ -111,7 +111,7 @@
                 .build();
     }
 
-    private static Wire.BackendServer encode(BackendServer b) {
+    static Wire.BackendServer encode(BackendServer b) {
         return Wire.BackendServer.newBuilder()
                 .setName(b.name())
                 .setHost(b.host())
@@ -123,7 +123,7 @@
                 .build();
     }
 
-    private static BackendServer decode(Wire.BackendServer b) {
+    static BackendServer decode(Wire.BackendServer b) {
         return new BackendServer(
                 b.getName(),
                 b.getHost(),
--- a/wire/src/main/java/org/hyssophitch/wire/codec/FrameCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/FrameCodec.java
@@ -1,5 +1,6 @@
 package org.hyssophitch.wire.codec;
 
+import java.util.Optional;
 import java.util.Set;
 
 import org.hyssophitch.core.configuration.Configuration;
@@ -40,12 +41,12 @@
 
     /** Encodes an agent's update for its proxy. */
     public static Wire.Frame encode(ProxyUpdate u, HybridTimestamp clock) {
-        Wire.ProxyUpdate body = Wire.ProxyUpdate.newBuilder()
+        Wire.ProxyUpdate.Builder body = Wire.ProxyUpdate.newBuilder()
                 .addAllMembers(MemberCodec.encodeMembers(u.members()))
                 .addAllLeaving(u.leaving())
                 .addAllLoads(MemberCodec.encodeLoads(u.loads()))
-                .addAllSuspicions(MemberCodec.encodeSuspicions(u.suspicions()))
-                .build();
+                .addAllSuspicions(MemberCodec.encodeSuspicions(u.suspicions()));
+        u.registrations().map(RegistrationCodec::encode).ifPresent(body::setRegistrations);
         return frame(clock).setProxyUpdate(body).build();
     }
 
@@ -55,7 +56,8 @@
                 MemberCodec.decodeMembers(u.getMembersList()),
                 Set.copyOf(u.getLeavingList()),
                 MemberCodec.decodeLoads(u.getLoadsList()),
-                MemberCodec.decodeSuspicions(u.getSuspicionsList()));
+                MemberCodec.decodeSuspicions(u.getSuspicionsList()),
+                u.hasRegistrations() ? Optional.of(RegistrationCodec.decode(u.getRegistrations())) : Optional.empty());
     }
 
     /** Encodes a configuration for the local proxy. */
--- a/wire/src/main/java/org/hyssophitch/wire/net/FreePorts.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/FreePorts.java
@@ -1,6 +1,7 @@
 package org.hyssophitch.wire.net;
 
 import java.io.IOException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -22,7 +23,7 @@
 
     private FreePorts() {}
 
-    /** Returns a port on which nothing listens. */
+    /** Returns a port on which nothing listens, neither for connections nor for datagrams. */
     public static int one() {
         return several(1)[0];
     }
@@ -42,8 +43,11 @@
     }
 
     private static boolean isFree(int port) {
-        try (ServerSocket s = new ServerSocket()) {
-            s.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        try (ServerSocket listener = new ServerSocket();
+                DatagramSocket receiver = new DatagramSocket(null)) {
+            listener.bind(address);
+            receiver.bind(address);
             return true;
         } catch (IOException e) {
             return false;
--- /dev/null
+++ b/wire/src/main/java/org/hyssophitch/wire/platform/HostListParser.java
@@ -0,0 +1,94 @@
+package org.hyssophitch.wire.platform;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.configuration.RegisteredServer;
+import org.hyssophitch.core.control.ListedHost;
+import org.hyssophitch.wire.net.Addresses;
+import org.tinylog.Logger;
+
+/** Reads the platform's host list, a JSON array. Stateless. */
+final class HostListParser {
+
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final int DEFAULT_SLOTS = 3;
+
+    /** Fields of one entry, as far as they were read. */
+    private static final class Fields {
+        private String name = "";
+        private String agent = "";
+        private boolean isLeaving;
+        private String service = "";
+        private String address = "";
+        private String zone = "";
+        private int slots = DEFAULT_SLOTS;
+        private int coldMillis;
+    }
+
+    private HostListParser() {}
+
+    /**
+     * Reads a list.
+     *
+     * @throws IOException when it isn't JSON
+     */
+    static List<ListedHost> parse(byte[] json) throws IOException {
+        List<ListedHost> hosts = new ArrayList<>();
+        try (JsonParser parser = JSON.createParser(json)) {
+            while (parser.nextToken() != null) {
+                if (parser.currentToken() == JsonToken.START_OBJECT) {
+                    hosts.add(host(parser));
+                }
+            }
+        }
+        return hosts;
+    }
+
+    private static ListedHost host(JsonParser parser) throws IOException {
+        Fields f = new Fields();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String field = parser.currentName();
+            parser.nextToken();
+            switch (field) {
+                case "name" -> f.name = parser.getText();
+                case "agent" -> f.agent = parser.getText();
+                case "leaving" -> f.isLeaving = parser.getBooleanValue();
+                case "service" -> f.service = parser.getText();
+                case "address" -> f.address = parser.getText();
+                case "zone" -> f.zone = parser.getText();
+                case "slots" -> f.slots = parser.getIntValue();
+                case "cold-ms" -> f.coldMillis = parser.getIntValue();
+                default -> parser.skipChildren();
+            }
+        }
+        return new ListedHost(f.name, f.agent, f.isLeaving, registration(f));
+    }
+
+    /** An entry whose address can't be used names no backend server; the others hold. */
+    private static Optional<RegisteredServer> registration(Fields f) {
+        if (f.service.isEmpty()) {
+            return Optional.empty();
+        }
+        if (!Addresses.isAddress(f.address) || f.name.isEmpty() || f.slots < 1) {
+            Logger.warn("registration of {} for {} at {} can't be used", f.name, f.service, f.address);
+            return Optional.empty();
+        }
+        int colon = f.address.lastIndexOf(':');
+        BackendServer server = new BackendServer(
+                f.name,
+                f.address.substring(0, colon),
+                Integer.parseInt(f.address.substring(colon + 1)),
+                f.zone,
+                f.slots,
+                0,
+                false);
+        return Optional.of(new RegisteredServer(f.service, server, Math.max(0, f.coldMillis)));
+    }
+}
--- a/wire/src/main/java/org/hyssophitch/wire/platform/PlatformClient.java
+++ b/wire/src/main/java/org/hyssophitch/wire/platform/PlatformClient.java
@@ -2,14 +2,10 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
 import okhttp3.ConnectionPool;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -138,33 +134,10 @@
     }
 
     private static PlatformResult<List<ListedHost>> parseHosts(PlatformResult.Found<byte[]> found) {
-        List<ListedHost> hosts = new ArrayList<>();
-        try (JsonParser parser = new JsonFactory().createParser(found.value())) {
-            while (parser.nextToken() != null) {
-                if (parser.currentToken() == JsonToken.START_OBJECT) {
-                    hosts.add(parseHost(parser));
-                }
-            }
-            return new PlatformResult.Found<>(hosts, found.version());
+        try {
+            return new PlatformResult.Found<>(HostListParser.parse(found.value()), found.version());
         } catch (IOException e) {
             return new PlatformResult.Unreachable<>("host-list-malformed");
         }
     }
-
-    private static ListedHost parseHost(JsonParser parser) throws IOException {
-        String name = "";
-        String address = "";
-        boolean isLeaving = false;
-        while (parser.nextToken() != JsonToken.END_OBJECT) {
-            String field = parser.currentName();
-            parser.nextToken();
-            switch (field) {
-                case "name" -> name = parser.getText();
-                case "agent" -> address = parser.getText();
-                case "leaving" -> isLeaving = parser.getBooleanValue();
-                default -> parser.skipChildren();
-            }
-        }
-        return new ListedHost(name, address, isLeaving);
-    }
 }
--- a/wire/src/main/java/org/hyssophitch/wire/yaml/YamlMapping.java
+++ b/wire/src/main/java/org/hyssophitch/wire/yaml/YamlMapping.java
@@ -61,6 +61,11 @@
         faults.add(new Fault(kind, path(key), line(key), found, allowed));
     }
 
+    /** Returns whether a value stands there, also an empty one. */
+    public boolean has(String key) {
+        return values.containsKey(key);
+    }
+
     /** Returns a required text. */
     public String text(String key) {
         if (!values.containsKey(key)) {
