--- a/bench/src/main/java/org/hyssophitch/bench/command/DayCommand.java
+++ b/bench/src/main/java/org/hyssophitch/bench/command/DayCommand.java
@@ -38,8 +38,8 @@
     @Override
     public int execute() throws IOException {
         System.out.println("| day | policy | worth | worst windows | whole day | served | worst kind | requests"
-                + " | repeats per request | questions per request | violations |");
-        System.out.println("|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|");
+                + " | repeats per request | beyond their budget | questions per request | violations |");
+        System.out.println("|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|");
         boolean isSound = true;
         for (String file : files) {
             isSound &= play(Path.of(file));
@@ -63,7 +63,7 @@
     private static void print(DayPlan plan, DayResult r) {
         DayWorth w = r.worth();
         System.out.printf(
-                "| %s | %s | %.3f | %.3f | %.3f | %.3f | %.3f | %d | %.3f | %.2f | %d |%n",
+                "| %s | %s | %.3f | %.3f | %.3f | %.3f | %.3f | %d | %.3f | %.0f | %.2f | %d |%n",
                 plan.name(),
                 YamlMapping.written(r.policy()),
                 w.total(),
@@ -73,6 +73,7 @@
                 w.worstKind(),
                 r.requests(),
                 r.repeats(),
+                r.repeatExcess(),
                 r.questions(),
                 r.violations().size());
     }
--- a/bench/src/main/java/org/hyssophitch/bench/day/DayFleet.java
+++ b/bench/src/main/java/org/hyssophitch/bench/day/DayFleet.java
@@ -26,7 +26,6 @@
 import org.hyssophitch.core.configuration.Service;
 import org.hyssophitch.core.entry.RequestRouter;
 import org.hyssophitch.core.entry.ServiceRules;
-import org.hyssophitch.core.timeline.EventRecorder;
 import org.hyssophitch.standin.RunHistory;
 
 /**
@@ -56,6 +55,7 @@
     private final RunHistory runs = new RunHistory();
     private final Configuration configuration;
     private final Map<String, RequestKind> kinds;
+    private final RepeatWatch repeats = new RepeatWatch();
     private final Map<String, ModelServer> servers = new TreeMap<>();
     private final Map<String, Registered> registry = new TreeMap<>();
     private final List<DayHost> hosts = new ArrayList<>();
@@ -107,6 +107,11 @@
                 + hosts.stream().mapToLong(h -> h.host().questions()).sum();
     }
 
+    /** Returns what watches the attempts of all hosts. */
+    RepeatWatch repeats() {
+        return repeats;
+    }
+
     /** Names a new request, so that servers know its kind. */
     String nextRequestId(RequestKind kind) {
         requests++;
@@ -188,7 +193,7 @@
                 time,
                 servers,
                 random.split(),
-                EventRecorder.NONE,
+                repeats,
                 s -> time.after(
                         NEWS_MICROS,
                         () -> hosts.forEach(h ->
--- a/bench/src/main/java/org/hyssophitch/bench/day/DayPlan.java
+++ b/bench/src/main/java/org/hyssophitch/bench/day/DayPlan.java
@@ -34,6 +34,16 @@
         events = List.copyOf(events);
     }
 
+    /** Returns this day with other limits, or this instance when nothing changes. */
+    public DayPlan withLimits(FleetLimits value) {
+        return value.equals(limits) ? this : new DayPlan(name, seconds, value, zones, services, kinds, events);
+    }
+
+    /** Returns this day with other events, or this instance when nothing changes. */
+    public DayPlan withEvents(List<DayEvent> value) {
+        return value.equals(events) ? this : new DayPlan(name, seconds, limits, zones, services, kinds, value);
+    }
+
     /**
      * One availability zone.
      *
--- a/bench/src/main/java/org/hyssophitch/bench/day/DayResult.java
+++ b/bench/src/main/java/org/hyssophitch/bench/day/DayResult.java
@@ -15,6 +15,7 @@
  * @param worth what the day was worth
  * @param bySecond credit earned per credit owed, by the second in which requests began
  * @param repeats attempts beyond the first, per request that was sent
+ * @param repeatExcess attempts by which the worst window of any service exceeds the shared budget; negative within it
  * @param questions questions for their load that servers got, per request that was sent
  * @param violations what must always hold and didn't
  */
@@ -25,5 +26,6 @@
         DayWorth worth,
         Map<Long, Double> bySecond,
         double repeats,
+        double repeatExcess,
         double questions,
         List<HistoryChecker.Violation> violations) {}
--- a/bench/src/main/java/org/hyssophitch/bench/day/DayRun.java
+++ b/bench/src/main/java/org/hyssophitch/bench/day/DayRun.java
@@ -10,6 +10,7 @@
 
 import org.hyssophitch.bench.model.ModelServer;
 import org.hyssophitch.core.UnknownCaseException;
+import org.hyssophitch.core.call.FleetLimits;
 import org.hyssophitch.core.configuration.RoutingKind;
 import org.hyssophitch.standin.HistoryChecker;
 
@@ -50,24 +51,33 @@
      * @param seed seed of all randomness
      */
     public static DayResult play(DayPlan plan, RoutingKind policy, long seed) {
-        return new DayRun(plan, policy, seed).play();
+        return play(plan, policy, seed, plan.limits());
     }
 
-    private DayResult play() {
+    /**
+     * Plays a day and judges its repeats by other limits than the hosts keep.
+     *
+     * @param judged limits that count
+     */
+    static DayResult play(DayPlan plan, RoutingKind policy, long seed, FleetLimits judged) {
+        return new DayRun(plan, policy, seed).play(judged);
+    }
+
+    private DayResult play(FleetLimits judged) {
         plan.events().forEach(this::schedule);
         callers.start();
         fleet.time().runUntil(endMicros());
         List<DayOutcome> outcomes = callers.outcomes();
         long sendings = fleet.latestRequest();
         long sent = Math.max(1, sendings);
-        long runs = fleet.runs().runs().values().stream().mapToLong(List::size).sum();
         return new DayResult(
                 policy,
                 outcomes.size(),
                 sendings,
                 DayWorth.of(outcomes),
                 DayWorth.bySecond(outcomes),
-                Math.max(0, runs - fleet.runs().runs().size()) / (double) sent,
+                fleet.repeats().repeats() / (double) sent,
+                fleet.repeats().excess(judged),
                 fleet.questions() / (double) sent,
                 HistoryChecker.check(callers.records(), fleet.runs().runs()));
     }
--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/day/RepeatWatch.java
@@ -0,0 +1,71 @@
+package org.hyssophitch.bench.day;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.hyssophitch.core.call.FleetLimits;
+import org.hyssophitch.core.timeline.EventBody;
+import org.hyssophitch.core.timeline.EventRecorder;
+
+/**
+ * Watches the attempts of all entry hosts together and tells how far they went beyond the budget of repeats. Not
+ * thread-safe; one run owns it.
+ */
+final class RepeatWatch implements EventRecorder {
+
+    private final Map<String, List<Long>> requests = new HashMap<>();
+    private final Map<String, List<Long>> repeats = new HashMap<>();
+
+    @Override
+    public void record(long nowMicros, String requestId, EventBody body) {
+        switch (body) {
+            case EventBody.CallArrived a -> add(requests, a.service(), nowMicros);
+            case EventBody.ServerChosen c when c.attempt() > 1 -> add(repeats, c.service(), nowMicros);
+            default -> {}
+        }
+    }
+
+    @Override
+    public boolean isDetailed() {
+        return false;
+    }
+
+    /** Returns the attempts beyond the first, of all services. */
+    long repeats() {
+        return repeats.values().stream().mapToLong(List::size).sum();
+    }
+
+    /**
+     * Returns by how many attempts the worst window of any service exceeds the budget; negative when all stay within.
+     * The requests of a window are those of the busiest among it, the one before it and the one half a window before.
+     */
+    double excess(FleetLimits limits) {
+        return repeats.entrySet().stream()
+                .mapToDouble(e -> excess(e.getValue(), requests.getOrDefault(e.getKey(), List.of()), limits))
+                .max()
+                .orElse(-limits.repeatAllowance());
+    }
+
+    private static double excess(List<Long> repeats, List<Long> requests, FleetLimits limits) {
+        long window = limits.repeatWindowMicros();
+        return repeats.stream()
+                .mapToDouble(end -> {
+                    long most = Math.max(
+                            count(requests, end, window),
+                            Math.max(count(requests, end - window / 2, window), count(requests, end - window, window)));
+                    return count(repeats, end, window) - limits.repeatRatio() * most - limits.repeatAllowance();
+                })
+                .max()
+                .orElseThrow();
+    }
+
+    private static long count(List<Long> times, long end, long window) {
+        return times.stream().filter(t -> t > end - window && t <= end).count();
+    }
+
+    private static void add(Map<String, List<Long>> times, String service, long nowMicros) {
+        times.computeIfAbsent(service, s -> new ArrayList<>()).add(nowMicros);
+    }
+}
--- a/bench/src/test/java/org/hyssophitch/bench/day/DayRunTest.java
+++ b/bench/src/test/java/org/hyssophitch/bench/day/DayRunTest.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
+import org.hyssophitch.core.call.FleetLimits;
 import org.hyssophitch.core.configuration.RoutingKind;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -117,18 +119,48 @@
         };
     }
 
+    /** The hosts keep the budget of repeats together although a part of them dies and comes back all the time. */
+    @Test(dataProvider = "seeds")
+    public void repeatsStayWithinTheirBudgetWhileHostsComeAndGo(long seed) throws IOException {
+        DayPlan plan = withChurn(plan("glenmorven-trouble"));
+
+        DayResult result = DayRun.play(plan, RoutingKind.ASKED_LOAD, seed);
+
+        assertTrue(result.repeats() > 0.05, "repeats " + result.repeats());
+        assertTrue(result.repeatExcess() <= 0, "beyond the budget by " + result.repeatExcess());
+    }
+
+    /** The check above can fail: hosts that may repeat more break the usual budget. */
+    @Test
+    public void moreRepeatsThanTheBudgetAreSeen() throws IOException {
+        DayPlan plan = withChurn(plan("glenmorven-trouble"));
+        FleetLimits usual = plan.limits();
+        FleetLimits loose = new FleetLimits(1, 1_000, usual.repeatWindowMicros(), usual.asksPerSecond(), 1);
+
+        assertTrue(DayRun.play(plan.withLimits(loose), RoutingKind.ASKED_LOAD, SEED, usual)
+                        .repeatExcess()
+                > 0);
+    }
+
+    @DataProvider
+    public Object[][] seeds() {
+        return new Object[][] {{1L}, {2L}, {3L}, {4L}};
+    }
+
+    /** Every answer may be lost, and a third of the hosts is killed every three seconds. */
+    private static DayPlan withChurn(DayPlan plan) {
+        Stream<DayEvent> kills = IntStream.range(1, 10)
+                .mapToObj(i -> new DayEvent(DayEvent.Kind.KILLED_HOSTS, i * 3_000L, 1_500, 0.34, 1, ""));
+        DayEvent losses = new DayEvent(DayEvent.Kind.LOST_ANSWERS, 0, 32_000, 1, 0.4, "");
+        return plan.withEvents(Stream.concat(kills, Stream.of(losses)).toList());
+    }
+
     /** Callers that repeat at once and often are felt only where there is something to repeat. */
     @Test
     public void impatientCallersSendMore() throws IOException {
         DayPlan busy = plan("glenmorven-busy");
         DayEvent impatience = new DayEvent(DayEvent.Kind.IMPATIENT_CALLERS, 0, 32_000, 1, 4, "");
-        DayPlan impatient = new DayPlan(
-                busy.name(),
-                busy.seconds(),
-                busy.limits(),
-                busy.zones(),
-                busy.services(),
-                busy.kinds(),
+        DayPlan impatient = busy.withEvents(
                 Stream.concat(busy.events().stream(), Stream.of(impatience)).toList());
 
         assertTrue(DayRun.play(impatient, RoutingKind.UNIFORM, SEED).sendings()
--- a/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
+++ b/core/src/main/java/org/hyssophitch/core/call/LoadRounds.java
@@ -47,6 +47,8 @@
     private static final long LEAST_WAIT_MICROS = 60_000;
     /** Time in microseconds that a call may wait when its route names no target. */
     private static final long DEFAULT_WAIT_MICROS = 250_000;
+    /** Time in microseconds before the end of its wait from which on a late call takes a server's last place too. */
+    private static final long LAST_CHANCE_MICROS = 40_000;
 
     private final EngineState state;
     private final CallFinisher finisher;
@@ -243,21 +245,34 @@
                 .filter(s -> s.isEligible(nowMicros) && !s.isRefusing(nowMicros))
                 .filter(s -> !isHedge || !call.tried().contains(s.name()))
                 .toList();
-        List<ServerState> fresh = untried.stream()
-                .filter(s -> s.report()
-                        .filter(r -> r.ageMicros(nowMicros) <= FRESH_MICROS)
-                        .isPresent())
-                .toList();
+        List<ServerState> fresh =
+                untried.stream().filter(s -> isFresh(s, nowMicros)).toList();
         boolean hasFurther = mostCost < Double.MAX_VALUE;
         Optional<ServerState> chosen = placement.choose(fresh.isEmpty() && !hasFurther ? untried : fresh);
         double acceptable = isHedge ? GOOD_COST : Math.min(mostCost, affordable(call, nowMicros));
         if (chosen.isEmpty() || placement.cost(chosen.get()) > acceptable) {
             return false;
         }
+        if (isYielding(call, nowMicros) && isLastFastPlace(placement, chosen.get())) {
+            return false;
+        }
         Choice choice = new Choice(chosen.get(), views(untried, placement, chosen.get(), nowMicros));
         return starter.startChosen(call, cause(call), choice, nowMicros);
     }
 
+    /**
+     * Returns whether a call leaves the last place of a fast server to calls that can still be in time, which may wait
+     * at any entry host. It does so for most of its own wait: nobody is turned away for a place that stays empty.
+     */
+    private static boolean isYielding(ActiveCall call, long nowMicros) {
+        boolean isLate = needed(call) > 0 && isLate(call, nowMicros);
+        return isLate && nowMicros < call.waitUntilMicros() - LAST_CHANCE_MICROS;
+    }
+
+    private static boolean isLastFastPlace(LoadPlacement placement, ServerState server) {
+        return placement.isLastPlace(server) && placement.cost(server) <= GOOD_COST;
+    }
+
     private static AttemptStarter.Cause cause(ActiveCall call) {
         if (call.attemptsStarted() == 0) {
             return AttemptStarter.Cause.FIRST;
@@ -272,10 +287,24 @@
         }
         return candidates.stream()
                 .map(s ->
-                        ServerSelector.view(s, placement.cost(s), s == chosen ? "chosen" : "scored-higher", nowMicros))
+                        ServerSelector.view(s, placement.cost(s), verdict(s, chosen, placement, nowMicros), nowMicros))
                 .toList();
     }
 
+    private static String verdict(ServerState s, ServerState chosen, LoadPlacement placement, long nowMicros) {
+        if (s == chosen) {
+            return CandidateView.CHOSEN;
+        }
+        if (!placement.hasRoom(s)) {
+            return CandidateView.NO_ROOM;
+        }
+        return isFresh(s, nowMicros) ? CandidateView.SCORED_HIGHER : CandidateView.REPORT_TOO_OLD;
+    }
+
+    private static boolean isFresh(ServerState s, long nowMicros) {
+        return s.report().filter(r -> r.ageMicros(nowMicros) <= FRESH_MICROS).isPresent();
+    }
+
     private void refuseLate(ServiceState service, long nowMicros) {
         List<ActiveCall> late = service.queue().waiting().stream()
                 .map(w -> state.calls().get(w.callId()))
--- a/core/src/main/java/org/hyssophitch/core/routing/LoadPlacement.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/LoadPlacement.java
@@ -84,6 +84,13 @@
         return present(s) <= knee(s) - 1 + ROUNDING;
     }
 
+    /**
+     * Returns whether one more call would take the last of several places below the point where the server slows down.
+     */
+    public boolean isLastPlace(ServerState s) {
+        return knee(s) > 1 && present(s) > knee(s) - 2 + ROUNDING;
+    }
+
     /** Returns the time that a call needs at the server, relative to an idle server of usual speed. */
     public double cost(ServerState s) {
         int slots = Math.max(1, s.server().slots());
--- a/core/src/main/java/org/hyssophitch/core/routing/ServerSelector.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerSelector.java
@@ -143,7 +143,7 @@
         List<CandidateView> views = new ArrayList<>();
         for (int i = 0; i < compared.size(); i++) {
             ServerState s = compared.get(i);
-            views.add(view(s, scores[i], s == chosen ? "chosen" : "scored-higher", nowMicros));
+            views.add(view(s, scores[i], s == chosen ? CandidateView.CHOSEN : CandidateView.SCORED_HIGHER, nowMicros));
         }
         Stream<CandidateView> refused = (all.size() > MAX_VIEWS ? compared : all)
                 .stream().filter(s -> !s.isEligible(nowMicros)).map(s -> view(s, 0, s.refusal(nowMicros), nowMicros));
--- a/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
+++ b/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
@@ -67,5 +67,15 @@
      * @param verdict why the candidate was chosen or refused
      */
     record CandidateView(
-            String server, int inFlight, int reportedInFlight, long reportAgeMicros, double score, String verdict) {}
+            String server, int inFlight, int reportedInFlight, long reportAgeMicros, double score, String verdict) {
+
+        /** Verdict on the candidate that got the attempt. */
+        public static final String CHOSEN = "chosen";
+        /** Verdict on a candidate that would have answered later. */
+        public static final String SCORED_HIGHER = "scored-higher";
+        /** Verdict on a candidate that one more call would have slowed down. */
+        public static final String NO_ROOM = "no-room";
+        /** Verdict on a candidate whose load was told too long ago. */
+        public static final String REPORT_TOO_OLD = "report-too-old";
+    }
 }
--- /dev/null
+++ b/core/src/test/java/org/hyssophitch/core/call/LoadRoundsFixture.java
@@ -0,0 +1,144 @@
+package org.hyssophitch.core.call;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+
+import org.hyssophitch.core.call.CallEvent.AskOutcome;
+import org.hyssophitch.core.configuration.AddressRule;
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.MeasuringBudget;
+import org.hyssophitch.core.configuration.QueueRule;
+import org.hyssophitch.core.configuration.RegisteredServer;
+import org.hyssophitch.core.configuration.RetryRule;
+import org.hyssophitch.core.configuration.RoutingKind;
+import org.hyssophitch.core.configuration.Service;
+import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.core.timeline.EventBody;
+import org.hyssophitch.core.timeline.EventRecorder;
+import org.testng.annotations.BeforeMethod;
+
+/** An engine that asks servers for their load, and steps to drive it in virtual time. */
+abstract class LoadRoundsFixture {
+
+    static final long MILLI = 1_000;
+    static final long SPAN = 300 * MILLI;
+    static final long DEADLINE = 2_500 * MILLI;
+
+    final List<EventBody> recorded = new ArrayList<>();
+    CallEngine engine;
+    long now;
+
+    @BeforeMethod
+    public void setUp() {
+        now = 100_000 * MILLI;
+        recorded.clear();
+        engine = engine(List.of("z1", "z1", "z2"));
+    }
+
+    CallRequest request(long id, String fingerprint, boolean isIdempotent) {
+        return new CallRequest(
+                id,
+                "r" + id,
+                "s",
+                isIdempotent,
+                Optional.empty(),
+                now + DEADLINE,
+                0,
+                true,
+                true,
+                fingerprint,
+                new CallTerms(2, 1, now + SPAN, SPAN));
+    }
+
+    List<CallAction> arrive(long id) {
+        return arrive(id, 0);
+    }
+
+    List<CallAction> arrive(long id, long targetShift) {
+        CallTerms terms = new CallTerms(2, 1, now + SPAN + targetShift, SPAN);
+        return engine.handle(new CallEvent.CallArrived(
+                now,
+                new CallRequest(
+                        id, "r" + id, "s", true, Optional.empty(), now + DEADLINE, 0, true, true, "f" + id, terms)));
+    }
+
+    List<CallAction> pass(long micros) {
+        now += micros;
+        return engine.handle(new CallEvent.TimePassed(now));
+    }
+
+    List<CallAction> answer(String server, int load, int percent) {
+        return engine.handle(
+                new CallEvent.LoadAnswered(now, server, report(server, load, percent), AskOutcome.ACCEPTING));
+    }
+
+    List<CallAction> answerAll(int load) {
+        return IntStream.range(0, 3)
+                .mapToObj(i -> answer("s" + i, load, 100))
+                .flatMap(List::stream)
+                .toList();
+    }
+
+    Optional<LoadReport> report(String server, int load, int percent) {
+        return Optional.of(new LoadReport(server, load, now, false, percent / 100.0));
+    }
+
+    static List<String> asked(List<CallAction> actions) {
+        return actions.stream()
+                .filter(CallAction.AskLoad.class::isInstance)
+                .flatMap(a -> ((CallAction.AskLoad) a).servers().stream())
+                .map(BackendServer::name)
+                .sorted()
+                .toList();
+    }
+
+    static List<String> started(List<CallAction> actions) {
+        return actions.stream()
+                .filter(CallAction.StartAttempt.class::isInstance)
+                .map(a -> ((CallAction.StartAttempt) a).server().name())
+                .toList();
+    }
+
+    static List<Long> calls(List<CallAction> actions) {
+        return actions.stream()
+                .filter(CallAction.StartAttempt.class::isInstance)
+                .map(a -> ((CallAction.StartAttempt) a).callId())
+                .toList();
+    }
+
+    CallEngine engine(List<String> zones) {
+        return engine(zones, 100_000);
+    }
+
+    CallEngine engine(List<String> zones, double asksPerSecond) {
+        EngineSettings settings =
+                new EngineSettings("h", "z1", 1).withFleet(new FleetLimits(0.2, 50, 10_000_000, asksPerSecond, 1));
+        EventRecorder recorder = (at, request, body) -> recorded.add(body);
+        CallEngine created = new CallEngine(settings, new SplittableRandom(1), recorder);
+        Service service = Service.builder("s")
+                .routing(RoutingKind.ASKED_LOAD)
+                .retry(RetryRule.DEFAULT)
+                .queue(new QueueRule(100, 5_000, 0))
+                .build();
+        created.handle(new CallEvent.ConfigurationAccepted(
+                now, new Configuration(1, "r", 1, MeasuringBudget.DEFAULT, AddressRule.DEFAULT, List.of(service))));
+        engine = created;
+        register(List.of("s0", "s1", "s2"), zones);
+        return created;
+    }
+
+    void register(List<String> names, List<String> zones) {
+        List<RegisteredServer> servers = IntStream.range(0, names.size())
+                .mapToObj(i -> new RegisteredServer(
+                        "s",
+                        new BackendServer(names.get(i), "10.0.0.1", 80 + i, zones.get(i), 3, 220, false, names.get(i)),
+                        0))
+                .toList();
+        engine.handle(new CallEvent.ServersRegistered(now, Map.of("s", servers)));
+    }
+}
--- a/core/src/test/java/org/hyssophitch/core/call/LoadRoundsTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/LoadRoundsTest.java
@@ -4,23 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.SplittableRandom;
-import java.util.stream.IntStream;
 
 import org.hyssophitch.core.call.CallEvent.AskOutcome;
-import org.hyssophitch.core.configuration.AddressRule;
-import org.hyssophitch.core.configuration.BackendServer;
-import org.hyssophitch.core.configuration.Configuration;
-import org.hyssophitch.core.configuration.MeasuringBudget;
-import org.hyssophitch.core.configuration.QueueRule;
-import org.hyssophitch.core.configuration.RegisteredServer;
-import org.hyssophitch.core.configuration.RetryRule;
-import org.hyssophitch.core.configuration.RoutingKind;
-import org.hyssophitch.core.configuration.Service;
-import org.hyssophitch.core.load.LoadReport;
 import org.hyssophitch.core.timeline.EventBody;
-import org.hyssophitch.core.timeline.EventRecorder;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -28,22 +14,7 @@
 import static org.testng.Assert.assertTrue;
 
 /** Placing calls by load that is asked for when they arrive. */
-public class LoadRoundsTest {
-
-    private static final long MILLI = 1_000;
-    private static final long SPAN = 300 * MILLI;
-    private static final long DEADLINE = 2_500 * MILLI;
-
-    private final List<EventBody> recorded = new ArrayList<>();
-    private CallEngine engine;
-    private long now;
-
-    @BeforeMethod
-    public void setUp() {
-        now = 100_000 * MILLI;
-        recorded.clear();
-        engine = engine(List.of("z1", "z1", "z2"));
-    }
+public class LoadRoundsTest extends LoadRoundsFixture {
 
     @Test
     public void asksTheOwnZoneAndTakesTheServerThatEndsFirst() {
@@ -110,20 +81,6 @@
         assertEquals(started(all), List.of());
     }
 
-    /** The load that this answers: more calls than places, so that first come first served makes every call late. */
-    @Test
-    public void givesAPlaceToACallThatCanStillBeInTime() {
-        arrive(1, -SPAN);
-        arrive(2, 0);
-        answer("s0", 2, 100);
-        answer("s1", 2, 100);
-        answer("s2", 2, 100);
-        pass(30 * MILLI);
-        answer("s0", 1, 100);
-        List<CallAction> placed = answer("s1", 2, 100);
-        assertEquals(calls(placed), List.of(2L));
-    }
-
     @Test
     public void sendsNothingToAServerThatRefusesOrIsAnother() {
         arrive(1);
@@ -267,106 +224,4 @@
         return engine.handle(new CallEvent.CallArrived(now, request(id, "same", false))).stream()
                 .anyMatch(a -> a instanceof CallAction.AnswerCaller c && c.reason() == Reason.REQUEST_CONVICTED);
     }
-
-    private CallRequest request(long id, String fingerprint, boolean isIdempotent) {
-        return new CallRequest(
-                id,
-                "r" + id,
-                "s",
-                isIdempotent,
-                Optional.empty(),
-                now + DEADLINE,
-                0,
-                true,
-                true,
-                fingerprint,
-                new CallTerms(2, 1, now + SPAN, SPAN));
-    }
-
-    private List<CallAction> arrive(long id) {
-        return arrive(id, 0);
-    }
-
-    private List<CallAction> arrive(long id, long targetShift) {
-        CallTerms terms = new CallTerms(2, 1, now + SPAN + targetShift, SPAN);
-        return engine.handle(new CallEvent.CallArrived(
-                now,
-                new CallRequest(
-                        id, "r" + id, "s", true, Optional.empty(), now + DEADLINE, 0, true, true, "f" + id, terms)));
-    }
-
-    private List<CallAction> pass(long micros) {
-        now += micros;
-        return engine.handle(new CallEvent.TimePassed(now));
-    }
-
-    private List<CallAction> answer(String server, int load, int percent) {
-        return engine.handle(
-                new CallEvent.LoadAnswered(now, server, report(server, load, percent), AskOutcome.ACCEPTING));
-    }
-
-    private List<CallAction> answerAll(int load) {
-        return IntStream.range(0, 3)
-                .mapToObj(i -> answer("s" + i, load, 100))
-                .flatMap(List::stream)
-                .toList();
-    }
-
-    private Optional<LoadReport> report(String server, int load, int percent) {
-        return Optional.of(new LoadReport(server, load, now, false, percent / 100.0));
-    }
-
-    private static List<String> asked(List<CallAction> actions) {
-        return actions.stream()
-                .filter(CallAction.AskLoad.class::isInstance)
-                .flatMap(a -> ((CallAction.AskLoad) a).servers().stream())
-                .map(BackendServer::name)
-                .sorted()
-                .toList();
-    }
-
-    private static List<String> started(List<CallAction> actions) {
-        return actions.stream()
-                .filter(CallAction.StartAttempt.class::isInstance)
-                .map(a -> ((CallAction.StartAttempt) a).server().name())
-                .toList();
-    }
-
-    private static List<Long> calls(List<CallAction> actions) {
-        return actions.stream()
-                .filter(CallAction.StartAttempt.class::isInstance)
-                .map(a -> ((CallAction.StartAttempt) a).callId())
-                .toList();
-    }
-
-    private CallEngine engine(List<String> zones) {
-        return engine(zones, 100_000);
-    }
-
-    private CallEngine engine(List<String> zones, double asksPerSecond) {
-        EngineSettings settings =
-                new EngineSettings("h", "z1", 1).withFleet(new FleetLimits(0.2, 50, 10_000_000, asksPerSecond, 1));
-        EventRecorder recorder = (at, request, body) -> recorded.add(body);
-        CallEngine created = new CallEngine(settings, new SplittableRandom(1), recorder);
-        Service service = Service.builder("s")
-                .routing(RoutingKind.ASKED_LOAD)
-                .retry(RetryRule.DEFAULT)
-                .queue(new QueueRule(100, 5_000, 0))
-                .build();
-        created.handle(new CallEvent.ConfigurationAccepted(
-                now, new Configuration(1, "r", 1, MeasuringBudget.DEFAULT, AddressRule.DEFAULT, List.of(service))));
-        engine = created;
-        register(List.of("s0", "s1", "s2"), zones);
-        return created;
-    }
-
-    private void register(List<String> names, List<String> zones) {
-        List<RegisteredServer> servers = IntStream.range(0, names.size())
-                .mapToObj(i -> new RegisteredServer(
-                        "s",
-                        new BackendServer(names.get(i), "10.0.0.1", 80 + i, zones.get(i), 3, 220, false, names.get(i)),
-                        0))
-                .toList();
-        engine.handle(new CallEvent.ServersRegistered(now, Map.of("s", servers)));
-    }
 }
--- a/entry/src/main/java/org/hyssophitch/entry/EventLog.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EventLog.java
@@ -35,6 +35,10 @@
     private final TokenBucket usual;
     private final TokenBucket trouble;
 
+    private static final Comparator<EventBody.CandidateView> CHOSEN_FIRST = Comparator.comparing(
+                    (EventBody.CandidateView v) -> !v.verdict().equals(EventBody.CandidateView.CHOSEN))
+            .thenComparingDouble(EventBody.CandidateView::score);
+
     EventLog(EntryMetrics metrics) {
         this.metrics = metrics;
         long now = WallClock.nowMicros();
@@ -63,8 +67,8 @@
         }
     }
 
-    /** Leaves out candidates that were far from being chosen. */
-    private static EventBody brief(EventBody body) {
+    /** Leaves out candidates that were far from being chosen; the chosen one comes first. */
+    static EventBody brief(EventBody body) {
         return body instanceof EventBody.ServerChosen c && c.candidates().size() > MOST_CANDIDATES
                 ? new EventBody.ServerChosen(
                         c.service(),
@@ -72,7 +76,7 @@
                         c.cause(),
                         c.server(),
                         c.candidates().stream()
-                                .sorted(Comparator.comparingDouble(EventBody.CandidateView::score))
+                                .sorted(CHOSEN_FIRST)
                                 .limit(MOST_CANDIDATES)
                                 .toList())
                 : body;
--- a/entry/src/test/java/org/hyssophitch/entry/DataPath.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -76,6 +76,14 @@
         front.open(group, new InetSocketAddress("127.0.0.1", port));
     }
 
+    /** Lets a server register anew under its name, at the address of another one. */
+    void move(ScriptedServer from, ScriptedServer to) {
+        String name = name(from);
+        BackendServer moved = new BackendServer(name, "127.0.0.1", to.port(), "z1", 3, 100, false, name);
+        Map<String, List<RegisteredServer>> registered = Map.of("svc", List.of(new RegisteredServer("svc", moved, 0)));
+        onLoop(() -> carrier.handle(new CallEvent.ServersRegistered(WallClock.nowMicros(), registered)));
+    }
+
     /** Does something on the event loop. */
     void onLoop(Runnable step) {
         EventLoops.run(loop, step);
@@ -205,10 +213,14 @@
         return new Route(prefix, "h.example", prefix, idempotent, ROUTE_MILLIS, TARGET_MILLIS, 2, 1, to);
     }
 
+    private static String name(ScriptedServer server) {
+        return "i-" + server.port();
+    }
+
     private static Map<String, List<RegisteredServer>> registered(ScriptedServer... servers) {
         List<RegisteredServer> all = new ArrayList<>();
         for (ScriptedServer s : servers) {
-            String name = "i-" + s.port();
+            String name = name(s);
             BackendServer b = new BackendServer(name, "127.0.0.1", s.port(), "z1", 3, 100, false, name);
             all.add(new RegisteredServer("svc", b, 0));
         }
--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramFixture.java
@@ -0,0 +1,150 @@
+package org.hyssophitch.entry;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.hyssophitch.core.entry.EntrySettings;
+import org.hyssophitch.wire.net.FreePorts;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+
+import static org.testng.Assert.assertTrue;
+
+/** Entry programs beside a stand-in of the store and scripted servers. */
+abstract class EntryProgramFixture {
+
+    static final String HOSTS = "hyssophitch-entry-hosts";
+    static final int GRACE_MILLIS = 1_500;
+    /** Time in milliseconds within which a change has to be in force everywhere. */
+    static final long IN_FORCE_MILLIS = 2_000;
+
+    int storePort;
+    StoreStandin store;
+    ScriptedServer first;
+    ScriptedServer second;
+    List<EntryProgram> programs;
+    EntrySettings settings;
+
+    @BeforeMethod
+    public void setUp() throws IOException {
+        storePort = FreePorts.one();
+        store = new StoreStandin(storePort);
+        first = new ScriptedServer(ScriptedServer.ok("first"));
+        second = new ScriptedServer(ScriptedServer.ok("second"));
+        programs = new ArrayList<>();
+        settings = settings("host-1");
+    }
+
+    @AfterMethod
+    public void tearDown() throws IOException {
+        programs.forEach(EntryProgram::stop);
+        store.close();
+        first.close();
+        second.close();
+    }
+
+    EntryProgram start(EntrySettings s) {
+        EntryProgram program = new EntryProgram(s);
+        programs.add(program);
+        program.start();
+        return program;
+    }
+
+    void configure(int version, String service) {
+        configure(version, service, 0);
+    }
+
+    /** Writes a configuration with a route below {@code /s/} and as many more as wanted. */
+    void configure(int version, String service, int more) {
+        String rule =
+                """
+                {"name":"r%s","kind":"safe","target_latency_ms":600,"priority":1,"match":{"path_prefix":"/%s/"},
+                 "action":{"service":"%s","timeout_ms":1500,"max_attempts":2}}
+                """;
+        String rules = Stream.concat(
+                        Stream.of(rule.formatted("", "s", service)),
+                        IntStream.rangeClosed(1, more).mapToObj(i -> rule.formatted(i, "more" + i, service)))
+                .collect(Collectors.joining(","));
+        String cluster = "{\"name\":\"%s\",\"health_check_path\":\"/health\",\"max_connections\":220}";
+        store.put(
+                "config",
+                "main",
+                """
+                {"version":"r%d","limits":{},"clusters":[%s,%s],"listeners":[{"host":"h.example","rules":[
+                 %s]}]}
+                """
+                        .formatted(version, cluster.formatted("svc"), cluster.formatted("other"), rules));
+    }
+
+    void register(String id, ScriptedServer server, String service, String state) {
+        store.put(
+                "servers",
+                id,
+                """
+                {"address":"127.0.0.1:%d","born":1,"information":{"service":"%s","zone":"z1","slots":3},
+                 "status":{"state":"%s","sequence":1,"cold_remaining_ms":0}}
+                """
+                        .formatted(server.port(), service, state));
+    }
+
+    static void await(BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(8);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "the condition didn't come true in time");
+            Thread.sleep(25);
+        }
+    }
+
+    static String request(EntrySettings s, String path) {
+        return send(s.addresses().front(), DataPath.get(path, "id"));
+    }
+
+    static int ready(EntrySettings s) {
+        String answer =
+                send(s.addresses().readiness(), "GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        return answer.startsWith("HTTP/1.1 200") ? 200 : 503;
+    }
+
+    static String directory(EntrySettings s) {
+        return send(
+                s.addresses().directory(),
+                "GET /v1/resolution?name=h.example&region=r&zone=z1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    }
+
+    static String send(String address, String text) {
+        int colon = address.indexOf(':');
+        try (Socket s = new Socket("127.0.0.1", Integer.parseInt(address.substring(colon + 1)))) {
+            s.setSoTimeout(3_000);
+            s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return DataPath.read(s, 1);
+        } catch (IOException e) {
+            return "no connection: " + e;
+        }
+    }
+
+    EntrySettings settings(String host) {
+        EntrySettings.Addresses addresses = new EntrySettings.Addresses(
+                "127.0.0.1:" + FreePorts.one(),
+                "127.0.0.1:" + FreePorts.one(),
+                "127.0.0.1:" + FreePorts.one(),
+                "127.0.0.1:" + FreePorts.one(),
+                "127.0.0.1:" + FreePorts.one());
+        return new EntrySettings(
+                host,
+                "z1",
+                "r",
+                Map.of("z1", "r"),
+                addresses,
+                "127.0.0.1:" + storePort,
+                new EntrySettings.Bounds(GRACE_MILLIS, 0.2, 1_000, 10_000, 10_000, 5));
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramScaleTest.java
@@ -0,0 +1,61 @@
+package org.hyssophitch.entry;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import org.hyssophitch.core.entry.EntrySettings;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertTrue;
+
+/** Many routes and many hosts at once. */
+public class EntryProgramScaleTest extends EntryProgramFixture {
+
+    /** Time in milliseconds after a loss of all hosts within which they have to serve again. */
+    private static final long RECOVERY_MILLIS = 15_000;
+
+    private static final int FLEET = 6;
+    /** Calls to the store per host and start: three kinds, each a few times while the store turns callers away. */
+    private static final int MOST_CALLS_TO_START = 40;
+
+    private static final int MANY_ROUTES = 444;
+
+    /** Many routes at once, as when a team moves in: the last of them is served in time, the first all the while. */
+    @Test
+    public void bringsManyRoutesIntoForceAtOnce() throws Exception {
+        configure(1, "svc");
+        register("i-1", first, "svc", "ready");
+        start(settings);
+        await(() -> request(settings, "/s/x").endsWith("first"));
+        configure(2, "svc", MANY_ROUTES);
+        long acknowledged = System.nanoTime();
+        await(() -> {
+            assertTrue(request(settings, "/s/x").endsWith("first"));
+            return request(settings, "/more" + MANY_ROUTES + "/x").endsWith("first");
+        });
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - acknowledged);
+        assertTrue(millis <= IN_FORCE_MILLIS, "in force after " + millis + " ms");
+        assertTrue(request(settings, "/more1/x").endsWith("first"));
+        assertTrue(request(settings, "/more0/x").startsWith("HTTP/1.1 404"));
+    }
+
+    /** All hosts are lost and start at the same time, while the store turns callers away at first. */
+    @Test
+    public void allHostsServeAgainSoonAfterALossOfAll() throws Exception {
+        configure(1, "svc");
+        register("i-1", first, "svc", "ready");
+        List<EntrySettings> fleet =
+                IntStream.range(0, FLEET).mapToObj(i -> settings("host-" + i)).toList();
+        store.setMood(StoreStandin.Mood.THROTTLING);
+        long started = System.nanoTime();
+        fleet.forEach(this::start);
+        assertTrue(fleet.stream().allMatch(s -> request(s, "/s/x").startsWith("HTTP/1.1 503")));
+        store.setMood(StoreStandin.Mood.USUAL);
+        await(() -> fleet.stream().allMatch(s -> request(s, "/s/x").endsWith("first")));
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - started);
+        assertTrue(millis <= RECOVERY_MILLIS, "all serve after " + millis + " ms");
+        int calls = store.calls().size();
+        assertTrue(calls <= FLEET * MOST_CALLS_TO_START, calls + " calls to the store");
+    }
+}
--- a/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
@@ -1,24 +1,15 @@
 package org.hyssophitch.entry;
 
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 
 import org.hyssophitch.core.entry.EntrySettings;
 import org.hyssophitch.wire.duty.WallClock;
 import org.hyssophitch.wire.net.Addresses;
-import org.hyssophitch.wire.net.FreePorts;
 import org.hyssophitch.wire.net.ListenFailedException;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -29,37 +20,7 @@
 import static org.testng.Assert.assertTrue;
 
 /** Entry hosts as a whole, against a stand-in of the platform's store. */
-public class EntryProgramTest {
-
-    private static final String HOSTS = "hyssophitch-entry-hosts";
-    private static final int GRACE_MILLIS = 1_500;
-    /** Time in milliseconds within which a change has to be in force everywhere. */
-    private static final long IN_FORCE_MILLIS = 2_000;
-
-    private int storePort;
-    private StoreStandin store;
-    private ScriptedServer first;
-    private ScriptedServer second;
-    private List<EntryProgram> programs;
-    private EntrySettings settings;
-
-    @BeforeMethod
-    public void setUp() throws IOException {
-        storePort = FreePorts.one();
-        store = new StoreStandin(storePort);
-        first = new ScriptedServer(ScriptedServer.ok("first"));
-        second = new ScriptedServer(ScriptedServer.ok("second"));
-        programs = new ArrayList<>();
-        settings = settings("host-1");
-    }
-
-    @AfterMethod
-    public void tearDown() throws IOException {
-        programs.forEach(EntryProgram::stop);
-        store.close();
-        first.close();
-        second.close();
-    }
+public class EntryProgramTest extends EntryProgramFixture {
 
     @Test
     public void isNotReadyBeforeAConfigurationIsThereAndPromisesNotRun() throws Exception {
@@ -270,87 +231,4 @@
         }
         programs.remove(0).stop();
     }
-
-    private EntryProgram start(EntrySettings s) {
-        EntryProgram program = new EntryProgram(s);
-        programs.add(program);
-        program.start();
-        return program;
-    }
-
-    private void configure(int version, String service) {
-        String cluster = "{\"name\":\"%s\",\"health_check_path\":\"/health\",\"max_connections\":220}";
-        store.put(
-                "config",
-                "main",
-                """
-                {"version":"r%d","limits":{},"clusters":[%s,%s],"listeners":[{"host":"h.example","rules":[
-                 {"name":"r","kind":"safe","target_latency_ms":600,"priority":1,"match":{"path_prefix":"/s/"},
-                  "action":{"service":"%s","timeout_ms":1500,"max_attempts":2}}]}]}
-                """
-                        .formatted(version, cluster.formatted("svc"), cluster.formatted("other"), service));
-    }
-
-    private void register(String id, ScriptedServer server, String service, String state) {
-        store.put(
-                "servers",
-                id,
-                """
-                {"address":"127.0.0.1:%d","born":1,"information":{"service":"%s","zone":"z1","slots":3},
-                 "status":{"state":"%s","sequence":1,"cold_remaining_ms":0}}
-                """
-                        .formatted(server.port(), service, state));
-    }
-
-    private static void await(BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(8);
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < end, "the condition didn't come true in time");
-            Thread.sleep(25);
-        }
-    }
-
-    private static String request(EntrySettings s, String path) {
-        return send(s.addresses().front(), DataPath.get(path, "id"));
-    }
-
-    private static int ready(EntrySettings s) {
-        String answer =
-                send(s.addresses().readiness(), "GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-        return answer.startsWith("HTTP/1.1 200") ? 200 : 503;
-    }
-
-    private static String directory(EntrySettings s) {
-        return send(
-                s.addresses().directory(),
-                "GET /v1/resolution?name=h.example&region=r&zone=z1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-    }
-
-    private static String send(String address, String text) {
-        int colon = address.indexOf(':');
-        try (Socket s = new Socket("127.0.0.1", Integer.parseInt(address.substring(colon + 1)))) {
-            s.setSoTimeout(3_000);
-            s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-            return DataPath.read(s, 1);
-        } catch (IOException e) {
-            return "no connection: " + e;
-        }
-    }
-
-    private EntrySettings settings(String host) {
-        EntrySettings.Addresses addresses = new EntrySettings.Addresses(
-                "127.0.0.1:" + FreePorts.one(),
-                "127.0.0.1:" + FreePorts.one(),
-                "127.0.0.1:" + FreePorts.one(),
-                "127.0.0.1:" + FreePorts.one(),
-                "127.0.0.1:" + FreePorts.one());
-        return new EntrySettings(
-                host,
-                "z1",
-                "r",
-                Map.of("z1", "r"),
-                addresses,
-                "127.0.0.1:" + storePort,
-                new EntrySettings.Bounds(GRACE_MILLIS, 0.2, 1_000, 10_000, 10_000, 5));
-    }
 }
--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/KeptAnswerTest.java
@@ -0,0 +1,68 @@
+package org.hyssophitch.entry;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** A server's error answer that is kept until no other server does better. */
+public class KeptAnswerTest {
+
+    private static final int LENGTH = 100_000;
+    /** More than what is kept of an answer before the engine hears of it. */
+    private static final int SENT = 70_000;
+
+    private static final int PAUSE_MILLIS = 300;
+
+    /** The error is chosen for want of anything better, and then its connection breaks: the caller has to see that. */
+    @Test
+    public void aKeptErrorThatBreaksAfterItWasChosenEndsTheCallersConnection() throws Exception {
+        try (ScriptedServer failing = new ScriptedServer((r, c) -> {
+                    ScriptedServer.write(
+                            c,
+                            ScriptedServer.head(r, 500) + "Content-Length: " + LENGTH + "\r\n\r\n" + "x".repeat(SENT));
+                    Thread.sleep(PAUSE_MILLIS);
+                    return false;
+                });
+                ScriptedServer refusing = new ScriptedServer((r, c) -> {
+                    ScriptedServer.write(
+                            c,
+                            ScriptedServer.head(r, 503) + "Hyssophitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+                    return true;
+                });
+                DataPath path = new DataPath(DataPath.LIMITS, failing, refusing)) {
+            refusing.setLoad("1,0,3,100");
+            String answer = "";
+            // On a busy machine the load may be told too late, and the other server be taken first.
+            for (int i = 0;
+                    i < 20
+                            && (refusing.requests().isEmpty()
+                                    || failing.requests().isEmpty());
+                    i++) {
+                answer = path.exchange(DataPath.get("/s/x", "s" + i), 1);
+            }
+
+            assertTrue(answer.startsWith("HTTP/1.1 500"), answer.substring(0, Math.min(100, answer.length())));
+            assertTrue(answer.length() < LENGTH, "the answer looks whole");
+            assertFalse(answer.endsWith("<quiet>"), "the caller was left waiting");
+        }
+    }
+
+    /** A server that registers anew under its name at another address: nothing goes to the old one any more. */
+    @Test
+    public void requestsFollowAServerToItsNewAddress() throws Exception {
+        try (ScriptedServer before = new ScriptedServer(ScriptedServer.ok("before"));
+                ScriptedServer after = new ScriptedServer(ScriptedServer.ok("after"));
+                DataPath path = new DataPath(DataPath.LIMITS, before)) {
+            assertTrue(path.exchange(DataPath.get("/s/x", "s1"), 1).endsWith("before"));
+            path.move(before, after);
+            for (int i = 2; i < 6; i++) {
+                String answer = path.exchange(DataPath.get("/s/x", "s" + i), 1);
+                assertTrue(answer.endsWith("after"), answer);
+            }
+            assertEquals(before.requests().size(), 1);
+            assertEquals(before.openConnections(), 0);
+        }
+    }
+}
--- a/entry/src/test/java/org/hyssophitch/entry/ScriptedServer.java
+++ b/entry/src/test/java/org/hyssophitch/entry/ScriptedServer.java
@@ -33,6 +33,7 @@
     private final ServerSocket socket;
     private final List<Request> requests = new CopyOnWriteArrayList<>();
     private final AtomicInteger connections = new AtomicInteger();
+    private final AtomicInteger open = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
     private volatile Script script;
     private volatile String load = "0,0,3,100";
@@ -88,6 +89,11 @@
         return connections.get();
     }
 
+    /** Returns the connections that are open now. */
+    int openConnections() {
+        return open.get();
+    }
+
     /** Returns the connections that the other end closed while a request was being answered. */
     int lost() {
         return lost.get();
@@ -115,6 +121,7 @@
     }
 
     private void serve(Socket connection) {
+        open.incrementAndGet();
         try (connection) {
             InputStream in = new BufferedInputStream(connection.getInputStream());
             boolean isKept = true;
@@ -135,6 +142,8 @@
             }
         } catch (IOException | InterruptedException e) {
             // The entry host closed the connection, as it may.
+        } finally {
+            open.decrementAndGet();
         }
     }
 
