One reading of a model host's answer for both sorts of callers

Ruled out: a shared base class of callers; the two differ in all else. Change: ModelEntryHost.Answer.recorded.

--- a/bench/src/main/java/org/hyssophitch/bench/day/DayCallers.java
+++ b/bench/src/main/java/org/hyssophitch/bench/day/DayCallers.java
@@ -13,7 +13,6 @@
 import org.hyssophitch.bench.model.VirtualTime;
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.call.CallRequest;
-import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.configuration.Route;
 import org.hyssophitch.standin.CallRecord;
 import org.hyssophitch.standin.CallRecord.Answer;
@@ -173,7 +172,7 @@
         if (v.isEnded || v.sent != request) {
             return;
         }
-        Answer answer = a.isBroken() ? Answer.BROKEN : answer(a);
+        Answer answer = a.recorded();
         record(v, request, answer);
         switch (answer) {
             case COMPLETED -> end(v, true);
@@ -182,21 +181,6 @@
         }
     }
 
-    private static Answer answer(ModelEntryHost.Answer a) {
-        return switch (a.outcome()) {
-            case COMPLETED -> completed(a);
-            case NOT_RUN -> Answer.NOT_RUN;
-            case UNKNOWN -> Answer.UNKNOWN;
-        };
-    }
-
-    private static Answer completed(ModelEntryHost.Answer a) {
-        if (a.isServerError()) {
-            return Answer.SERVER_ERROR;
-        }
-        return a.reason() == Reason.ANSWERED ? Answer.COMPLETED : Answer.ALREADY_RUN;
-    }
-
     private void repeatIfSafe(Visit v) {
         if (v.kind.route().idempotent()) {
             again(v, 0);
--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelCallers.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelCallers.java
@@ -8,7 +8,6 @@
 import org.hyssophitch.core.atmostonce.Ticket;
 import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.CallTerms;
-import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.standin.CallRecord;
 import org.hyssophitch.standin.CallRecord.Answer;
 import org.hyssophitch.standin.Deployment;
@@ -141,20 +140,7 @@
             onAnswer(r, host, Answer.BROKEN, BROKEN_PAUSE_MICROS, "");
             return;
         }
-        Answer answer =
-                switch (a.outcome()) {
-                    case COMPLETED -> completed(a);
-                    case NOT_RUN -> Answer.NOT_RUN;
-                    case UNKNOWN -> Answer.UNKNOWN;
-                };
-        onAnswer(r, host, answer, pause, a.detail());
-    }
-
-    private static Answer completed(ModelEntryHost.Answer a) {
-        if (a.isServerError()) {
-            return Answer.SERVER_ERROR;
-        }
-        return a.reason() == Reason.ANSWERED ? Answer.COMPLETED : Answer.ALREADY_RUN;
+        onAnswer(r, host, a.recorded(), pause, a.detail());
     }
 
     private void onAnswer(Request r, ModelEntryHost host, Answer answer, long pauseMicros, String elsewhere) {
--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
@@ -20,10 +20,10 @@
 import org.hyssophitch.core.call.CallEvent.AskOutcome;
 import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.EngineSettings;
-import org.hyssophitch.core.call.Outcome;
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.load.LoadReport;
 import org.hyssophitch.core.timeline.EventRecorder;
+import org.hyssophitch.standin.CallRecord;
 
 /**
  * Model of one entry host: a real call engine, with delays and connections to the model's servers. Not thread-safe; one
@@ -42,9 +42,23 @@
      */
     public record Answer(Reason reason, boolean isBroken, boolean isServerError, long retryAfterMillis, String detail) {
 
-        /** Returns what is known of the request's run. */
-        public Outcome outcome() {
-            return reason.outcome();
+        /** Returns what the caller records of it. */
+        public CallRecord.Answer recorded() {
+            if (isBroken) {
+                return CallRecord.Answer.BROKEN;
+            }
+            return switch (reason.outcome()) {
+                case COMPLETED -> completed();
+                case NOT_RUN -> CallRecord.Answer.NOT_RUN;
+                case UNKNOWN -> CallRecord.Answer.UNKNOWN;
+            };
+        }
+
+        private CallRecord.Answer completed() {
+            if (isServerError) {
+                return CallRecord.Answer.SERVER_ERROR;
+            }
+            return reason == Reason.ANSWERED ? CallRecord.Answer.COMPLETED : CallRecord.Answer.ALREADY_RUN;
         }
     }
 
