The last log lines of a process are written before it ends; an incident of Lakeshore

The thread that writes log lines rests for 100 ms after each batch, the process ends 50 ms after its last line; a request that ended just before takes the thread's turn. The reason of a start that failed could be lost in the same way. Change: Lifecycle closes the logs before it halts, for 100 ms at most, as their reader may have stopped reading; EntryMain does so before it gives up a start. Tests: LifecycleTest, JsonLineWriterTest (through a stream of its own).

--- a/bench/src/main/java/org/hyssophitch/bench/day/DayEvent.java
+++ b/bench/src/main/java/org/hyssophitch/bench/day/DayEvent.java
@@ -26,7 +26,7 @@
         CRASHED_SERVERS,
         /** Servers leave as planned, and are gone afterwards. */
         LEAVING_SERVERS,
-        /** As many servers again start, cold; the part is that of the service's servers. */
+        /** For each server that is struck another one of its service starts beside it, cold. */
         NEW_SERVERS,
         /** Entry hosts are killed, and start again. */
         KILLED_HOSTS,
--- a/bench/src/main/java/org/hyssophitch/bench/day/DayFleet.java
+++ b/bench/src/main/java/org/hyssophitch/bench/day/DayFleet.java
@@ -133,15 +133,9 @@
                 .toList();
     }
 
-    /** Adds a server that has just started; the entry hosts get to know of it. */
-    void startServer(String service) {
-        ServicePlan plan = this.plan.services().stream()
-                .filter(s -> service.isEmpty() || s.name().equals(service))
-                .findFirst()
-                .orElseThrow();
-        String zone =
-                this.plan.zones().get(random.nextInt(this.plan.zones().size())).name();
-        addServer(plan, zone).startCold();
+    /** Adds a server of the same service and zone that has just started; the entry hosts get to know of it. */
+    void startLike(ModelServer server) {
+        addServer(registry.get(server.name()).service(), server.zone()).startCold();
         time.after(NEWS_MICROS, this::informOfServers);
     }
 
--- a/bench/src/main/java/org/hyssophitch/bench/day/DayRun.java
+++ b/bench/src/main/java/org/hyssophitch/bench/day/DayRun.java
@@ -104,7 +104,7 @@
             case LOST_ANSWERS -> onServers(e, s -> s::setLostPart, 0);
             case CRASHED_SERVERS -> struckServers(e).forEach(s -> s.crash(micros));
             case LEAVING_SERVERS -> struckServers(e).forEach(fleet::leave);
-            case NEW_SERVERS -> struckServers(e).forEach(s -> fleet.startServer(e.service()));
+            case NEW_SERVERS -> struckServers(e).forEach(fleet::startLike);
             case KILLED_HOSTS -> struck(live(), e).forEach(h -> fleet.kill(h, micros));
             case EARLY_LEAVING -> whileItLasts(micros, p -> callers.setLeaving(p, e.strength()), e.part(), 0);
             case IMPATIENT_CALLERS -> whileItLasts(micros, p -> callers.setImpatient(p, e.strength()), e.part(), 0);
--- a/entry/src/main/java/org/hyssophitch/entry/EntryMain.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMain.java
@@ -32,11 +32,15 @@
             Lifecycle.stopOnSignal(program::stop);
             Lifecycle.awaitEnd();
         } catch (PlatformSettings.SettingsException e) {
-            Logger.error(e, "not started");
-            System.exit(EXIT_SETTINGS);
+            fail(e, EXIT_SETTINGS);
         } catch (ListenFailedException e) {
-            Logger.error(e, "not started");
-            System.exit(EXIT_UNAVAILABLE);
+            fail(e, EXIT_UNAVAILABLE);
         }
     }
+
+    private static void fail(Exception cause, int code) {
+        Logger.error(cause, "not started");
+        Lifecycle.writeLastLines();
+        System.exit(code);
+    }
 }
--- a/wire/src/main/java/org/hyssophitch/wire/report/JsonLineWriter.java
+++ b/wire/src/main/java/org/hyssophitch/wire/report/JsonLineWriter.java
@@ -3,6 +3,7 @@
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.io.StringWriter;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -37,7 +38,7 @@
     private static final LongAdder DROPPED = new LongAdder();
 
     private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(CAPACITY);
-    private final FileOutputStream out = new FileOutputStream(FileDescriptor.out);
+    private final OutputStream out;
     private volatile boolean isClosed;
 
     /**
@@ -46,6 +47,11 @@
      * @param properties settings of the writer; none are used
      */
     public JsonLineWriter(Map<String, String> properties) {
+        this(new FileOutputStream(FileDescriptor.out));
+    }
+
+    JsonLineWriter(OutputStream out) {
+        this.out = out;
         Thread thread = new Thread(this::run, "log-lines");
         thread.setDaemon(true);
         thread.start();
