--- a/bench/src/main/java/org/hyssophitch/bench/model/DeploymentConfiguration.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/DeploymentConfiguration.java
@@ -15,8 +15,7 @@
     public static Configuration of(Deployment d) {
         return switch (DocumentReader.read(DeploymentFiles.document(d))) {
             case YamlResult.Valid<Configuration> v -> v.value();
-            case YamlResult.Invalid<Configuration> i ->
-                throw new IllegalStateException(i.faults().toString());
+            case YamlResult.Invalid<Configuration> i -> throw new FaultyDocumentException(d, i.faults());
         };
     }
 }
--- a/wire/src/main/java/org/hyssophitch/wire/net/Addresses.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/Addresses.java
@@ -27,12 +27,12 @@
     /**
      * Parses an address without name resolution.
      *
-     * @throws IllegalArgumentException for text of another form
+     * @throws MalformedAddressException for text of another form
      */
     public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
         if (colon <= 0) {
-            throw new IllegalArgumentException("not of the form ip:port: " + text);
+            throw new MalformedAddressException(text);
         }
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
