A host that starts beside 31,000 registered servers: measured, and held by a test

Cause: docs/CAPACITY.md had no row for servers that register themselves; the store's stand-in gave every list in one page. Ruled out: a bench of its own; the real program against the stand-in shows the whole path, pages included.

--- a/entry/src/test/java/org/hyssophitch/entry/EntryProgramScaleTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramScaleTest.java
@@ -7,6 +7,7 @@
 import org.hyssophitch.core.entry.EntrySettings;
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 /** Many routes and many hosts at once. */
@@ -20,6 +21,8 @@
     private static final int MOST_CALLS_TO_START = 40;
 
     private static final int MANY_ROUTES = 444;
+    /** The backend servers of two years (docs/CAPACITY.md). */
+    private static final int MANY_SERVERS = 31_000;
 
     /** Many routes at once, as when a team moves in: the last of them is served in time, the first all the while. */
     @Test
@@ -40,6 +43,28 @@
         assertTrue(request(settings, "/more0/x").startsWith("HTTP/1.1 404"));
     }
 
+    /** A host that starts reads all servers page by page, and follows the change of one of them in time. */
+    @Test
+    public void followsAsManyServersAsThereMayBeInTwoYears() throws Exception {
+        configure(1, "svc");
+        register("i-1", first, "svc", "ready");
+        register("i-2", second, "svc", "ready");
+        IntStream.range(0, MANY_SERVERS).forEach(i -> register("many-" + i, second, "other", "ready"));
+        long started = System.nanoTime();
+        start(settings);
+        await(() -> request(settings, "/s/x").startsWith("HTTP/1.1 200"));
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - started);
+        assertTrue(millis <= RECOVERY_MILLIS, "serves after " + millis + " ms");
+
+        register("i-2", second, "svc", "draining");
+        Thread.sleep(IN_FORCE_MILLIS);
+        second.requests().clear();
+        for (int i = 0; i < 10; i++) {
+            assertTrue(request(settings, "/s/x").endsWith("first"));
+        }
+        assertEquals(second.requests(), List.of());
+    }
+
     /** All hosts are lost and start at the same time, while the store turns callers away at first. */
     @Test
     public void allHostsServeAgainSoonAfterALossOfAll() throws Exception {
--- a/entry/src/test/java/org/hyssophitch/entry/StoreStandin.java
+++ b/entry/src/test/java/org/hyssophitch/entry/StoreStandin.java
@@ -41,6 +41,8 @@
 
     private static final JsonMapper JSON = new JsonMapper();
     private static final String PREFIX = "/v1/objects/";
+    /** Objects in one answer, as the platform bounds them. */
+    private static final int PAGE = 500;
 
     private record Event(long revision, String kind, ObjectNode object, boolean deleted) {}
 
@@ -205,12 +207,12 @@
     private HttpReply list(String kind, String after) {
         ObjectNode answer = JSON.createObjectNode();
         ArrayNode items = answer.putArray("items");
-        kinds.getOrDefault(kind, Map.of()).forEach((name, o) -> {
-            if (name.compareTo(after) > 0) {
-                items.add(o);
-            }
-        });
-        answer.put("has_more", false).put("store_revision", revision);
+        List<ObjectNode> left = kinds.getOrDefault(kind, Map.of()).entrySet().stream()
+                .filter(e -> e.getKey().compareTo(after) > 0)
+                .map(Map.Entry::getValue)
+                .toList();
+        left.stream().limit(PAGE).forEach(items::add);
+        answer.put("has_more", left.size() > PAGE).put("store_revision", revision);
         return HttpReply.json(200, answer.toString());
     }
 
