Operators see which backend servers registered themselves

Cause: a service with servers: [] showed nothing of its servers in status, so an operator couldn't tell a service without servers from one whose news doesn't spread. Ruled out: a command of its own; what matters is whether all hosts agree, which status is for. Conclusion: nothing of the data path on the platform changed.

--- a/agent/src/main/java/org/hyssophitch/agent/Agent.java
+++ b/agent/src/main/java/org/hyssophitch/agent/Agent.java
@@ -198,6 +198,7 @@
                 datagrams.bytesReceived(),
                 c.measuring().probesPerSecondTotal(),
                 List.copyOf(e.leavingServers()),
+                e.registeredServers(),
                 e.members());
         return HttpReply.json(OK, TimelineJson.record(status));
     }
--- a/agent/src/main/java/org/hyssophitch/agent/AgentStatus.java
+++ b/agent/src/main/java/org/hyssophitch/agent/AgentStatus.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.membership.Member;
 
 /**
@@ -22,6 +23,7 @@
  * @param controlBytesReceived bytes of datagrams received so far
  * @param probeBudgetPerSecond probes that all entry hosts together may send per second
  * @param leavingServers backend servers that get no new work
+ * @param registeredServers backend servers that registered themselves
  * @param members all known entry hosts
  */
 public record AgentStatus(
@@ -40,4 +42,5 @@
         long controlBytesReceived,
         double probeBudgetPerSecond,
         List<String> leavingServers,
+        List<RegisteredServer> registeredServers,
         List<Member> members) {}
--- a/cli/src/main/java/org/hyssophitch/cli/StatusCommand.java
+++ b/cli/src/main/java/org/hyssophitch/cli/StatusCommand.java
@@ -30,6 +30,7 @@
             boolean watcher,
             boolean platformReachable,
             long liveMembers,
+            long registeredServers,
             String state) {
 
         boolean isGood() {
@@ -67,10 +68,19 @@
             return;
         }
         System.out.printf(
-                "%-10s %-16s %8s  %-24s %-6s %-7s %-9s %-5s %s%n",
-                "HOST", "ZONE", "VERSION", "IN FORCE SINCE", "PROXY", "WATCHES", "PLATFORM", "LIVE", "STATE");
+                "%-10s %-16s %8s  %-24s %-6s %-7s %-9s %-5s %-10s %s%n",
+                "HOST",
+                "ZONE",
+                "VERSION",
+                "IN FORCE SINCE",
+                "PROXY",
+                "WATCHES",
+                "PLATFORM",
+                "LIVE",
+                "REGISTERED",
+                "STATE");
         lines.forEach(l -> System.out.printf(
-                "%-10s %-16s %8d  %-24s %-6s %-7s %-9s %-5d %s%n",
+                "%-10s %-16s %8d  %-24s %-6s %-7s %-9s %-5d %-10d %s%n",
                 l.host(),
                 l.zone(),
                 l.version(),
@@ -79,12 +89,13 @@
                 yes(l.watcher()),
                 yes(l.platformReachable()),
                 l.liveMembers(),
+                l.registeredServers(),
                 l.state()));
     }
 
     private static HostStatus line(String agent, Optional<JsonNode> answer, long newest) {
         if (answer.isEmpty()) {
-            return new HostStatus(agent, agent, "?", 0, "", false, false, false, 0, "no-answer");
+            return new HostStatus(agent, agent, "?", 0, "", false, false, false, 0, 0, "no-answer");
         }
         JsonNode s = answer.get();
         long version = s.get("configurationVersion").asLong();
@@ -100,6 +111,7 @@
                 s.get("watcher").asBoolean(),
                 s.get("platformReachable").asBoolean(),
                 liveMembers(s),
+                s.path("registeredServers").size(),
                 state);
     }
 
--- a/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
@@ -143,6 +143,11 @@
         return leaving.leaving();
     }
 
+    /** Returns the backend servers that registered themselves. */
+    public List<RegisteredServer> registeredServers() {
+        return registrations.registered(nowMicros);
+    }
+
     /** Returns whether this host is one of the few that wait for changes at the object API. */
     public boolean isWatcher() {
         if (watcherEpoch != membershipEpoch) {
--- a/proxy/src/test/java/org/hyssophitch/proxy/ProxyFixture.java
+++ b/proxy/src/test/java/org/hyssophitch/proxy/ProxyFixture.java
@@ -48,6 +48,7 @@
     RawServer other;
     String proxyAddress;
     String platformAddress;
+    String agentHttp;
     private PlatformStandin platform;
     private Agent agent;
     private Proxy proxy;
@@ -58,19 +59,12 @@
         other = new RawServer(OK, RawServer.End.KEEP);
         platformAddress = "127.0.0.1:" + FreePorts.one();
         String agentAddress = "127.0.0.1:" + FreePorts.one();
+        agentHttp = "127.0.0.1:" + FreePorts.one();
         proxyAddress = "127.0.0.1:" + FreePorts.one();
         platform = new PlatformStandin(platformAddress);
         new DocumentStore(new PlatformClient(platformAddress)).apply(document(), "test", 0);
         agent = new Agent(new AgentSettings(
-                HOST,
-                "z1",
-                agentAddress,
-                "127.0.0.1:" + FreePorts.one(),
-                proxyAddress,
-                platformAddress,
-                List.of(),
-                50,
-                500));
+                HOST, "z1", agentAddress, agentHttp, proxyAddress, platformAddress, List.of(), 50, 500));
         agent.start();
         proxy = new Proxy(new ProxySettings(HOST, "z1", proxyAddress, agentAddress, 500));
         proxy.start();
@@ -128,6 +122,10 @@
         }
     }
 
+    OkHttpClient client() {
+        return caller;
+    }
+
     Response send(Request request) throws IOException {
         String url = request.url().toString().replace("http://proxy", "http://" + proxyAddress);
         return caller.newCall(request.newBuilder().url(url).build()).execute();
--- a/proxy/src/test/java/org/hyssophitch/proxy/ProxyRegistrationTest.java
+++ b/proxy/src/test/java/org/hyssophitch/proxy/ProxyRegistrationTest.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 
+import okhttp3.Request;
 import okhttp3.Response;
 import org.hyssophitch.standin.SelfRegistration;
 import org.hyssophitch.wire.report.CallHeaders;
@@ -31,10 +32,20 @@
             try (Response r = send(get(PATH))) {
                 assertEquals(r.header(CallHeaders.SERVER), "b9");
             }
+            assertTrue(agentStatus().contains("\"registeredServers\":[{\"service\":\"registered\""), agentStatus());
         }
         assertTrue(isReached("no-server", GONE_BOUND), "still served");
     }
 
+    private String agentStatus() throws IOException {
+        try (Response r = client().newCall(new Request.Builder()
+                        .url("http://" + agentHttp + "/status")
+                        .build())
+                .execute()) {
+            return r.body().string();
+        }
+    }
+
     private boolean isReached(String expected, Duration bound) throws IOException, InterruptedException {
         long end = System.nanoTime() + bound.toNanos();
         while (System.nanoTime() < end) {
