--- a/bench/src/main/java/org/hyssophitch/bench/command/BenchMain.java
+++ b/bench/src/main/java/org/hyssophitch/bench/command/BenchMain.java
@@ -9,7 +9,7 @@
 /** Program {@code bin/bench}: measurements. */
 public final class BenchMain {
 
-    private static final int EXIT_USAGE = 64;
+    static final int EXIT_USAGE = 64;
 
     private BenchMain() {}
 
--- a/bench/src/main/java/org/hyssophitch/bench/command/DayCommand.java
+++ b/bench/src/main/java/org/hyssophitch/bench/command/DayCommand.java
@@ -37,6 +37,10 @@
 
     @Override
     public int execute() throws IOException {
+        if (files.isEmpty()) {
+            System.err.println("name at least one file, as bench/days/glenmorven-quiet.yaml");
+            return BenchMain.EXIT_USAGE;
+        }
         System.out.println("| day | policy | worth | worst windows | whole day | served | worst kind | requests"
                 + " | repeats per request | beyond their budget | questions per request | violations |");
         System.out.println("|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|");
--- a/bench/src/main/java/org/hyssophitch/bench/day/DayReader.java
+++ b/bench/src/main/java/org/hyssophitch/bench/day/DayReader.java
@@ -30,6 +30,9 @@
     private static final int MAX_MILLIS = 3_600_000;
     private static final double MAX_PER_SECOND = 1_000_000;
     private static final double MAX_FACTOR = 1_000;
+    /** A burst of nothing would be no load at all. */
+    private static final double LEAST_STRENGTH = 0.001;
+
     private static final long MICROS_PER_MILLI = 1_000;
 
     private final Set<String> zones = new HashSet<>();
@@ -135,7 +138,7 @@
                 m.integer("at-ms", 0, MAX_MILLIS, 0),
                 m.integer("for-ms", 0, MAX_MILLIS, 5_000),
                 m.decimal("part", 0, 1, 1),
-                m.decimal("strength", 0, MAX_FACTOR, 1),
+                m.decimal("strength", LEAST_STRENGTH, MAX_FACTOR, 1),
                 m.text("service", "").isEmpty() ? "" : known(m, "service", services));
     }
 
--- a/bench/src/test/java/org/hyssophitch/bench/day/DayReaderTest.java
+++ b/bench/src/test/java/org/hyssophitch/bench/day/DayReaderTest.java
@@ -64,6 +64,7 @@
             {"work: {mean-ms: 50, spread: 0.3}", "repeats: 1", Fault.Kind.MISSING_KEY, "kinds[0].work"},
             {"name: south", "name: north", Fault.Kind.DUPLICATE, "zones[1].name"},
             {"kind: slow-servers", "kind: fast-servers", Fault.Kind.NOT_ALLOWED, "events[0].kind"},
+            {"strength: 3", "strength: 0", Fault.Kind.OUT_OF_RANGE, "events[0].strength"},
             {"kind: slow-servers, ", "", Fault.Kind.MISSING_KEY, "events[0].kind"},
             {"name: small", "title: small", Fault.Kind.MISSING_KEY, "name"},
         };
