Follow the registered servers once per event; one mapping of plots, one reading of addresses

Cause: read over the whole change. An agent that learnt of many registered servers at once planned all its probes anew for each of them, so a first list of n servers cost n times n. A service without registered servers was compared server by server at each change of the fleet, which it wasn't before. Both plots worked out the same pixels; the host list's reader took an address apart that Addresses.parse takes apart; a method of the stand-in was called by nobody; a constant stood among the fields, and a doc comment above another's method. Ruled out: one set of metrics for proxy and entry program, and AgentNews for the entry hosts' datagrams: names, bounds and what is repeated differ. Change: AgentEngine follows the servers at the end of an event; Service.withRegistered returns itself when there is nothing to add; SvgChart.x and y; Addresses.isAddress without a pattern for every port; the rest as named above. Conclusion: behaviour stays as it was.

--- a/bench/src/main/java/org/hyssophitch/bench/PolicyPlot.java
+++ b/bench/src/main/java/org/hyssophitch/bench/PolicyPlot.java
@@ -40,14 +40,12 @@
     private static int x(int loadPercent) {
         int least = PolicyBench.LOADS_PERCENT.getFirst();
         int most = PolicyBench.LOADS_PERCENT.getLast();
-        int width = SvgChart.WIDTH - SvgChart.LEFT - SvgChart.RIGHT;
-        return SvgChart.LEFT + width * (loadPercent - least) / (most - least);
+        return SvgChart.x((double) (loadPercent - least) / (most - least));
     }
 
     private static int y(double millis) {
         double bounded = Math.max(LEAST_MILLIS, Math.min(MOST_MILLIS, millis));
         double share = Math.log(bounded / LEAST_MILLIS) / Math.log(MOST_MILLIS / LEAST_MILLIS);
-        int height = SvgChart.HEIGHT - SvgChart.TOP - SvgChart.BOTTOM;
-        return (int) Math.round(SvgChart.HEIGHT - SvgChart.BOTTOM - share * height);
+        return SvgChart.y(share);
     }
 }
--- a/bench/src/main/java/org/hyssophitch/bench/SvgChart.java
+++ b/bench/src/main/java/org/hyssophitch/bench/SvgChart.java
@@ -7,19 +7,14 @@
 /** An SVG picture of curves with a legend at the right. Not thread-safe; built by one thread. */
 public final class SvgChart {
 
-    /** Width of the picture. */
-    public static final int WIDTH = 720;
-    /** Height of the picture. */
-    public static final int HEIGHT = 400;
-    /** Left end of the plotted area. */
-    public static final int LEFT = 60;
-    /** Distance of the plotted area from the right end. */
-    public static final int RIGHT = 150;
-    /** Upper end of the plotted area. */
-    public static final int TOP = 40;
-    /** Distance of the plotted area from the lower end. */
-    public static final int BOTTOM = 40;
+    private static final int WIDTH = 720;
+    private static final int HEIGHT = 400;
+    /** Distances in pixels of the plotted area from the ends of the picture. */
+    private static final int LEFT = 60;
 
+    private static final int RIGHT = 150;
+    private static final int TOP = 40;
+    private static final int BOTTOM = 40;
     private static final List<String> COLOURS =
             List.of("#7f7f7f", "#bcbd22", "#1f77b4", "#9467bd", "#2ca02c", "#d62728", "#ff7f0e");
     private static final int LEGEND_STEP = 18;
@@ -44,8 +39,17 @@
         text(LEFT, TOP - 16, title);
     }
 
-    /** Adds a text. */
-    public void text(int x, int y, String text) {
+    /** Returns the pixels from the left of a part of the plotted width, from 0 to 1. */
+    public static int x(double part) {
+        return LEFT + (int) ((WIDTH - LEFT - RIGHT) * part);
+    }
+
+    /** Returns the pixels from the top of a part of the plotted height, from 0 at the lower end to 1. */
+    public static int y(double part) {
+        return (int) Math.round(HEIGHT - BOTTOM - part * (HEIGHT - TOP - BOTTOM));
+    }
+
+    private void text(int x, int y, String text) {
         svg.append(String.format(Locale.ROOT, "<text x=\"%d\" y=\"%d\" fill=\"#333\">%s</text>%n", x, y, text));
     }
 
--- a/bench/src/main/java/org/hyssophitch/bench/day/DayPlot.java
+++ b/bench/src/main/java/org/hyssophitch/bench/day/DayPlot.java
@@ -21,7 +21,7 @@
         SvgChart chart = new SvgChart("Worth of each second, " + plan.name());
         IntStream.rangeClosed(0, (int) PERCENT / GRID_STEP_PERCENT)
                 .map(i -> i * GRID_STEP_PERCENT)
-                .forEach(p -> chart.gridLine(y(p / PERCENT), p + " %"));
+                .forEach(p -> chart.gridLine(SvgChart.y(p / PERCENT), p + " %"));
         IntStream.rangeClosed(0, (int) plan.seconds() / MARK_SECONDS)
                 .map(i -> i * MARK_SECONDS)
                 .forEach(s -> chart.mark(x(plan, s), s + " s"));
@@ -32,16 +32,10 @@
     }
 
     private static SvgChart.Point point(DayPlan plan, Map.Entry<Long, Double> second) {
-        return new SvgChart.Point(x(plan, second.getKey()), y(second.getValue()));
+        return new SvgChart.Point(x(plan, second.getKey()), SvgChart.y(second.getValue()));
     }
 
     private static int x(DayPlan plan, double second) {
-        int width = SvgChart.WIDTH - SvgChart.LEFT - SvgChart.RIGHT;
-        return SvgChart.LEFT + (int) Math.round(width * second / plan.seconds());
-    }
-
-    private static int y(double worth) {
-        int height = SvgChart.HEIGHT - SvgChart.TOP - SvgChart.BOTTOM;
-        return SvgChart.HEIGHT - SvgChart.BOTTOM - (int) Math.round(height * worth);
+        return SvgChart.x(second / plan.seconds());
     }
 }
--- a/bench/src/main/java/org/hyssophitch/bench/day/RepeatWatch.java
+++ b/bench/src/main/java/org/hyssophitch/bench/day/RepeatWatch.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.LongStream;
 
 import org.hyssophitch.core.call.FleetLimits;
 import org.hyssophitch.core.timeline.EventBody;
@@ -52,9 +53,10 @@
         long window = limits.repeatWindowMicros();
         return repeats.stream()
                 .mapToDouble(end -> {
-                    long most = Math.max(
-                            count(requests, end, window),
-                            Math.max(count(requests, end - window / 2, window), count(requests, end - window, window)));
+                    long most = LongStream.of(0, window / 2, window)
+                            .map(back -> count(requests, end - back, window))
+                            .max()
+                            .orElseThrow();
                     return count(repeats, end, window) - limits.repeatRatio() * most - limits.repeatAllowance();
                 })
                 .max()
--- a/core/src/main/java/org/hyssophitch/core/configuration/Service.java
+++ b/core/src/main/java/org/hyssophitch/core/configuration/Service.java
@@ -65,6 +65,9 @@
      * stays as it stands there.
      */
     public Service withRegistered(List<RegisteredServer> registered) {
+        if (registered.isEmpty()) {
+            return this;
+        }
         Set<String> named = servers.stream().map(BackendServer::name).collect(Collectors.toSet());
         Stream<BackendServer> added = registered.stream()
                 .map(r -> r.server().withConnectionLimit(connectionLimit))
--- a/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
@@ -59,6 +59,7 @@
     private List<AgentAction> actions = new ArrayList<>();
     private long nowMicros;
     private boolean hasUrgentNews;
+    private boolean hasOtherServers;
     private boolean isStopping;
     private long nextUpdateMicros;
     private long proxyVersion = -1;
@@ -109,6 +110,10 @@
             case AgentEvent.StopRequested e -> stop();
             case AgentEvent.Left e -> membership.stateSelf(membership.self().withState(MemberState.LEFT));
         }
+        if (hasOtherServers) {
+            hasOtherServers = false;
+            followServers();
+        }
         if (hasUrgentNews) {
             hasUrgentNews = false;
             spreadNews();
@@ -252,16 +257,13 @@
             hasUrgentNews = true;
             outbox.markUnregistered();
             String service = n.registration().map(RegisteredServer::service).orElse("");
-            recorder.record(
-                    nowMicros,
-                    "",
-                    new EventBody.ServerRegistered(
-                            n.server(), service, n.registration().isEmpty()));
-            followServers();
+            boolean isGone = n.registration().isEmpty();
+            recorder.record(nowMicros, "", new EventBody.ServerRegistered(n.server(), service, isGone));
+            hasOtherServers = true;
         }
     }
 
-    /** Measures and remembers the servers that there are, by the document and by registration. */
+    /** Measures and remembers the servers that there are; once for all that one event tells of them. */
     private void followServers() {
         Configuration known = configuration().withRegistered(registrations.byService(nowMicros));
         planner.onConfiguration(known, nowMicros);
@@ -301,7 +303,7 @@
             return;
         }
         recorder.record(nowMicros, "", new EventBody.ConfigurationInForce(candidate.version(), candidate.revisionId()));
-        followServers();
+        hasOtherServers = true;
         membership.stateSelf(membership.self().withConfigurationVersion(candidate.version()));
         pushConfiguration();
     }
--- a/core/src/main/java/org/hyssophitch/core/membership/MembershipEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/membership/MembershipEngine.java
@@ -277,7 +277,6 @@
                         !m.isLive() && nowMicros - changedMicros.getOrDefault(m.host(), nowMicros) >= FORGET_MICROS);
     }
 
-    /** Contradicts a statement that this host is not running; returns whether there was something to contradict. */
     /**
      * Raises this host's incarnation above the one given, which a process of this host had before. Its clock was ahead
      * then, and all others would take this process for the older one. Bounded, so that two processes which run under
@@ -297,6 +296,7 @@
         return true;
     }
 
+    /** Contradicts a statement that this host is not running; returns whether there was something to contradict. */
     private boolean refute(Member statement) {
         if (statement.incarnation() > self.incarnation()) {
             return succeed(statement.incarnation());
--- a/entry/src/main/java/org/hyssophitch/entry/EventLog.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EventLog.java
@@ -31,14 +31,14 @@
     /** One line on an event of the time line. */
     record Line(String event, String request, EventBody body) {}
 
-    private final EntryMetrics metrics;
-    private final TokenBucket usual;
-    private final TokenBucket trouble;
-
     private static final Comparator<EventBody.CandidateView> CHOSEN_FIRST = Comparator.comparing(
                     (EventBody.CandidateView v) -> !v.verdict().equals(EventBody.CandidateView.CHOSEN))
             .thenComparingDouble(EventBody.CandidateView::score);
 
+    private final EntryMetrics metrics;
+    private final TokenBucket usual;
+    private final TokenBucket trouble;
+
     EventLog(EntryMetrics metrics) {
         this.metrics = metrics;
         long now = WallClock.nowMicros();
--- a/standin/src/main/java/org/hyssophitch/standin/SelfRegistration.java
+++ b/standin/src/main/java/org/hyssophitch/standin/SelfRegistration.java
@@ -32,16 +32,6 @@
         this.platform = platform;
     }
 
-    /** Registers a server of a deployment from now on. */
-    public void register(Deployment.Server server) {
-        register(
-                server.name(),
-                server.service().name(),
-                server.host() + ":" + server.port(),
-                server.zone(),
-                Deployment.SLOTS);
-    }
-
     /** Registers a server from now on. */
     public void register(String name, String service, String address, String zone, int slots) {
         String entry = String.format(
--- a/wire/src/main/java/org/hyssophitch/wire/net/Addresses.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/Addresses.java
@@ -8,9 +8,8 @@
 /** Textual addresses of the form {@code ip:port}. Stateless. */
 public final class Addresses {
 
-    /** Ports have up to five digits and end at 65535. */
-    private static final Pattern ADDRESS =
-            Pattern.compile("[0-9.]+:(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]\\d{4}|[1-9]\\d{0,3})");
+    private static final Pattern PORT = Pattern.compile("[1-9]\\d{0,4}");
+    private static final int MAX_PORT = 65_535;
 
     private Addresses() {}
 
@@ -21,7 +20,8 @@
 
     /** Returns whether a text is an IPv4 address and a port. */
     public static boolean isAddress(String text) {
-        return ADDRESS.matcher(text).matches() && NetUtil.isValidIpV4Address(text.substring(0, text.indexOf(':')));
+        int colon = text.lastIndexOf(':');
+        return colon > 0 && NetUtil.isValidIpV4Address(text.substring(0, colon)) && isPort(text.substring(colon + 1));
     }
 
     /**
@@ -36,4 +36,8 @@
         }
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
+
+    private static boolean isPort(String digits) {
+        return PORT.matcher(digits).matches() && Integer.parseInt(digits) <= MAX_PORT;
+    }
 }
--- a/wire/src/main/java/org/hyssophitch/wire/platform/HostListParser.java
+++ b/wire/src/main/java/org/hyssophitch/wire/platform/HostListParser.java
@@ -1,6 +1,7 @@
 package org.hyssophitch.wire.platform;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -80,15 +81,9 @@
             Logger.warn("registration of {} for {} at {} can't be used", f.name, f.service, f.address);
             return Optional.empty();
         }
-        int colon = f.address.lastIndexOf(':');
-        BackendServer server = new BackendServer(
-                f.name,
-                f.address.substring(0, colon),
-                Integer.parseInt(f.address.substring(colon + 1)),
-                f.zone,
-                f.slots,
-                0,
-                false);
+        InetSocketAddress address = Addresses.parse(f.address);
+        BackendServer server =
+                new BackendServer(f.name, address.getHostString(), address.getPort(), f.zone, f.slots, 0, false);
         return Optional.of(new RegisteredServer(f.service, server, Math.max(0, f.coldMillis)));
     }
 }
