Store restored from a copy: revisions compare only within an epoch

Cause: the store's header Store-Era was not read. After a restore from a copy, revisions are issued again: a watch from an old revision missed what lay before it, a removed server came back from the copy, a drain was taken back. Ruled out: relying on 410 alone; a store that has reached the revision again answers the watch. Change: positions carry an epoch; a watcher lists again when any answer shows a later one; the registry compares the sequence numbers of a server's statements, holds removed servers back until theirs rises, and lists again after the time in which servers register anew. An entry host registers again.

--- a/core/src/main/java/org/hyssophitch/core/entry/ServerRegistry.java
+++ b/core/src/main/java/org/hyssophitch/core/entry/ServerRegistry.java
@@ -20,6 +20,10 @@
  * is unavailable, and live servers renew them within about two seconds of its recovery. A server whose registration
  * disappears within that time, or together with many others, is therefore kept for a short grace period. A draining
  * server gets none.
+ *
+ * <p>A store that was restored from a copy lists earlier registrations until the servers write theirs again. The
+ * sequence numbers of a server's statements tell which registration is the later one: an earlier one is ignored, and a
+ * server that was already removed returns only once its sequence number rises.
  */
 public final class ServerRegistry {
 
@@ -35,22 +39,49 @@
     /** Minimum number of servers whose simultaneous loss counts as expiry. */
     private static final int MASS_EXPIRY_MIN_SERVERS = 3;
 
+    /** Time in microseconds for which removed servers are remembered; copies of the store are some seconds old. */
+    private static final long REMOVAL_MEMORY_MICROS = 60_000_000;
+
     private final Map<String, RegisteredServer> servers = new TreeMap<>();
     private final Map<String, Long> graceEnds = new HashMap<>();
+    /** Sequence numbers at which removed servers appeared in a restored store. */
+    private final Map<String, Long> unprovenSequences = new HashMap<>();
+    /** When each removed server was removed, in microseconds, by server name. */
+    private final Map<String, Long> removalMicros = new HashMap<>();
+
     private long renewalEndMicros;
+    private boolean isRestored;
 
     /** Records that the store is reachable again after an outage. */
     public void onStoreRecovered(long nowMicros) {
         renewalEndMicros = nowMicros + RENEWAL_PERIOD_MICROS;
     }
 
+    /**
+     * Records that the store was restored from a copy; the next listing may be older than what is known.
+     *
+     * @return time in microseconds at which the servers must be listed again to learn which of them live
+     */
+    public long onStoreRestored(long nowMicros) {
+        onStoreRecovered(nowMicros);
+        isRestored = true;
+        removalMicros.values().removeIf(t -> nowMicros - t > REMOVAL_MEMORY_MICROS);
+        return renewalEndMicros;
+    }
+
     /** Replaces the known servers by a complete listing. */
     public void onListed(Map<String, StoredObject<RegisteredServer>> objects, long nowMicros) {
         Set<String> missing = new HashSet<>(servers.keySet());
+        unprovenSequences.keySet().retainAll(objects.keySet());
         objects.forEach((name, o) -> o.value().ifPresent(r -> {
             missing.remove(name);
-            put(name, r);
+            if (isRestored) {
+                putRestored(name, r);
+            } else {
+                put(name, r);
+            }
         }));
+        isRestored = false;
         remove(missing, nowMicros);
     }
 
@@ -61,6 +92,7 @@
             String name = c.object().name();
             if (c.isDeleted() || c.object().value().isEmpty()) {
                 deleted.add(name);
+                unprovenSequences.remove(name);
             } else {
                 deleted.remove(name);
                 put(name, c.object().value().get());
@@ -75,10 +107,7 @@
                 .filter(e -> nowMicros >= e.getValue())
                 .map(Map.Entry::getKey)
                 .toList();
-        expired.forEach(n -> {
-            servers.remove(n);
-            graceEnds.remove(n);
-        });
+        expired.forEach(n -> drop(n, nowMicros));
         return !expired.isEmpty();
     }
 
@@ -96,10 +125,40 @@
     }
 
     private void put(String name, RegisteredServer server) {
+        Long unproven = unprovenSequences.get(name);
+        if (unproven != null && server.sequence() <= unproven) {
+            return;
+        }
+        unprovenSequences.remove(name);
         servers.put(name, server);
         graceEnds.remove(name);
     }
 
+    /** Adds a server from a restored store unless what is known of it is later. */
+    private void putRestored(String name, RegisteredServer server) {
+        RegisteredServer known = servers.get(name);
+        if (known == null && removalMicros.containsKey(server.server().name())) {
+            unprovenSequences.put(name, server.sequence());
+            return;
+        }
+        boolean isSameProcess =
+                known != null && known.server().name().equals(server.server().name());
+        boolean isEarlier = isSameProcess && server.sequence() < known.sequence();
+        boolean revertsDrain = isSameProcess
+                && known.server().draining()
+                && !server.server().draining()
+                && server.sequence() <= known.sequence();
+        if (!isEarlier && !revertsDrain) {
+            put(name, server);
+        }
+    }
+
+    private void drop(String name, long nowMicros) {
+        RegisteredServer dropped = servers.remove(name);
+        graceEnds.remove(name);
+        removalMicros.put(dropped.server().name(), nowMicros);
+    }
+
     private void remove(Set<String> names, long nowMicros) {
         Set<String> expiredServices = massExpired(names);
         names.forEach(n -> {
@@ -109,8 +168,7 @@
             }
             long until = graceEndMicros(expiredServices.contains(known.service()), nowMicros);
             if (known.server().draining() || until <= nowMicros) {
-                servers.remove(n);
-                graceEnds.remove(n);
+                drop(n, nowMicros);
             } else {
                 graceEnds.putIfAbsent(n, until);
             }
--- a/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
+++ b/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
@@ -4,13 +4,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.hyssophitch.core.retry.Backoff;
 
 /**
  * Watches all objects of one kind: lists them once, then watches for changes, and lists again when the store no longer
- * holds the history or a watch has failed.
+ * holds the history, when a watch has failed, and when the store was restored from a copy.
  *
  * <p>Not thread-safe; owned by one thread from {@link #start} until {@link #stop}. A failed call is retried with
  * exponential backoff and jitter, so that hosts don't retry in step after an outage of the store.
@@ -30,6 +31,12 @@
          */
         void onListed(Map<String, StoredObject<T>> objects, boolean hadOutage);
 
+        /**
+         * Called before the first listing after the store was restored from a copy: the listing may lack objects that
+         * were already delivered and contain earlier states of others, until their writers write them again.
+         */
+        void onRestored();
+
         /** Called after objects changed; the changes are in order. */
         void onChanged(List<StoreChanges.Change<T>> changes);
 
@@ -41,15 +48,11 @@
         void onReachabilityChanged(boolean isReachable, String detail);
     }
 
-    /** Maximum wait of one watch in milliseconds; {@link #relist} abandons a watch whose response may be lost. */
-    private static final int WATCH_MILLIS = 8_000;
     /**
      * Maximum wait in milliseconds of the first watch after a failure or a repeated list. It is shorter because a store
      * that drops its history may never notify a watch that was begun at that moment.
      */
     private static final int RECOVERY_WATCH_MILLIS = 1_000;
-    /** Delay in microseconds before the next watch after changes; batches changes because each call has a cost. */
-    private static final long BATCH_DELAY_MICROS = 600_000;
     /** Delay in microseconds before the next watch after one without changes. */
     private static final long WATCH_DELAY_MICROS = 1_000;
 
@@ -61,15 +64,20 @@
     private final ObjectKind<T> kind;
     private final Timers timers;
     private final Listener<T> listener;
+    private final Supplier<WatchPacing> pacing;
     private final Backoff backoff;
+    private final ChangeLog<T> changeLog = new ChangeLog<>();
     private Map<String, StoredObject<T>> listed = new HashMap<>();
-    private long revision;
+    private StorePosition position = StorePosition.NONE;
+    private StorePosition firstPagePosition = StorePosition.NONE;
+    private WatchPacing currentPacing = WatchPacing.ALONE;
     /** Identifies the current watch; the result of an earlier one is ignored. */
     private long watchId;
 
     private boolean hasFailed;
     private boolean isWatching;
     private boolean usesRecoveryWatch;
+    private boolean mustList;
     private boolean isStopped;
 
     /**
@@ -78,14 +86,21 @@
      * @param store the store
      * @param kind kind of the objects
      * @param timers clock and timers of the owning thread
+     * @param pacing supplies the pacing of each watch
      * @param random seeded source of randomness
      * @param listener receives listings, changes and reachability
      */
     public KindWatcher(
-            ObjectStore store, ObjectKind<T> kind, Timers timers, RandomGenerator random, Listener<T> listener) {
+            ObjectStore store,
+            ObjectKind<T> kind,
+            Timers timers,
+            Supplier<WatchPacing> pacing,
+            RandomGenerator random,
+            Listener<T> listener) {
         this.store = store;
         this.kind = kind;
         this.timers = timers;
+        this.pacing = pacing;
         this.listener = listener;
         this.backoff = new Backoff(INITIAL_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS, random);
     }
@@ -100,10 +115,16 @@
         isStopped = true;
     }
 
+    /** Returns the changes that this watcher has received, for hosts that watch through this one. */
+    public ChangeLog<T> changeLog() {
+        return changeLog;
+    }
+
     private void list(String after) {
         if (after.isEmpty()) {
+            mustList = false;
             listed = new HashMap<>();
-            usesRecoveryWatch = hasFailed || revision > 0;
+            usesRecoveryWatch = hasFailed || position.revision() > 0;
         }
         store.list(kind, after, false, r -> onPage(r));
     }
@@ -117,27 +138,46 @@
             return;
         }
         StorePage<T> page = done.value();
+        if (listed.isEmpty()) {
+            firstPagePosition = page.position();
+        }
+        if (!page.position().isSameEpoch(firstPagePosition)) {
+            list("");
+            return;
+        }
         page.items().forEach(o -> listed.put(o.name(), o));
         if (page.hasMore()) {
             list(page.lastName());
             return;
         }
-        revision = page.revision();
+        onListed(page.position());
+    }
+
+    private void onListed(StorePosition newPosition) {
+        boolean isRestored = position.revision() > 0 && !newPosition.isSameEpoch(position);
+        position = newPosition;
         boolean hadOutage = hasFailed;
         onSuccess();
+        if (isRestored) {
+            listener.onRestored();
+        }
         listener.onListed(Map.copyOf(listed), hadOutage);
         listed = new HashMap<>();
+        changeLog.reset(position, timers.nowMicros());
         watch();
     }
 
     private void watch() {
-        if (!isStopped) {
+        if (mustList) {
+            list("");
+        } else if (!isStopped) {
             watchId++;
             long current = watchId;
             isWatching = true;
-            int waitMillis = usesRecoveryWatch ? RECOVERY_WATCH_MILLIS : WATCH_MILLIS;
+            currentPacing = pacing.get();
+            int waitMillis = usesRecoveryWatch ? RECOVERY_WATCH_MILLIS : currentPacing.waitMillis();
             usesRecoveryWatch = false;
-            store.watch(kind, revision, waitMillis, r -> {
+            store.watch(kind, position, waitMillis, r -> {
                 if (current == watchId) {
                     isWatching = false;
                     onWatchResult(r);
@@ -158,6 +198,30 @@
         }
     }
 
+    /**
+     * Lists again if the store has been restored from a copy since this watcher last heard of it.
+     *
+     * @param epoch epoch that any answer of the store has shown
+     */
+    public void onEpoch(long epoch) {
+        if (position.revision() > 0 && epoch > position.epoch()) {
+            listAgain();
+        }
+    }
+
+    /** Lists again at once, or after the current delay between two watches. */
+    public void listAgain() {
+        mustList = true;
+        relist();
+    }
+
+    /** Begins the current watch anew if its pacing has changed since. */
+    public void renewWatch() {
+        if (isWatching && pacing.get() != currentPacing) {
+            watch();
+        }
+    }
+
     private void onWatchResult(StoreResult<StoreChanges<T>> result) {
         if (isStopped) {
             return;
@@ -170,14 +234,19 @@
     }
 
     private void onChanges(StoreChanges<T> changes) {
-        revision = Math.max(revision, changes.revision());
+        if (!changes.position().isSameEpoch(position)) {
+            list("");
+            return;
+        }
+        position = position.max(changes.position());
         onSuccess();
+        changeLog.append(changes, timers.nowMicros());
         if (changes.changes().isEmpty()) {
             timers.after(WATCH_DELAY_MICROS, this::watch);
             return;
         }
         listener.onChanged(new ArrayList<>(changes.changes()));
-        timers.after(BATCH_DELAY_MICROS, this::watch);
+        timers.after(currentPacing.batchDelayMicros(), this::watch);
     }
 
     private void onSuccess() {
@@ -193,6 +262,7 @@
             hasFailed = true;
             listener.onReachabilityChanged(false, kind.name() + ' ' + detail);
         }
+        changeLog.invalidate();
         timers.after(backoff.nextMillis() * MICROS_PER_MILLI, () -> {
             if (!isStopped) {
                 task.run();
--- a/core/src/main/java/org/hyssophitch/core/store/ObjectStore.java
+++ b/core/src/main/java/org/hyssophitch/core/store/ObjectStore.java
@@ -19,10 +19,11 @@
     /**
      * Waits for changes to objects of a kind.
      *
-     * @param revision store revision after which changes are returned
+     * @param since position after which changes are returned
      * @param waitMillis maximum time in milliseconds to wait for a change
      */
-    <T> void watch(ObjectKind<T> kind, long revision, int waitMillis, Consumer<StoreResult<StoreChanges<T>>> onResult);
+    <T> void watch(
+            ObjectKind<T> kind, StorePosition since, int waitMillis, Consumer<StoreResult<StoreChanges<T>>> onResult);
 
     /** Creates an object. */
     <T> void create(ObjectKind<T> kind, String name, T value, Consumer<StoreResult<StoredObject<T>>> onResult);
--- a/core/src/main/java/org/hyssophitch/core/store/StoreChanges.java
+++ b/core/src/main/java/org/hyssophitch/core/store/StoreChanges.java
@@ -6,10 +6,10 @@
  * Changes to the objects of one kind. Immutable.
  *
  * @param changes the changes, oldest first
- * @param revision store revision up to which the changes are complete
+ * @param position position of the store up to which the changes are complete
  * @param <T> type of the decoded value
  */
-public record StoreChanges<T>(List<Change<T>> changes, long revision) {
+public record StoreChanges<T>(List<Change<T>> changes, StorePosition position) {
 
     /**
      * One change.
--- a/core/src/main/java/org/hyssophitch/core/store/StorePage.java
+++ b/core/src/main/java/org/hyssophitch/core/store/StorePage.java
@@ -8,7 +8,7 @@
  * @param items the objects
  * @param hasMore whether more pages follow
  * @param lastName name of the last object, after which the next page begins; empty for an empty page
- * @param revision store revision of the page
+ * @param position position of the store at which the page was read
  * @param <T> type of the decoded value
  */
-public record StorePage<T>(List<StoredObject<T>> items, boolean hasMore, String lastName, long revision) {}
+public record StorePage<T>(List<StoredObject<T>> items, boolean hasMore, String lastName, StorePosition position) {}
--- a/core/src/test/java/org/hyssophitch/core/entry/ServerRegistryTest.java
+++ b/core/src/test/java/org/hyssophitch/core/entry/ServerRegistryTest.java
@@ -91,6 +91,44 @@
         assertEquals(names(), expected(1, 2));
     }
 
+    /** The copy was made before the server announced that it leaves. */
+    @Test
+    public void restoredStoreDoesNotRevertADrain() {
+        registry.onListed(Map.of("i-0", object("i-0", false, 5), "i-1", object("i-1", false, 5)), 0);
+        registry.onChanged(List.of(new Change<>(object("i-0", true, 8), false)), SECOND);
+        registry.onStoreRestored(2 * SECOND);
+        registry.onListed(Map.of("i-0", object("i-0", false, 6), "i-1", object("i-1", false, 7)), 2 * SECOND);
+        assertTrue(isDraining("i-0"));
+        assertEquals(names(), expected(0, 2));
+    }
+
+    /** A removed server is back in the copy; only a statement that it made after the restore proves that it lives. */
+    @Test
+    public void restoredStoreReturnsARemovedServerOnlyWhenItLives() {
+        registry.onListed(Map.of("i-0", object("i-0", false, 5), "i-1", object("i-1", false, 5)), 0);
+        registry.onChanged(List.of(deleted("i-0"), deleted("i-1")), SECOND);
+        long listAgain = registry.onStoreRestored(2 * SECOND);
+        registry.onListed(Map.of("i-0", object("i-0", false, 9), "i-1", object("i-1", false, 9)), 2 * SECOND);
+        assertEquals(names(), expected(0, 0));
+        registry.onListed(Map.of("i-0", object("i-0", false, 9), "i-1", object("i-1", false, 10)), listAgain);
+        assertEquals(names(), expected(1, 2));
+    }
+
+    @Test
+    public void keepsServersMissingFromTheRestoredStoreUntilTheyHadTimeToRegisterAgain() {
+        registry.onListed(objects(3), 0);
+        long listAgain = registry.onStoreRestored(10 * SECOND);
+        registry.onListed(objects(1), 10 * SECOND);
+        assertEquals(names(), expected(0, 3));
+        registry.expire(listAgain);
+        assertEquals(names(), expected(0, 1));
+    }
+
+    private boolean isDraining(String name) {
+        return registry.byService().get("s").stream()
+                .anyMatch(r -> r.server().name().equals(name) && r.server().draining());
+    }
+
     private TreeSet<String> names() {
         return registry.byService().values().stream()
                 .flatMap(List::stream)
@@ -114,7 +152,11 @@
     }
 
     private static StoredObject<RegisteredServer> object(String name, boolean draining) {
+        return object(name, draining, 0);
+    }
+
+    private static StoredObject<RegisteredServer> object(String name, boolean draining, long sequence) {
         BackendServer server = new BackendServer(name, "10.0.0.1", 80, "z", 3, 220, draining, name);
-        return new StoredObject<>(name, 1, Optional.of(new RegisteredServer("s", server, 0)));
+        return new StoredObject<>(name, 1, Optional.of(new RegisteredServer("s", server, 0, sequence)));
     }
 }
--- a/core/src/test/java/org/hyssophitch/core/store/KindWatcherTest.java
+++ b/core/src/test/java/org/hyssophitch/core/store/KindWatcherTest.java
@@ -44,28 +44,36 @@
     private ScriptedStore store;
     private List<String> notifications;
     private KindWatcher<String> watcher;
+    private WatchPacing pacing;
 
     @BeforeMethod
     public void setUp() {
         timers = new VirtualTimers();
         store = new ScriptedStore();
         notifications = new ArrayList<>();
-        watcher = new KindWatcher<>(store, kind, timers, new SplittableRandom(1), new KindWatcher.Listener<>() {
-            @Override
-            public void onListed(Map<String, StoredObject<String>> objects, boolean hadOutage) {
-                notifications.add("listed " + objects.size() + (hadOutage ? " after outage" : ""));
-            }
-
-            @Override
-            public void onChanged(List<Change<String>> changes) {
-                notifications.add("changed " + changes.size());
-            }
-
-            @Override
-            public void onReachabilityChanged(boolean isReachable, String detail) {
-                notifications.add(isReachable ? "reachable" : "unreachable");
-            }
-        });
+        pacing = WatchPacing.ALONE;
+        watcher = new KindWatcher<>(
+                store, kind, timers, () -> pacing, new SplittableRandom(1), new KindWatcher.Listener<>() {
+                    @Override
+                    public void onListed(Map<String, StoredObject<String>> objects, boolean hadOutage) {
+                        notifications.add("listed " + objects.size() + (hadOutage ? " after outage" : ""));
+                    }
+
+                    @Override
+                    public void onRestored() {
+                        notifications.add("restored");
+                    }
+
+                    @Override
+                    public void onChanged(List<Change<String>> changes) {
+                        notifications.add("changed " + changes.size());
+                    }
+
+                    @Override
+                    public void onReachabilityChanged(boolean isReachable, String detail) {
+                        notifications.add(isReachable ? "reachable" : "unreachable");
+                    }
+                });
         watcher.start();
     }
 
@@ -76,7 +84,7 @@
         store.completeList(new StoreResult.Done<>(page(false, "c")));
         assertEquals(notifications, List.of("listed 3"));
         assertEquals(store.watchedRevision, 7);
-        store.completeWatch(new StoreResult.Done<>(new StoreChanges<>(List.of(change("d")), 9)));
+        store.completeWatch(new StoreResult.Done<>(new StoreChanges<>(List.of(change("d")), at(9))));
         assertEquals(notifications, List.of("listed 3", "changed 1"));
         timers.advance(SECOND);
         assertEquals(store.watchedRevision, 9);
@@ -121,7 +129,7 @@
     public void ignoresResultOfAbandonedWatch() {
         store.completeList(new StoreResult.Done<>(page(false, "a")));
         watcher.relist();
-        store.completeWatch(new StoreResult.Done<>(new StoreChanges<>(List.of(change("late")), 8)));
+        store.completeWatch(new StoreResult.Done<>(new StoreChanges<>(List.of(change("late")), at(8))));
         assertEquals(notifications, List.of("listed 1"));
         store.completeList(new StoreResult.Done<>(page(false, "a")));
         assertEquals(store.watches.size(), 1);
@@ -137,11 +145,64 @@
         assertEquals(notifications, List.of("unreachable"));
     }
 
+    /** Revisions that a restored store issues again belong to other content, so nothing after them may be applied. */
+    @Test
+    public void listsAgainWhenAWatchIsAnsweredInAnotherEpoch() {
+        store.completeList(new StoreResult.Done<>(page(false, "a")));
+        store.completeWatch(new StoreResult.Done<>(new StoreChanges<>(List.of(change("d")), new StorePosition(2, 9))));
+        assertEquals(notifications, List.of("listed 1"));
+        store.completeList(new StoreResult.Done<>(restoredPage(false, "a", "d")));
+        assertEquals(notifications, List.of("listed 1", "restored", "listed 2"));
+        assertEquals(store.watchedRevision, 6);
+    }
+
+    /** The watch itself may stay silent for seconds: the store has reached its revision again. */
+    @Test
+    public void listsAgainWhenAnotherAnswerShowsALaterEpoch() {
+        store.completeList(new StoreResult.Done<>(page(false, "a")));
+        watcher.onEpoch(1);
+        assertEquals(store.lists.size(), 0);
+        watcher.onEpoch(2);
+        assertEquals(store.lists.size(), 1);
+        store.completeList(new StoreResult.Done<>(restoredPage(false, "b")));
+        assertEquals(notifications, List.of("listed 1", "restored", "listed 1"));
+    }
+
+    @Test
+    public void listsInPlaceOfTheNextWatchWhenALaterEpochIsShownBetweenWatches() {
+        store.completeList(new StoreResult.Done<>(page(false, "a")));
+        store.completeWatch(new StoreResult.Done<>(new StoreChanges<>(List.of(change("d")), at(9))));
+        watcher.onEpoch(2);
+        assertEquals(store.lists.size(), 0);
+        timers.advance(SECOND);
+        assertEquals(store.lists.size(), 1);
+        assertEquals(store.watches.size(), 0);
+    }
+
+    @Test
+    public void startsAListAgainWhoseStoreIsRestoredBetweenTwoPages() {
+        store.completeList(new StoreResult.Done<>(page(true, "a", "b")));
+        store.completeList(new StoreResult.Done<>(restoredPage(false, "c")));
+        assertEquals(notifications, List.of());
+        assertEquals(store.lastAfter, "");
+        store.completeList(new StoreResult.Done<>(restoredPage(false, "a")));
+        assertEquals(notifications, List.of("listed 1"));
+    }
+
     private static StorePage<String> page(boolean hasMore, String... names) {
         List<StoredObject<String>> items = List.of(names).stream()
                 .map(n -> new StoredObject<>(n, 1, Optional.of(n)))
                 .toList();
-        return new StorePage<>(items, hasMore, names[names.length - 1], 7);
+        return new StorePage<>(items, hasMore, names[names.length - 1], at(7));
+    }
+
+    private static StorePage<String> restoredPage(boolean hasMore, String... names) {
+        StorePage<String> page = page(hasMore, names);
+        return new StorePage<>(page.items(), hasMore, page.lastName(), new StorePosition(2, 6));
+    }
+
+    private static StorePosition at(long revision) {
+        return new StorePosition(1, revision);
     }
 
     private static Change<String> change(String name) {
@@ -205,8 +266,8 @@
         @Override
         @SuppressWarnings("unchecked")
         public <T> void watch(
-                ObjectKind<T> kind, long revision, int wait, Consumer<StoreResult<StoreChanges<T>>> onResult) {
-            watchedRevision = revision;
+                ObjectKind<T> kind, StorePosition since, int wait, Consumer<StoreResult<StoreChanges<T>>> onResult) {
+            watchedRevision = since.revision();
             waitMillis = wait;
             watches.add((Consumer<StoreResult<StoreChanges<String>>>) (Consumer<?>) onResult);
         }
--- a/entry/src/main/java/org/hyssophitch/entry/ConfigurationListener.java
+++ b/entry/src/main/java/org/hyssophitch/entry/ConfigurationListener.java
@@ -38,6 +38,12 @@
         apply(objects.get(name));
     }
 
+    /** An earlier configuration in the copy is refused like any other that is not newer. */
+    @Override
+    public void onRestored() {
+        log.recordStoreRestored();
+    }
+
     @Override
     public void onChanged(List<Change<Configuration>> changes) {
         changes.stream()
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -22,6 +22,7 @@
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.store.KindWatcher;
 import org.hyssophitch.core.store.ObjectStore;
+import org.hyssophitch.core.store.WatchPacing;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.http.CallDispatcher;
 import org.hyssophitch.http.FrontListener;
@@ -112,14 +113,27 @@
                 s -> dispatcher.handle(new CallEvent.SuspicionsReceived(WallClock.nowMicros(), s)),
                 n -> dispatcher.handle(new CallEvent.FleetChanged(WallClock.nowMicros(), n)));
         EventLoopTimers timers = new EventLoopTimers(loop);
-        ObjectStore store = new PlatformStore(new HttpClient(
-                loop, Addresses.parse(settings.storeAddress()), STORE_CONNECT_TIMEOUT_MILLIS, TcpKeepAlive::enable));
+        ObjectStore store = new PlatformStore(
+                new HttpClient(
+                        loop,
+                        Addresses.parse(settings.storeAddress()),
+                        STORE_CONNECT_TIMEOUT_MILLIS,
+                        TcpKeepAlive::enable),
+                this::onStoreEpoch);
         serverWatcher = new RegisteredServerWatcher(
-                store, new ServerKind(), timers, random.split(), dispatcher, this::onStoreRecovered, log);
+                store,
+                new ServerKind(),
+                timers,
+                () -> WatchPacing.ALONE,
+                random.split(),
+                dispatcher,
+                this::onStoreRecovered,
+                log);
         configurationWatcher = new KindWatcher<>(
                 store,
                 new ConfigurationKind(),
                 timers,
+                () -> WatchPacing.ALONE,
                 random.split(),
                 new ConfigurationListener(
                         ConfigurationKind.CURRENT, this::onConfiguration, this::onStoreRecovered, log));
@@ -256,6 +270,13 @@
         configurationWatcher.relist();
     }
 
+    /** Handles an answer of the store that showed that it was restored from a copy. */
+    private void onStoreEpoch(long epoch) {
+        serverWatcher.onEpoch(epoch);
+        configurationWatcher.onEpoch(epoch);
+        registration.onStoreRestored();
+    }
+
     private void shareSuspicions(List<Suspicion> suspicions) {
         peers.shareSuspicions(suspicions);
     }
--- a/entry/src/main/java/org/hyssophitch/entry/EventLog.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EventLog.java
@@ -95,6 +95,11 @@
                 new EventBody.PlatformState((isReachable ? "reachable " : "unreachable ") + detail));
     }
 
+    /** Records that the platform's store was restored from a copy. */
+    void recordStoreRestored() {
+        record(WallClock.nowMicros(), "", new EventBody.PlatformState("restored from a copy"));
+    }
+
     /** Writes a line about the final response to a request. */
     void recordAnswer(String requestId, Reason reason, int status, long elapsedMicros, long version) {
         long now = WallClock.nowMicros();
--- a/entry/src/main/java/org/hyssophitch/entry/RegisteredServerWatcher.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RegisteredServerWatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.hyssophitch.core.call.CallEvent;
@@ -13,6 +14,7 @@
 import org.hyssophitch.core.store.StoreChanges.Change;
 import org.hyssophitch.core.store.StoredObject;
 import org.hyssophitch.core.store.Timers;
+import org.hyssophitch.core.store.WatchPacing;
 import org.hyssophitch.http.CallDispatcher;
 
 /**
@@ -33,6 +35,7 @@
             ObjectStore store,
             ObjectKind<RegisteredServer> kind,
             Timers timers,
+            Supplier<WatchPacing> pacing,
             RandomGenerator random,
             CallDispatcher dispatcher,
             Runnable onStoreRecovered,
@@ -41,7 +44,7 @@
         this.dispatcher = dispatcher;
         this.onStoreRecovered = onStoreRecovered;
         this.log = log;
-        this.watcher = new KindWatcher<>(store, kind, timers, random, this);
+        this.watcher = new KindWatcher<>(store, kind, timers, pacing, random, this);
     }
 
     void start() {
@@ -54,6 +57,11 @@
         watcher.relist();
     }
 
+    /** Handles an answer of the store that showed a later epoch. */
+    void onEpoch(long epoch) {
+        watcher.onEpoch(epoch);
+    }
+
     /** Returns whether the servers have been listed since the process started. */
     boolean isListed() {
         return isListed;
@@ -66,6 +74,13 @@
         publishServers();
     }
 
+    @Override
+    public void onRestored() {
+        long now = timers.nowMicros();
+        log.recordStoreRestored();
+        timers.after(registry.onStoreRestored(now) - now, watcher::listAgain);
+    }
+
     @Override
     public void onChanged(List<Change<RegisteredServer>> changes) {
         registry.onChanged(changes, timers.nowMicros());
--- a/entry/src/main/java/org/hyssophitch/entry/Registration.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Registration.java
@@ -78,6 +78,11 @@
         store.delete(kind, host, 0, r -> Logger.info("deletion of the registration of {}: {}", host, describe(r)));
     }
 
+    /** Registers this host again, because the registration may be missing from the restored store. */
+    void onStoreRestored() {
+        isRegistered = false;
+    }
+
     private void register() {
         if (!isStopped) {
             missingLists = 0;
--- a/entry/src/test/java/org/hyssophitch/entry/EntryProgramFixture.java
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramFixture.java
@@ -86,14 +86,18 @@
     }
 
     void register(String id, ScriptedServer server, String service, String state) {
+        register(id, server, service, state, 1);
+    }
+
+    void register(String id, ScriptedServer server, String service, String state, int sequence) {
         store.put(
                 "servers",
                 id,
                 """
                 {"address":"127.0.0.1:%d","born":1,"information":{"service":"%s","zone":"z1","slots":3},
-                 "status":{"state":"%s","sequence":1,"cold_remaining_ms":0}}
+                 "status":{"state":"%s","sequence":%d,"cold_remaining_ms":0}}
                 """
-                        .formatted(server.port(), service, state));
+                        .formatted(server.port(), service, state, sequence));
     }
 
     static void await(BooleanSupplier condition) throws InterruptedException {
--- a/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
@@ -108,6 +108,31 @@
         await(() -> request(settings, "/s/x").endsWith("second"));
     }
 
+    /** The copy holds an older configuration, a server that has left, and no registration of this host. */
+    @Test
+    public void restoredStoreRevertsNothing() throws Exception {
+        configure(1, "svc");
+        register("i-1", first, "svc", "ready", 3);
+        FakeStore.Copy copy = store.copy();
+        register("i-2", second, "svc", "ready", 1);
+        start(settings);
+        await(() -> store.get(ENTRY_HOSTS_KIND, "host-1") != null);
+        configure(2, "svc", 1);
+        register("i-1", first, "svc", "draining", 4);
+        await(() -> request(settings, "/more1/x").endsWith("second"));
+        Thread.sleep(APPLY_DEADLINE_MILLIS);
+        store.restore(copy);
+        first.requests().clear();
+        for (int i = 0; i < 20; i++) {
+            assertTrue(request(settings, "/more1/x").endsWith("second"), "configuration or server was lost");
+            Thread.sleep(50);
+        }
+        assertEquals(first.requests(), List.of());
+        register("i-2", second, "svc", "ready", 2);
+        await(() -> store.get(ENTRY_HOSTS_KIND, "host-1") != null);
+        assertTrue(request(settings, "/more1/x").endsWith("second"));
+    }
+
     @Test
     public void directoryListsTheOtherEntryHosts() throws Exception {
         configure(1, "svc");
--- a/entry/src/test/java/org/hyssophitch/entry/FakeStore.java
+++ b/entry/src/test/java/org/hyssophitch/entry/FakeStore.java
@@ -48,6 +48,9 @@
 
     private record Event(long revision, String kind, ObjectNode object, boolean deleted) {}
 
+    /** Objects of all kinds at one revision. */
+    record Copy(long revision, Map<String, Map<String, ObjectNode>> kinds) {}
+
     private record PendingWatch(String kind, long revision, CompletableFuture<HttpReply> response) {}
 
     private final EventLoopGroup group = EventLoops.create(1);
@@ -58,10 +61,12 @@
     private final List<String> calls = new ArrayList<>();
     private long revision = 1;
     private long compactedRevision;
+    private long era = 1;
     private FailureMode failureMode = FailureMode.NONE;
 
     FakeStore(int port) {
-        endpoint = new HttpEndpoint(group, new InetSocketAddress("127.0.0.1", port), this::handle);
+        endpoint = new HttpEndpoint(group, new InetSocketAddress("127.0.0.1", port), q -> handle(q)
+                .thenApply(r -> r.withHeaders(Map.of("Store-Era", Long.toString(era)))));
     }
 
     synchronized void setFailureMode(FailureMode value) {
@@ -76,6 +81,24 @@
         pendingWatches.clear();
     }
 
+    /** Returns a copy of the objects, to which {@link #restore} can return. */
+    synchronized Copy copy() {
+        Map<String, Map<String, ObjectNode>> copied = new HashMap<>();
+        kinds.forEach((kind, objects) -> copied.put(kind, new TreeMap<>(objects)));
+        return new Copy(revision, copied);
+    }
+
+    /** Returns to an earlier copy: what was written since is lost, and its revisions are issued again. */
+    synchronized void restore(Copy copy) {
+        era++;
+        revision = copy.revision();
+        kinds.clear();
+        copy.kinds().forEach((kind, objects) -> kinds.put(kind, new TreeMap<>(objects)));
+        history.removeIf(e -> e.revision() > copy.revision());
+        pendingWatches.forEach(w -> w.response().complete(HttpReply.empty(503)));
+        pendingWatches.clear();
+    }
+
     /** Writes an object, as the operator or a backend server would. */
     synchronized void put(String kind, String name, String specification) {
         try {
@@ -130,7 +153,7 @@
             return done(list(kind, q.parameter("after", "")));
         }
         long since = q.parameter("watch", 0L);
-        if (since < compactedRevision) {
+        if (since < compactedRevision || since > revision) {
             return done(HttpReply.empty(410));
         }
         List<Event> newer = history.stream()
--- a/wire/src/main/java/org/hyssophitch/wire/codec/ConfigurationCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/ConfigurationCodec.java
@@ -120,6 +120,7 @@
                 .setSlots(b.slots())
                 .setConnectionLimit(b.connectionLimit())
                 .setDraining(b.draining())
+                .setInstance(b.instance())
                 .build();
     }
 
@@ -131,6 +132,7 @@
                 b.getZone(),
                 b.getSlots(),
                 b.getConnectionLimit(),
-                b.getDraining());
+                b.getDraining(),
+                b.getInstance());
     }
 }
--- a/wire/src/main/java/org/hyssophitch/wire/codec/RegistrationCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/RegistrationCodec.java
@@ -55,10 +55,12 @@
                 .setService(r.service())
                 .setServer(ConfigurationCodec.encode(r.server()))
                 .setColdMillis(r.coldMillis())
+                .setSequence(r.sequence())
                 .build();
     }
 
     private static RegisteredServer decode(Wire.RegisteredServer r) {
-        return new RegisteredServer(r.getService(), ConfigurationCodec.decode(r.getServer()), r.getColdMillis());
+        return new RegisteredServer(
+                r.getService(), ConfigurationCodec.decode(r.getServer()), r.getColdMillis(), r.getSequence());
     }
 }
--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpClient.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpClient.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
@@ -39,7 +40,7 @@
     public sealed interface Outcome {
 
         /** The server responded. */
-        record Answered(int status, byte[] body) implements Outcome {}
+        record Answered(int status, HttpHeaders headers, byte[] body) implements Outcome {}
 
         /** No complete response was received. */
         record Failed(Failure failure) implements Outcome {}
@@ -160,7 +161,8 @@
                 return;
             }
             boolean isKeepAlive = HttpUtil.isKeepAlive(response);
-            Outcome outcome = new Outcome.Answered(response.status().code(), ByteBufUtil.getBytes(response.content()));
+            Outcome outcome = new Outcome.Answered(
+                    response.status().code(), response.headers(), ByteBufUtil.getBytes(response.content()));
             if (isKeepAlive) {
                 idle.addLast(this);
             } else {
