Watches of the store go through relays in fleets of 16 hosts and more

Ruled out: gossip of changes by datagrams alone, which bounds no host's delay; a relay per zone, which costs more calls in small zones; sending lists through relays first, which loads thin links at once after a restart. Change: a few hosts, computed by each host from the members it knows, watch with short waits and answer the long polls of the others; positions stay those of the store. A relay whose view isn't confirmed turns the others away, which then ask the store. A host that the store turns away lists through a relay. A host lists the others before it registers.

--- a/core/src/main/java/org/hyssophitch/core/store/ChangeLog.java
+++ b/core/src/main/java/org/hyssophitch/core/store/ChangeLog.java
@@ -3,11 +3,13 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
- * The latest changes to the objects of one kind, kept by a host that watches the store so that other hosts can watch
+ * The objects of one kind and their latest changes, kept by a host that watches the store so that other hosts can watch
  * through it. Not thread-safe; owned by the thread of its {@link KindWatcher}.
  *
  * @param <T> type of the decoded value
@@ -20,6 +22,7 @@
     private static final long MAX_AGE_MICROS = 1_700_000;
 
     private final Deque<StoreChanges<T>> batches = new ArrayDeque<>();
+    private Map<String, StoredObject<T>> objects = Map.of();
     private StorePosition start = StorePosition.NONE;
     private StorePosition end = StorePosition.NONE;
     private boolean isConfirmed;
@@ -32,6 +35,16 @@
         observer = value;
     }
 
+    /** Returns the position up to which the log is complete. */
+    public StorePosition position() {
+        return end;
+    }
+
+    /** Returns all objects at {@link #position}. */
+    public List<StoredObject<T>> objects() {
+        return List.copyOf(objects.values());
+    }
+
     /** Returns the changes since a position; empty if the log doesn't go back that far or is of another epoch. */
     public Optional<StoreChanges<T>> since(StorePosition position) {
         if (!position.isSameEpoch(end) || position.revision() < start.revision()) {
@@ -44,13 +57,19 @@
         return Optional.of(new StoreChanges<>(changes, end));
     }
 
-    /** Returns whether the store has recently confirmed that the log is complete. */
-    public boolean isCurrent(long nowMicros) {
+    /** Returns whether the latest call to the store for this kind succeeded. */
+    public boolean isConfirmed() {
+        return isConfirmed;
+    }
+
+    /** Returns whether the store has recently answered a call for this kind. */
+    public boolean isRecent(long nowMicros) {
         return isConfirmed && nowMicros - confirmedMicros <= MAX_AGE_MICROS;
     }
 
     /** Starts anew after the objects were listed. */
-    void reset(StorePosition position, long nowMicros) {
+    void reset(Map<String, StoredObject<T>> listed, StorePosition position, long nowMicros) {
+        objects = new HashMap<>(listed);
         batches.clear();
         size = 0;
         start = position;
@@ -64,6 +83,7 @@
         if (!changes.changes().isEmpty()) {
             batches.add(new StoreChanges<>(new ArrayList<>(changes.changes()), end));
             size += changes.changes().size();
+            changes.changes().forEach(this::apply);
             dropOldest();
         }
         confirm(nowMicros);
@@ -75,6 +95,14 @@
         observer.run();
     }
 
+    private void apply(StoreChanges.Change<T> change) {
+        if (change.isDeleted()) {
+            objects.remove(change.object().name());
+        } else {
+            objects.put(change.object().name(), change.object());
+        }
+    }
+
     private void dropOldest() {
         while (size > MAX_CHANGES) {
             StoreChanges<T> oldest = batches.poll();
--- a/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
+++ b/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.hyssophitch.core.retry.Backoff;
@@ -60,11 +59,10 @@
     private static final long MAX_BACKOFF_MILLIS = 1_000;
     private static final long MICROS_PER_MILLI = 1_000;
 
-    private final ObjectStore store;
-    private final ObjectKind<T> kind;
+    private final String kind;
     private final Timers timers;
     private final Listener<T> listener;
-    private final Supplier<WatchPacing> pacing;
+    private final WatchPlan<T> plan;
     private final Backoff backoff;
     private final ChangeLog<T> changeLog = new ChangeLog<>();
     private Map<String, StoredObject<T>> listed = new HashMap<>();
@@ -83,24 +81,16 @@
     /**
      * Creates a watcher that makes no calls until {@link #start}.
      *
-     * @param store the store
-     * @param kind kind of the objects
+     * @param kind name of the kind, for log lines
      * @param timers clock and timers of the owning thread
-     * @param pacing supplies the pacing of each watch
+     * @param plan how it watches for changes
      * @param random seeded source of randomness
      * @param listener receives listings, changes and reachability
      */
-    public KindWatcher(
-            ObjectStore store,
-            ObjectKind<T> kind,
-            Timers timers,
-            Supplier<WatchPacing> pacing,
-            RandomGenerator random,
-            Listener<T> listener) {
-        this.store = store;
+    public KindWatcher(String kind, Timers timers, WatchPlan<T> plan, RandomGenerator random, Listener<T> listener) {
         this.kind = kind;
         this.timers = timers;
-        this.pacing = pacing;
+        this.plan = plan;
         this.listener = listener;
         this.backoff = new Backoff(INITIAL_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS, random);
     }
@@ -115,7 +105,7 @@
         isStopped = true;
     }
 
-    /** Returns the changes that this watcher has received, for hosts that watch through this one. */
+    /** Returns what this watcher has received, for hosts that watch through this one. */
     public ChangeLog<T> changeLog() {
         return changeLog;
     }
@@ -126,7 +116,7 @@
             listed = new HashMap<>();
             usesRecoveryWatch = hasFailed || position.revision() > 0;
         }
-        store.list(kind, after, false, r -> onPage(r));
+        plan.source().list(after, this::onPage);
     }
 
     private void onPage(StoreResult<StorePage<T>> result) {
@@ -162,8 +152,8 @@
             listener.onRestored();
         }
         listener.onListed(Map.copyOf(listed), hadOutage);
+        changeLog.reset(listed, position, timers.nowMicros());
         listed = new HashMap<>();
-        changeLog.reset(position, timers.nowMicros());
         watch();
     }
 
@@ -174,10 +164,10 @@
             watchId++;
             long current = watchId;
             isWatching = true;
-            currentPacing = pacing.get();
+            currentPacing = plan.pacing().get();
             int waitMillis = usesRecoveryWatch ? RECOVERY_WATCH_MILLIS : currentPacing.waitMillis();
             usesRecoveryWatch = false;
-            store.watch(kind, position, waitMillis, r -> {
+            plan.source().watch(position, waitMillis, r -> {
                 if (current == watchId) {
                     isWatching = false;
                     onWatchResult(r);
@@ -217,7 +207,7 @@
 
     /** Begins the current watch anew if its pacing has changed since. */
     public void renewWatch() {
-        if (isWatching && pacing.get() != currentPacing) {
+        if (isWatching && plan.pacing().get() != currentPacing) {
             watch();
         }
     }
@@ -253,14 +243,14 @@
         backoff.reset();
         if (hasFailed) {
             hasFailed = false;
-            listener.onReachabilityChanged(true, kind.name());
+            listener.onReachabilityChanged(true, kind);
         }
     }
 
     private void retry(String detail, Runnable task) {
         if (!hasFailed) {
             hasFailed = true;
-            listener.onReachabilityChanged(false, kind.name() + ' ' + detail);
+            listener.onReachabilityChanged(false, kind + ' ' + detail);
         }
         changeLog.invalidate();
         timers.after(backoff.nextMillis() * MICROS_PER_MILLI, () -> {
--- a/core/src/main/java/org/hyssophitch/core/store/WatchPacing.java
+++ b/core/src/main/java/org/hyssophitch/core/store/WatchPacing.java
@@ -6,8 +6,12 @@
     ALONE(8_000, 600_000),
     /** For a host through which others watch: short waits prove to them that its view of the store is current. */
     RELAY(1_000, 200_000),
+    /** For a relay of objects that change rarely, where the watch of another kind gives that proof. */
+    RELAY_RARE(8_000, 200_000),
     /** For a host that watches through a relay, where calls have no price. */
-    RELAYED(1_000, 20_000);
+    RELAYED(1_000, 20_000),
+    /** For a host that watches objects through a relay that change rarely. */
+    RELAYED_RARE(4_000, 20_000);
 
     private final int waitMillis;
     private final long batchDelayMicros;
@@ -26,4 +30,13 @@
     public long batchDelayMicros() {
         return batchDelayMicros;
     }
+
+    /** Returns the pacing in the same role for objects that change rarely. */
+    public WatchPacing forRareChanges() {
+        return switch (this) {
+            case ALONE -> ALONE;
+            case RELAY, RELAY_RARE -> RELAY_RARE;
+            case RELAYED, RELAYED_RARE -> RELAYED_RARE;
+        };
+    }
 }
--- a/core/src/test/java/org/hyssophitch/core/store/KindWatcherTest.java
+++ b/core/src/test/java/org/hyssophitch/core/store/KindWatcherTest.java
@@ -52,28 +52,28 @@
         store = new ScriptedStore();
         notifications = new ArrayList<>();
         pacing = WatchPacing.ALONE;
-        watcher = new KindWatcher<>(
-                store, kind, timers, () -> pacing, new SplittableRandom(1), new KindWatcher.Listener<>() {
-                    @Override
-                    public void onListed(Map<String, StoredObject<String>> objects, boolean hadOutage) {
-                        notifications.add("listed " + objects.size() + (hadOutage ? " after outage" : ""));
-                    }
-
-                    @Override
-                    public void onRestored() {
-                        notifications.add("restored");
-                    }
-
-                    @Override
-                    public void onChanged(List<Change<String>> changes) {
-                        notifications.add("changed " + changes.size());
-                    }
-
-                    @Override
-                    public void onReachabilityChanged(boolean isReachable, String detail) {
-                        notifications.add(isReachable ? "reachable" : "unreachable");
-                    }
-                });
+        WatchPlan<String> plan = new WatchPlan<>(ChangeSource.of(store, kind), () -> pacing);
+        watcher = new KindWatcher<>(kind.name(), timers, plan, new SplittableRandom(1), new KindWatcher.Listener<>() {
+            @Override
+            public void onListed(Map<String, StoredObject<String>> objects, boolean hadOutage) {
+                notifications.add("listed " + objects.size() + (hadOutage ? " after outage" : ""));
+            }
+
+            @Override
+            public void onRestored() {
+                notifications.add("restored");
+            }
+
+            @Override
+            public void onChanged(List<Change<String>> changes) {
+                notifications.add("changed " + changes.size());
+            }
+
+            @Override
+            public void onReachabilityChanged(boolean isReachable, String detail) {
+                notifications.add(isReachable ? "reachable" : "unreachable");
+            }
+        });
         watcher.start();
     }
 
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -15,6 +15,7 @@
 import org.hyssophitch.core.call.EngineSettings;
 import org.hyssophitch.core.call.FleetLimits;
 import org.hyssophitch.core.configuration.Configuration;
+import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.configuration.RoutingKind;
 import org.hyssophitch.core.entry.EntrySettings;
 import org.hyssophitch.core.entry.RequestRouter;
@@ -22,7 +23,6 @@
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.store.KindWatcher;
 import org.hyssophitch.core.store.ObjectStore;
-import org.hyssophitch.core.store.WatchPacing;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.http.CallDispatcher;
 import org.hyssophitch.http.FrontListener;
@@ -33,6 +33,9 @@
 import org.hyssophitch.platform.PlatformHeaders;
 import org.hyssophitch.platform.PlatformStore;
 import org.hyssophitch.platform.ServerKind;
+import org.hyssophitch.wire.codec.RelayCodec;
+import org.hyssophitch.wire.codec.RelayedConfigurationCodec;
+import org.hyssophitch.wire.codec.RelayedRegistrationCodec;
 import org.hyssophitch.wire.concurrent.Pause;
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.net.Addresses;
@@ -85,6 +88,7 @@
     private final Peers peers;
     private final RegisteredServerWatcher serverWatcher;
     private final KindWatcher<Configuration> configurationWatcher;
+    private final StoreRelay storeRelay;
     private final Registration registration;
     private volatile boolean isStopping;
     private volatile boolean isConfigured;
@@ -120,23 +124,28 @@
                         STORE_CONNECT_TIMEOUT_MILLIS,
                         TcpKeepAlive::enable),
                 this::onStoreEpoch);
+        storeRelay = new StoreRelay(settings, loop, timers, peers::live);
+        ServerKind servers = new ServerKind();
+        RelayCodec<RegisteredServer> registrationCodec = new RelayedRegistrationCodec();
         serverWatcher = new RegisteredServerWatcher(
-                store,
-                new ServerKind(),
+                servers.name(),
                 timers,
-                () -> WatchPacing.ALONE,
+                storeRelay.plan(store, servers, registrationCodec),
                 random.split(),
                 dispatcher,
                 this::onStoreRecovered,
                 log);
+        ConfigurationKind configurations = new ConfigurationKind();
+        RelayCodec<Configuration> configurationCodec = new RelayedConfigurationCodec();
         configurationWatcher = new KindWatcher<>(
-                store,
-                new ConfigurationKind(),
+                configurations.name(),
                 timers,
-                () -> WatchPacing.ALONE,
+                storeRelay.planForRareChanges(store, configurations, configurationCodec),
                 random.split(),
                 new ConfigurationListener(
                         ConfigurationKind.CURRENT, this::onConfiguration, this::onStoreRecovered, log));
+        storeRelay.serve(servers.name(), serverWatcher.watcher(), registrationCodec);
+        storeRelay.serve(configurations.name(), configurationWatcher, configurationCodec);
         registration = new Registration(
                 store, new EntryHostKind(), settings.host(), timers, peers, this::onStoreRecovered, random.split());
         metrics.registerGauge(
@@ -159,6 +168,7 @@
         listen(a.readiness(), q -> reply(this::readiness));
         listen(a.directory(), q -> reply(() -> directory(q)));
         listen(a.metrics(), q -> reply(() -> HttpReply.text(MetricsText.of(metrics.registry()))));
+        listen(a.peers(), storeRelay::handle);
         peers.open(group);
         runOnLoop(() -> {
             peers.start();
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -153,6 +153,11 @@
         sendUrgentGossip();
     }
 
+    /** Returns the live entry hosts, including this one. */
+    List<Member> live() {
+        return membership.live();
+    }
+
     /** Returns the live entry hosts that accept callers, including this one. */
     List<Member> accepting() {
         return membership.live().stream().filter(Member::isAccepting).toList();
--- a/entry/src/main/java/org/hyssophitch/entry/RegisteredServerWatcher.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RegisteredServerWatcher.java
@@ -2,19 +2,16 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.entry.ServerRegistry;
 import org.hyssophitch.core.store.KindWatcher;
-import org.hyssophitch.core.store.ObjectKind;
-import org.hyssophitch.core.store.ObjectStore;
 import org.hyssophitch.core.store.StoreChanges.Change;
 import org.hyssophitch.core.store.StoredObject;
 import org.hyssophitch.core.store.Timers;
-import org.hyssophitch.core.store.WatchPacing;
+import org.hyssophitch.core.store.WatchPlan;
 import org.hyssophitch.http.CallDispatcher;
 
 /**
@@ -32,10 +29,9 @@
     private volatile boolean isListed;
 
     RegisteredServerWatcher(
-            ObjectStore store,
-            ObjectKind<RegisteredServer> kind,
+            String kind,
             Timers timers,
-            Supplier<WatchPacing> pacing,
+            WatchPlan<RegisteredServer> plan,
             RandomGenerator random,
             CallDispatcher dispatcher,
             Runnable onStoreRecovered,
@@ -44,7 +40,7 @@
         this.dispatcher = dispatcher;
         this.onStoreRecovered = onStoreRecovered;
         this.log = log;
-        this.watcher = new KindWatcher<>(store, kind, timers, pacing, random, this);
+        this.watcher = new KindWatcher<>(kind, timers, plan, random, this);
     }
 
     void start() {
@@ -57,6 +53,10 @@
         watcher.relist();
     }
 
+    KindWatcher<RegisteredServer> watcher() {
+        return watcher;
+    }
+
     /** Handles an answer of the store that showed a later epoch. */
     void onEpoch(long epoch) {
         watcher.onEpoch(epoch);
--- a/entry/src/main/java/org/hyssophitch/entry/Registration.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Registration.java
@@ -29,6 +29,10 @@
 
     /** Interval in microseconds between two lists of the hosts, which also detect whether the store is reachable. */
     private static final long LIST_INTERVAL_MICROS = 3_000_000;
+    /** Number of hosts for which the interval is extended by its length, so that the fleet's calls don't grow. */
+    private static final int HOSTS_PER_LIST_INTERVAL = 16;
+    /** Lists after the start whose interval isn't extended, as the members are only becoming known then. */
+    private static final int INITIAL_LISTS = 3;
 
     /** Consecutive lists without this host's object after which the object counts as deleted. */
     private static final int MAX_MISSING_LISTS = 2;
@@ -46,6 +50,7 @@
     private final Runnable onStoreRecovered;
     private Map<String, StoredObject<EntryHost>> listed = new HashMap<>();
     private int missingLists;
+    private int completedLists;
     private boolean isRegistered;
     private boolean hasFailed;
     private boolean isStopped;
@@ -67,9 +72,9 @@
         this.backoff = new Backoff(INITIAL_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS, random);
     }
 
-    /** Starts to register this host and to list the others. */
+    /** Lists the other hosts and registers this one. */
     void start() {
-        register();
+        listHosts("");
     }
 
     /** Deletes the object; the process exits whether or not this succeeds. */
@@ -90,11 +95,10 @@
         }
     }
 
+    /** Lists again soon: after a first start of all hosts, the first list lacks those that registered after it. */
     private void onCreated(StoreResult<StoredObject<EntryHost>> result) {
-        if (result instanceof StoreResult.Done<StoredObject<EntryHost>>) {
-            isRegistered = true;
-        }
-        listHosts("");
+        isRegistered = result instanceof StoreResult.Done<StoredObject<EntryHost>>;
+        timers.after(backoff.nextMillis() * MICROS_PER_MILLI, () -> listHosts(""));
     }
 
     /**
@@ -130,12 +134,19 @@
         deleteDeadHosts();
         checkOwnObjectListed();
         if (isRegistered) {
-            timers.after(LIST_INTERVAL_MICROS, () -> listHosts(""));
+            timers.after(listIntervalMicros(), () -> listHosts(""));
         } else {
             replaceOwnObject();
         }
     }
 
+    /** Large fleets list less often: the members of a fleet also learn of new hosts from each other. */
+    private long listIntervalMicros() {
+        completedLists++;
+        boolean isStarting = completedLists <= INITIAL_LISTS;
+        return LIST_INTERVAL_MICROS * Math.max(1, isStarting ? 1 : peers.live().size() / HOSTS_PER_LIST_INTERVAL);
+    }
+
     /** Requires several lists without the object, because a list may be older than the registration. */
     private void checkOwnObjectListed() {
         missingLists = listed.containsKey(host) ? 0 : missingLists + 1;
@@ -148,13 +159,13 @@
     private void replaceOwnObject() {
         StoredObject<EntryHost> known = listed.get(host);
         if (known == null) {
-            timers.after(backoff.nextMillis() * MICROS_PER_MILLI, this::register);
+            register();
             return;
         }
         long incarnation = known.value().map(EntryHost::incarnation).orElse(0L);
         if (incarnation == peers.self().incarnation() || !peers.raiseIncarnationAbove(incarnation)) {
             isRegistered = true;
-            timers.after(LIST_INTERVAL_MICROS, () -> listHosts(""));
+            timers.after(listIntervalMicros(), () -> listHosts(""));
             return;
         }
         store.replace(kind, host, peers.self(), known.revision(), r -> {
--- /dev/null
+++ b/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
@@ -0,0 +1,95 @@
+package org.hyssophitch.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+
+import io.netty.channel.EventLoop;
+import org.hyssophitch.core.entry.EntrySettings;
+import org.hyssophitch.core.membership.Member;
+import org.hyssophitch.core.store.ChangeSource;
+import org.hyssophitch.core.store.KindWatcher;
+import org.hyssophitch.core.store.ObjectKind;
+import org.hyssophitch.core.store.ObjectStore;
+import org.hyssophitch.core.store.RelaySelector;
+import org.hyssophitch.core.store.Timers;
+import org.hyssophitch.core.store.WatchPacing;
+import org.hyssophitch.core.store.WatchPlan;
+import org.hyssophitch.wire.codec.RelayCodec;
+import org.hyssophitch.wire.net.HttpQuery;
+import org.hyssophitch.wire.net.HttpReply;
+
+/**
+ * Both sides of reading the store through another entry host: this host's watches through relays, and the endpoint at
+ * which other hosts read through this one. Not thread-safe; confined to the event loop.
+ */
+final class StoreRelay {
+
+    private static final int UNAVAILABLE = 503;
+
+    private final RelaySelector selector;
+    private final RelayClients clients;
+    private final Timers timers;
+    private final List<RelayedSource<?>> sources = new ArrayList<>();
+    private final Map<String, RelayedKind<?>> served = new HashMap<>();
+
+    /**
+     * Creates a relay that serves no kind yet.
+     *
+     * @param live supplies the live members, including this host
+     */
+    StoreRelay(EntrySettings settings, EventLoop loop, Timers timers, Supplier<List<Member>> live) {
+        this.selector = new RelaySelector(settings.host(), settings.zone(), live);
+        this.clients = new RelayClients(loop);
+        this.timers = timers;
+    }
+
+    /** Returns the plan by which this host watches a kind of objects. */
+    <T> WatchPlan<T> plan(ObjectStore store, ObjectKind<T> kind, RelayCodec<T> codec) {
+        return new WatchPlan<>(source(store, kind, codec), this::pacing);
+    }
+
+    /** Returns the plan by which this host watches a kind of objects that change rarely. */
+    <T> WatchPlan<T> planForRareChanges(ObjectStore store, ObjectKind<T> kind, RelayCodec<T> codec) {
+        return new WatchPlan<>(source(store, kind, codec), () -> pacing().forRareChanges());
+    }
+
+    /** Lets other hosts read a kind of objects through this host. */
+    <T> void serve(String kind, KindWatcher<T> watcher, RelayCodec<T> codec) {
+        served.put(kind, new RelayedKind<>(watcher, codec, this::isStoreReachable, timers));
+    }
+
+    /** Handles another host's request; a host that isn't a relay turns it away. */
+    CompletionStage<HttpReply> handle(HttpQuery query) {
+        RelayRequest request = RelayRequest.of(query);
+        RelayedKind<?> kind = served.get(request.kind());
+        if (kind == null) {
+            return CompletableFuture.completedFuture(HttpReply.notFound());
+        }
+        if (pacing() != WatchPacing.RELAY) {
+            return CompletableFuture.completedFuture(HttpReply.empty(UNAVAILABLE));
+        }
+        return kind.handle(request);
+    }
+
+    private <T> RelayedSource<T> source(ObjectStore store, ObjectKind<T> kind, RelayCodec<T> codec) {
+        ChangeSource<T> direct = ChangeSource.of(store, kind);
+        RelayedSource<T> source = new RelayedSource<>(
+                kind.name(), direct, codec, selector, clients, timers, h -> sources.forEach(s -> s.onRelayFailed(h)));
+        sources.add(source);
+        return source;
+    }
+
+    private boolean isStoreReachable() {
+        long now = timers.nowMicros();
+        return served.values().stream().anyMatch(k -> k.watcher().changeLog().isRecent(now));
+    }
+
+    private WatchPacing pacing() {
+        return selector.pacing(timers.nowMicros());
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/RelayCodec.java
@@ -0,0 +1,49 @@
+package org.hyssophitch.wire.codec;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.hyssophitch.core.store.StoreChanges;
+import org.hyssophitch.core.store.StorePage;
+import org.hyssophitch.core.store.StorePosition;
+import org.hyssophitch.core.store.StoredObject;
+import org.hyssophitch.wire.generated.Wire;
+
+/**
+ * Codec of what entry hosts relay to each other about one kind of objects of the store. Implementations are stateless.
+ *
+ * @param <T> type of the decoded value
+ */
+public sealed interface RelayCodec<T> permits RelayedConfigurationCodec, RelayedRegistrationCodec {
+
+    /** Encodes the answer to a watch. */
+    byte[] encodeChanges(StoreChanges<T> changes);
+
+    /**
+     * Decodes the answer to a watch; empty if the objects must be listed.
+     *
+     * @throws InvalidProtocolBufferException if the bytes are malformed
+     */
+    Optional<StoreChanges<T>> decodeChanges(byte[] bytes) throws InvalidProtocolBufferException;
+
+    /** Encodes all objects of the kind. */
+    byte[] encodeObjects(List<StoredObject<T>> objects, StorePosition position);
+
+    /**
+     * Decodes all objects of the kind, as a single page.
+     *
+     * @throws InvalidProtocolBufferException if the bytes are malformed
+     */
+    StorePage<T> decodeObjects(byte[] bytes) throws InvalidProtocolBufferException;
+
+    /** Returns a message with a position and no objects. */
+    static Wire.RelayedObjects.Builder at(StorePosition p) {
+        return Wire.RelayedObjects.newBuilder().setEpoch(p.epoch()).setRevision(p.revision());
+    }
+
+    /** Returns the position in a message. */
+    static StorePosition position(Wire.RelayedObjects m) {
+        return new StorePosition(m.getEpoch(), m.getRevision());
+    }
+}
--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpReply.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpReply.java
@@ -26,6 +26,11 @@
         return new HttpReply(OK, "text/plain; charset=utf-8", body.getBytes(StandardCharsets.UTF_8), Map.of());
     }
 
+    /** Creates a response with a body that isn't text. */
+    public static HttpReply binary(int status, String contentType, byte[] body) {
+        return new HttpReply(status, contentType, body, Map.of());
+    }
+
     /** Creates a response without a body. */
     public static HttpReply empty(int status) {
         return new HttpReply(status, "text/plain", new byte[0], Map.of());
