Hosts of large fleets use a stable part of a service's servers; relayed lists, restores by random histories

Ruled out: a subset by the host's place in the member list, which moves with every restart. Small configurations travel through relays with their content. RestoreHistoryTest found three faults, mended: a second list after a restore took a drain back, a removed server came back by a list after an outage, a server that was held back was never listed again.

--- a/core/src/main/java/org/hyssophitch/core/call/FleetLimits.java
+++ b/core/src/main/java/org/hyssophitch/core/call/FleetLimits.java
@@ -46,16 +46,27 @@
      * @param hosts number of entry hosts
      * @param sameZoneHosts number of entry hosts in the server's availability zone
      * @param isSameZone whether this host is one of them
+     * @param fraction fraction of the servers in the server's zone that each host uses
      */
-    public double loadProbesPerSecondShare(int hosts, int sameZoneHosts, boolean isSameZone) {
+    public double loadProbesPerSecondShare(int hosts, int sameZoneHosts, boolean isSameZone, double fraction) {
         int assumedHosts = Math.max(minHosts, hosts);
         double usable = loadProbesPerSecond * SAFETY_FACTOR;
         if (sameZoneHosts == 0) {
-            return usable / assumedHosts;
+            return usable / users(assumedHosts, fraction);
         }
         int assumedSameZoneHosts = Math.max(Math.min(MIN_SAME_ZONE_HOSTS, minHosts), sameZoneHosts);
+        int otherHosts = Math.max(1, assumedHosts - assumedSameZoneHosts);
         return isSameZone
-                ? usable * SAME_ZONE_SHARE / assumedSameZoneHosts
-                : usable * (1 - SAME_ZONE_SHARE) / Math.max(1, assumedHosts - assumedSameZoneHosts);
+                ? usable * SAME_ZONE_SHARE / users(assumedSameZoneHosts, fraction)
+                : usable * (1 - SAME_ZONE_SHARE) / users(otherHosts, fraction);
+    }
+
+    /**
+     * Returns a number of hosts that few servers exceed when each host uses a random fraction of the servers: two
+     * standard deviations above the mean.
+     */
+    private static double users(int hosts, double fraction) {
+        double mean = hosts * fraction;
+        return Math.min(hosts, mean + 2 * Math.sqrt(mean * (1 - fraction)));
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/call/ProbingDispatcher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ProbingDispatcher.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.routing.Choice;
@@ -170,8 +171,8 @@
     private List<ServerState> candidates(ServiceState service, Set<String> probed, long nowMicros) {
         int sampleSize = service.routingPolicy() instanceof RoutingPolicy.AskedLoad a ? a.sampleSize() : 1;
         String zone = state.settings().zone();
-        List<ServerState> usable = new ArrayList<>(service.servers().stream()
-                .filter(s -> s.isEligible(nowMicros) && s.inFlight() < LoadPlacement.knee(s))
+        List<ServerState> usable = new ArrayList<>(service.eligible(nowMicros).stream()
+                .filter(s -> s.inFlight() < LoadPlacement.knee(s))
                 .filter(s -> !probed.contains(s.name()))
                 .toList());
         shuffle(usable);
@@ -250,8 +251,8 @@
                 expectedMicros(call),
                 call.service().othersUtilization());
         boolean isHedge = !call.attempts().isEmpty();
-        List<ServerState> untried = call.service().untried(call.tried()).stream()
-                .filter(s -> s.isEligible(nowMicros) && !s.isRefusing(nowMicros))
+        List<ServerState> untried = untried(call, nowMicros).stream()
+                .filter(s -> !s.isRefusing(nowMicros))
                 .filter(s -> !isHedge || !call.tried().contains(s.name()))
                 .toList();
         List<ServerState> current =
@@ -269,6 +270,22 @@
         return starter.startChosen(call, cause(call), choice, nowMicros);
     }
 
+    /**
+     * Returns the eligible servers that a call may use next: those that this host uses and the call has not tried, then
+     * any that it has not tried, then any at all.
+     */
+    private static List<ServerState> untried(ActiveCall call, long nowMicros) {
+        Predicate<ServerState> isUntried = s -> !call.tried().contains(s.name());
+        List<ServerState> used = call.service().eligible(nowMicros);
+        List<ServerState> untried = used.stream().filter(isUntried).toList();
+        if (!untried.isEmpty() || call.service().servers().stream().noneMatch(isUntried)) {
+            return untried.isEmpty() ? used : untried;
+        }
+        return call.service().servers().stream()
+                .filter(isUntried.and(s -> s.isEligible(nowMicros)))
+                .toList();
+    }
+
     /**
      * Returns whether a late call leaves the last slot of a fast server to calls that can still meet their target and
      * that may be queued at any entry host. It does so until shortly before its own wait ends, so that no call is
--- a/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
@@ -13,6 +13,7 @@
 import org.hyssophitch.core.configuration.Service;
 import org.hyssophitch.core.retry.SlidingWindowBudget;
 import org.hyssophitch.core.routing.ServerState;
+import org.hyssophitch.core.routing.ServerSubset;
 import org.hyssophitch.core.timeline.EventBody;
 
 /**
@@ -67,12 +68,9 @@
     void applyFleetSize(Map<String, Integer> hostsByZone, long nowMicros) {
         state.setHosts(hostsByZone);
         int hosts = state.hosts();
-        state.fleetLimits().ifPresent(f -> {
-            state.services()
-                    .values()
-                    .forEach(s -> s.setBudgetShare(f.extraAttemptRatioShare(), f.extraAttemptAllowanceShare(hosts)));
-            state.servers().values().forEach(s -> setLoadProbeRate(s, f, nowMicros));
-        });
+        state.fleetLimits().ifPresent(f -> state.services()
+                .values()
+                .forEach(s -> s.setBudgetShare(f.extraAttemptRatioShare(), f.extraAttemptAllowanceShare(hosts))));
         redefineAll(nowMicros);
     }
 
@@ -97,12 +95,16 @@
     private void defineService(Service service, long nowMicros) {
         List<ServerState> servers = new ArrayList<>();
         service.servers().forEach(b -> servers.add(defineServer(b, nowMicros)));
+        ServerSubset subset =
+                ServerSubset.of(state.settings().host(), state.settings().zone(), servers);
+        state.fleetLimits().ifPresent(f -> servers.forEach(s -> setLoadProbeRate(s, f, subset, nowMicros)));
         ServiceState known = state.services().get(service.name());
         if (known == null) {
             String zone = state.settings().zone();
-            state.services().put(service.name(), new ServiceState(service, servers, zone, sharedBudget(nowMicros)));
+            state.services()
+                    .put(service.name(), new ServiceState(service, servers, subset, zone, sharedBudget(nowMicros)));
         } else {
-            known.redefine(service, servers, state.settings().zone());
+            known.redefine(service, servers, subset, state.settings().zone());
         }
     }
 
@@ -118,21 +120,19 @@
     private ServerState defineServer(BackendServer server, long nowMicros) {
         int hosts = Math.max(state.configuration().maxEntryHosts(), state.hosts());
         int limit = server.attemptLimit(hosts);
-        ServerState known = state.servers().computeIfAbsent(server.name(), n -> {
-            ServerState created = new ServerState(server.withDraining(false), limit);
-            state.fleetLimits().ifPresent(f -> setLoadProbeRate(created, f, nowMicros));
-            return created;
-        });
+        ServerState known =
+                state.servers().computeIfAbsent(server.name(), n -> new ServerState(server.withDraining(false), limit));
         boolean wasLeaving = known.isLeaving();
         known.redefine(server, limit);
         recordLeaving(known, wasLeaving, "operator", nowMicros);
         return known;
     }
 
-    private void setLoadProbeRate(ServerState server, FleetLimits fleet, long nowMicros) {
+    private void setLoadProbeRate(ServerState server, FleetLimits fleet, ServerSubset subset, long nowMicros) {
         String zone = server.server().zone();
         boolean isSameZone = zone.equals(state.settings().zone());
-        double rate = fleet.loadProbesPerSecondShare(state.hosts(), state.hosts(zone), isSameZone);
+        double rate =
+                fleet.loadProbesPerSecondShare(state.hosts(), state.hosts(zone), isSameZone, subset.fraction(zone));
         server.setLoadProbeRate(rate, Math.max(1, rate * PROBE_BURST_SECONDS), nowMicros);
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
@@ -12,6 +12,7 @@
 import org.hyssophitch.core.routing.LoadPlacement;
 import org.hyssophitch.core.routing.RoutingPolicy;
 import org.hyssophitch.core.routing.ServerState;
+import org.hyssophitch.core.routing.ServerSubset;
 
 /**
  * State of one service: its definition, servers, queue, budgets and statistics. Not thread-safe; owned by the call
@@ -36,6 +37,7 @@
     private Service service;
     private RoutingPolicy routingPolicy;
     private List<ServerState> servers;
+    private ServerSubset subset;
     private CallQueue queue;
     private AttemptBudget retryBudget;
     private AttemptBudget hedgeBudget;
@@ -48,23 +50,31 @@
     /**
      * Creates the state of a service.
      *
+     * @param subset the servers that this host uses if the service's servers are probed
      * @param sharedBudget this host's share of the fleet-wide extra-attempt budget; empty when the service has its own
      */
-    ServiceState(Service service, List<ServerState> servers, String zone, Optional<SlidingWindowBudget> sharedBudget) {
+    ServiceState(
+            Service service,
+            List<ServerState> servers,
+            ServerSubset subset,
+            String zone,
+            Optional<SlidingWindowBudget> sharedBudget) {
         this.sharedBudget = sharedBudget;
         this.service = service;
         this.servers = servers;
+        this.subset = subset;
         this.routingPolicy = RoutingPolicy.of(service, zone);
         this.queue = new CallQueue(service.queue().maxQueued());
         resetBudgets();
     }
 
     /** Applies a changed definition; queued calls keep their order, and stay even above a smaller queue limit. */
-    void redefine(Service newService, List<ServerState> newServers, String zone) {
+    void redefine(Service newService, List<ServerState> newServers, ServerSubset newSubset, String zone) {
         boolean isRetryChanged = !newService.retry().equals(service.retry());
         boolean isQueueChanged = !newService.queue().equals(service.queue());
         service = newService;
         servers = newServers;
+        subset = newSubset;
         routingPolicy = RoutingPolicy.of(newService, zone);
         if (isRetryChanged) {
             resetBudgets();
@@ -149,6 +159,14 @@
         return remaining.isEmpty() ? servers : remaining;
     }
 
+    /** Returns the eligible servers that this host uses, or all eligible ones if it uses none of them. */
+    List<ServerState> eligible(long nowMicros) {
+        List<ServerState> all =
+                servers.stream().filter(s -> s.isEligible(nowMicros)).toList();
+        List<ServerState> used = all.stream().filter(subset::contains).toList();
+        return used.isEmpty() ? all : used;
+    }
+
     /** Returns whether any server is not leaving, and so may take new calls now or later. */
     boolean hasServer() {
         return servers.stream().anyMatch(s -> !s.isLeaving());
--- a/core/src/main/java/org/hyssophitch/core/entry/ServerRegistry.java
+++ b/core/src/main/java/org/hyssophitch/core/entry/ServerRegistry.java
@@ -28,7 +28,7 @@
 public final class ServerRegistry {
 
     /** Time in microseconds after a recovery of the store within which live servers renew their registrations. */
-    private static final long RENEWAL_PERIOD_MICROS = 2_000_000;
+    public static final long RENEWAL_PERIOD_MICROS = 2_000_000;
     /**
      * Time in microseconds for which servers are kept that disappeared together with many others. It is below the 2
      * seconds after which a leaving server must get no new calls.
@@ -42,12 +42,15 @@
     /** Time in microseconds for which removed servers are remembered; copies of the store are some seconds old. */
     private static final long REMOVAL_MEMORY_MICROS = 60_000_000;
 
+    /** When a server was removed, and the sequence number of its last known statement. */
+    private record Removal(long micros, long sequence) {}
+
     private final Map<String, RegisteredServer> servers = new TreeMap<>();
     private final Map<String, Long> graceEnds = new HashMap<>();
     /** Sequence numbers at which removed servers appeared in a restored store. */
     private final Map<String, Long> unprovenSequences = new HashMap<>();
-    /** When each removed server was removed, in microseconds, by server name. */
-    private final Map<String, Long> removalMicros = new HashMap<>();
+
+    private final Map<String, Removal> removals = new HashMap<>();
 
     private long renewalEndMicros;
     private boolean isRestored;
@@ -57,16 +60,18 @@
         renewalEndMicros = nowMicros + RENEWAL_PERIOD_MICROS;
     }
 
-    /**
-     * Records that the store was restored from a copy; the next listing may be older than what is known.
-     *
-     * @return time in microseconds at which the servers must be listed again to learn which of them live
-     */
-    public long onStoreRestored(long nowMicros) {
+    /** Records that the store was restored from a copy; the next listing may be older than what is known. */
+    public void onStoreRestored(long nowMicros) {
         onStoreRecovered(nowMicros);
         isRestored = true;
-        removalMicros.values().removeIf(t -> nowMicros - t > REMOVAL_MEMORY_MICROS);
-        return renewalEndMicros;
+    }
+
+    /**
+     * Returns whether the servers must be listed again after {@link #RENEWAL_PERIOD_MICROS}: a rising sequence number,
+     * by which a server proves that it lives, is no change that a watch returns.
+     */
+    public boolean awaitsProof() {
+        return !unprovenSequences.isEmpty();
     }
 
     /** Replaces the known servers by a complete listing. */
@@ -126,7 +131,8 @@
 
     private void put(String name, RegisteredServer server) {
         Long unproven = unprovenSequences.get(name);
-        if (unproven != null && server.sequence() <= unproven) {
+        boolean isUnproven = unproven != null && server.sequence() <= unproven;
+        if (isUnproven || isOutdated(servers.get(name), server) || isOfRemoved(server)) {
             return;
         }
         unprovenSequences.remove(name);
@@ -134,21 +140,30 @@
         graceEnds.remove(name);
     }
 
-    /** Adds a server from a restored store unless what is known of it is later. */
+    /** Returns whether a registration is earlier than the known one of the same server process. */
+    private boolean isOutdated(RegisteredServer known, RegisteredServer server) {
+        if (known == null || !known.server().name().equals(server.server().name())) {
+            return false;
+        }
+        boolean revertsDrain = known.server().draining() && !server.server().draining();
+        boolean hasSequence = server.sequence() > 0;
+        return server.sequence() < known.sequence()
+                || revertsDrain && server.sequence() == known.sequence() && (hasSequence || isRestored);
+    }
+
+    /** Returns whether a registration is not later than what was known of a server when it was removed. */
+    private boolean isOfRemoved(RegisteredServer server) {
+        Removal removal = removals.get(server.server().name());
+        return removal != null && server.sequence() > 0 && server.sequence() <= removal.sequence();
+    }
+
+    /** Holds back a server from a restored store that was already removed. */
     private void putRestored(String name, RegisteredServer server) {
-        RegisteredServer known = servers.get(name);
-        if (known == null && removalMicros.containsKey(server.server().name())) {
+        boolean isRemoved = !servers.containsKey(name)
+                && removals.containsKey(server.server().name());
+        if (isRemoved) {
             unprovenSequences.put(name, server.sequence());
-            return;
-        }
-        boolean isSameProcess =
-                known != null && known.server().name().equals(server.server().name());
-        boolean isEarlier = isSameProcess && server.sequence() < known.sequence();
-        boolean revertsDrain = isSameProcess
-                && known.server().draining()
-                && !server.server().draining()
-                && server.sequence() <= known.sequence();
-        if (!isEarlier && !revertsDrain) {
+        } else {
             put(name, server);
         }
     }
@@ -156,7 +171,8 @@
     private void drop(String name, long nowMicros) {
         RegisteredServer dropped = servers.remove(name);
         graceEnds.remove(name);
-        removalMicros.put(dropped.server().name(), nowMicros);
+        removals.values().removeIf(r -> nowMicros - r.micros() > REMOVAL_MEMORY_MICROS);
+        removals.put(dropped.server().name(), new Removal(nowMicros, dropped.sequence()));
     }
 
     private void remove(Set<String> names, long nowMicros) {
--- a/core/src/test/java/org/hyssophitch/core/call/FleetLimitsTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/FleetLimitsTest.java
@@ -32,11 +32,11 @@
             double sum = hostsByZone.entrySet().stream()
                     .mapToDouble(e -> e.getValue()
                             * LIMITS.loadProbesPerSecondShare(
-                                    all, sameZoneHosts, e.getKey().equals(serverZone)))
+                                    all, sameZoneHosts, e.getKey().equals(serverZone), 1))
                     .sum();
             assertTrue(sum <= LIMITS.loadProbesPerSecond(), sum + " load probes per second");
         });
-        double withoutSameZoneHosts = all * LIMITS.loadProbesPerSecondShare(all, 0, false);
+        double withoutSameZoneHosts = all * LIMITS.loadProbesPerSecondShare(all, 0, false, 1);
         assertTrue(
                 withoutSameZoneHosts <= LIMITS.loadProbesPerSecond(), withoutSameZoneHosts + " load probes per second");
     }
--- a/core/src/test/java/org/hyssophitch/core/entry/ServerRegistryTest.java
+++ b/core/src/test/java/org/hyssophitch/core/entry/ServerRegistryTest.java
@@ -17,6 +17,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /** Removal of servers, immediate or after a grace period, when registrations are deleted or expire. */
@@ -107,20 +108,23 @@
     public void restoredStoreReturnsARemovedServerOnlyWhenItLives() {
         registry.onListed(Map.of("i-0", object("i-0", false, 5), "i-1", object("i-1", false, 5)), 0);
         registry.onChanged(List.of(deleted("i-0"), deleted("i-1")), SECOND);
-        long listAgain = registry.onStoreRestored(2 * SECOND);
+        registry.onStoreRestored(2 * SECOND);
         registry.onListed(Map.of("i-0", object("i-0", false, 9), "i-1", object("i-1", false, 9)), 2 * SECOND);
         assertEquals(names(), expected(0, 0));
-        registry.onListed(Map.of("i-0", object("i-0", false, 9), "i-1", object("i-1", false, 10)), listAgain);
+        registry.onListed(Map.of("i-0", object("i-0", false, 9), "i-1", object("i-1", false, 10)), 4 * SECOND);
         assertEquals(names(), expected(1, 2));
+        assertTrue(registry.awaitsProof());
+        registry.onChanged(List.of(deleted("i-0")), 5 * SECOND);
+        assertFalse(registry.awaitsProof());
     }
 
     @Test
     public void keepsServersMissingFromTheRestoredStoreUntilTheyHadTimeToRegisterAgain() {
         registry.onListed(objects(3), 0);
-        long listAgain = registry.onStoreRestored(10 * SECOND);
+        registry.onStoreRestored(10 * SECOND);
         registry.onListed(objects(1), 10 * SECOND);
         assertEquals(names(), expected(0, 3));
-        registry.expire(listAgain);
+        registry.expire(12 * SECOND);
         assertEquals(names(), expected(0, 1));
     }
 
--- a/core/src/test/java/org/hyssophitch/core/store/KindWatcherTest.java
+++ b/core/src/test/java/org/hyssophitch/core/store/KindWatcherTest.java
@@ -2,12 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
@@ -209,34 +207,6 @@
         return new Change<>(new StoredObject<>(name, 8, Optional.of(name)), false);
     }
 
-    /** Timers that run when the test advances the clock. */
-    private static final class VirtualTimers implements Timers {
-        private record Task(long at, Runnable run) {}
-
-        private final PriorityQueue<Task> tasks = new PriorityQueue<>(Comparator.comparingLong(Task::at));
-        private long now;
-
-        @Override
-        public long nowMicros() {
-            return now;
-        }
-
-        @Override
-        public void after(long micros, Runnable task) {
-            tasks.add(new Task(now + micros, task));
-        }
-
-        private void advance(long micros) {
-            long end = now + micros;
-            while (!tasks.isEmpty() && tasks.peek().at() <= end) {
-                Task next = tasks.poll();
-                now = next.at();
-                next.run().run();
-            }
-            now = end;
-        }
-    }
-
     /** Store that returns the results given by the test. */
     private static final class ScriptedStore implements ObjectStore {
         private final Deque<Consumer<StoreResult<StorePage<String>>>> lists = new ArrayDeque<>();
--- a/entry/src/main/java/org/hyssophitch/entry/RegisteredServerWatcher.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RegisteredServerWatcher.java
@@ -71,14 +71,16 @@
     public void onListed(Map<String, StoredObject<RegisteredServer>> objects, boolean hadOutage) {
         isListed = true;
         registry.onListed(objects, timers.nowMicros());
+        if (registry.awaitsProof()) {
+            timers.after(ServerRegistry.RENEWAL_PERIOD_MICROS, watcher::listAgain);
+        }
         publishServers();
     }
 
     @Override
     public void onRestored() {
-        long now = timers.nowMicros();
         log.recordStoreRestored();
-        timers.after(registry.onStoreRestored(now) - now, watcher::listAgain);
+        registry.onStoreRestored(timers.nowMicros());
     }
 
     @Override
--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/StoreRelayTest.java
@@ -0,0 +1,87 @@
+package org.hyssophitch.entry;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.hyssophitch.core.entry.EntrySettings;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** A fleet that is large enough for its hosts to read the store through each other. */
+public class StoreRelayTest extends EntryProgramFixture {
+
+    private static final int FLEET_SIZE = 17;
+    private static final int CHANGES = 10;
+    private static final long CHANGE_INTERVAL_MILLIS = 500;
+
+    /** A change wakes the relays, not every host: calls to the store have a price. */
+    @Test
+    public void aChangeCostsFewCallsAndReachesAllHostsInTime() throws Exception {
+        List<EntrySettings> fleet = startFleet();
+        int before = watches();
+        for (int i = 2; i <= CHANGES + 1; i++) {
+            register("i-2", second, "svc", i % 2 == 0 ? "draining" : "ready", i);
+            Thread.sleep(CHANGE_INTERVAL_MILLIS);
+        }
+        int calls = watches() - before;
+        assertTrue(calls < FLEET_SIZE * CHANGES / 2, calls + " watches for " + CHANGES + " changes");
+
+        register("i-2", second, "svc", "draining", CHANGES + 2);
+        Thread.sleep(APPLY_DEADLINE_MILLIS);
+        second.requests().clear();
+        fleet.forEach(s -> assertTrue(request(s, "/s/x").endsWith("first")));
+        assertEquals(second.requests(), List.of());
+    }
+
+    /** Relays that the store no longer answers must not hide a change from the hosts behind them. */
+    @Test
+    public void changesReachAllHostsSoonAfterAnOutage() throws Exception {
+        List<EntrySettings> fleet = startFleet();
+        store.setFailureMode(FakeStore.FailureMode.UNAVAILABLE);
+        store.compact();
+        Thread.sleep(APPLY_DEADLINE_MILLIS);
+        fleet.forEach(s -> assertTrue(request(s, "/s/x").startsWith("HTTP/1.1 200")));
+        store.setFailureMode(FakeStore.FailureMode.NONE);
+        register("i-2", second, "svc", "draining", 2);
+        configure(2, "svc", 1);
+        Thread.sleep(2 * APPLY_DEADLINE_MILLIS);
+        second.requests().clear();
+        fleet.forEach(s -> assertTrue(request(s, "/more1/x").endsWith("first")));
+        assertEquals(second.requests(), List.of());
+    }
+
+    private List<EntrySettings> startFleet() throws InterruptedException {
+        configure(1, "svc");
+        register("i-1", first, "svc", "ready");
+        register("i-2", second, "svc", "ready");
+        List<EntrySettings> fleet = IntStream.range(0, FLEET_SIZE)
+                .mapToObj(i -> settings("host-" + i))
+                .toList();
+        fleet.parallelStream().forEach(s -> {
+            EntryProgram program = new EntryProgram(s);
+            synchronized (programs) {
+                programs.add(program);
+            }
+            program.start();
+        });
+        await(() -> fleet.stream().allMatch(s -> ready(s) == 200));
+        await(() -> fleet.stream().allMatch(s -> addresses(s) == FLEET_SIZE));
+        // Each host still waits in a watch that it began before it knew the others.
+        register("i-2", second, "svc", "ready", 2);
+        configure(1, "svc", 0);
+        Thread.sleep(APPLY_DEADLINE_MILLIS);
+        return fleet;
+    }
+
+    private int watches() {
+        return (int) store.calls().stream()
+                .filter(c -> c.equals("GET /v1/objects/servers") || c.equals("GET /v1/objects/config"))
+                .count();
+    }
+
+    private static int addresses(EntrySettings s) {
+        return directory(s).split("127\\.0\\.0\\.1", -1).length - 1;
+    }
+}
--- a/wire/src/main/java/org/hyssophitch/wire/codec/RelayedConfigurationCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/RelayedConfigurationCodec.java
@@ -12,23 +12,32 @@
 import org.hyssophitch.wire.generated.Wire;
 
 /**
- * Codec of relayed configurations. A change travels without its content, as a configuration may be too large for a
- * relay to send to many hosts in time. Stateless.
+ * Codec of relayed configurations. The content of a large change is left out, as a relay could not send it to many hosts
+ * in time over a thin link; the hosts then read it from the store. Stateless.
  */
 public final class RelayedConfigurationCodec implements RelayCodec<Configuration> {
 
+    /** Maximum size in bytes of a change that is sent with its content. */
+    private static final int MAX_RELAYED_BYTES = 8_192;
+
     @Override
     public byte[] encodeChanges(StoreChanges<Configuration> changes) {
-        return RelayCodec.at(changes.position())
-                .setMustList(!changes.changes().isEmpty())
-                .build()
-                .toByteArray();
+        List<StoredObject<Configuration>> objects =
+                changes.changes().stream().map(StoreChanges.Change::object).toList();
+        boolean isDeletion = changes.changes().stream().anyMatch(StoreChanges.Change::isDeleted);
+        byte[] whole = encodeObjects(objects, changes.position());
+        return isDeletion || whole.length > MAX_RELAYED_BYTES
+                ? RelayCodec.at(changes.position()).setMustList(true).build().toByteArray()
+                : whole;
     }
 
     @Override
     public Optional<StoreChanges<Configuration>> decodeChanges(byte[] bytes) throws InvalidProtocolBufferException {
         Wire.RelayedObjects m = Wire.RelayedObjects.parseFrom(bytes);
-        return m.getMustList() ? Optional.empty() : Optional.of(new StoreChanges<>(List.of(), RelayCodec.position(m)));
+        List<StoreChanges.Change<Configuration>> changes = objects(m).stream()
+                .map(o -> new StoreChanges.Change<>(o, false))
+                .toList();
+        return m.getMustList() ? Optional.empty() : Optional.of(new StoreChanges<>(changes, RelayCodec.position(m)));
     }
 
     @Override
@@ -44,10 +53,13 @@
     @Override
     public StorePage<Configuration> decodeObjects(byte[] bytes) throws InvalidProtocolBufferException {
         Wire.RelayedObjects m = Wire.RelayedObjects.parseFrom(bytes);
-        List<StoredObject<Configuration>> objects = m.getConfigurationsList().stream()
+        return new StorePage<>(objects(m), false, "", RelayCodec.position(m));
+    }
+
+    private static List<StoredObject<Configuration>> objects(Wire.RelayedObjects m) {
+        return m.getConfigurationsList().stream()
                 .map(n -> new StoredObject<>(
                         n.getName(), 0, Optional.of(ConfigurationCodec.decode(n.getConfiguration()))))
                 .toList();
-        return new StorePage<>(objects, false, "", RelayCodec.position(m));
     }
 }
