A list of several pages continues from its first page; a reload on a signal is logged

Cause: an object of the first page that changed while later pages were read was neither in the list nor in the watch, which began at the last page's position. SettingsReloader compared its cause with the name of the signal, so that the line about a reload without changes was never written. Change: watch from the first page's position; causes are an enum.

--- a/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
+++ b/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
@@ -140,9 +140,10 @@
             list(page.lastName());
             return;
         }
-        onListed(page.position());
+        onListed(firstPagePosition);
     }
 
+    /** Continues from the first page's position, because objects of that page may have changed while others were read. */
     private void onListed(StorePosition newPosition) {
         boolean isRestored = position.revision() > 0 && !newPosition.isSameEpoch(position);
         position = newPosition;
--- a/core/src/test/java/org/hyssophitch/core/store/KindWatcherTest.java
+++ b/core/src/test/java/org/hyssophitch/core/store/KindWatcherTest.java
@@ -143,6 +143,15 @@
         assertEquals(notifications, List.of("unreachable"));
     }
 
+    /** An object of the first page may change while the second is read; the list doesn't show it, so the watch must. */
+    @Test
+    public void watchesFromThePositionOfTheFirstPage() {
+        store.completeList(new StoreResult.Done<>(page(true, "a", "b")));
+        StorePage<String> second = page(false, "c");
+        store.completeList(new StoreResult.Done<>(new StorePage<>(second.items(), false, "c", at(8))));
+        assertEquals(store.watchedRevision, 7);
+    }
+
     /** Revisions that a restored store issues again belong to other content, so nothing after them may be applied. */
     @Test
     public void listsAgainWhenAWatchIsAnsweredInAnotherEpoch() {
--- a/entry/src/main/java/org/hyssophitch/entry/SettingsReloader.java
+++ b/entry/src/main/java/org/hyssophitch/entry/SettingsReloader.java
@@ -1,6 +1,8 @@
 package org.hyssophitch.entry;
 
 import java.nio.file.Path;
+import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +22,12 @@
     private static final long POLL_INTERVAL_SECONDS = 5;
     private static final String RELOAD_SIGNAL = "HUP";
 
+    /** Why the settings file is read again; the names are written to the log in lower case. */
+    enum Cause {
+        SIGNAL,
+        PERIOD
+    }
+
     private final Path path;
     private final int metricsPort;
     private final Consumer<EntrySettings> onChange;
@@ -38,23 +46,26 @@
     }
 
     void start() {
-        Signal.handle(new Signal(RELOAD_SIGNAL), s -> executor.execute(() -> reload("signal")));
+        Signal.handle(new Signal(RELOAD_SIGNAL), s -> executor.execute(() -> reload(Cause.SIGNAL)));
         executor.scheduleWithFixedDelay(
-                () -> reload("period"), POLL_INTERVAL_SECONDS, POLL_INTERVAL_SECONDS, TimeUnit.SECONDS);
+                () -> reload(Cause.PERIOD), POLL_INTERVAL_SECONDS, POLL_INTERVAL_SECONDS, TimeUnit.SECONDS);
     }
 
-    private void reload(String cause) {
+    private void reload(Cause cause) {
         try {
-            EntrySettings loaded = PlatformSettings.read(path, metricsPort);
-            if (!loaded.equals(current)) {
-                current = loaded;
-                Logger.info("settings changed; reloaded on {}", cause);
-                onChange.accept(loaded);
-            } else if (cause.equals(RELOAD_SIGNAL)) {
-                Logger.info("settings reloaded on signal; no changes");
-            }
+            apply(PlatformSettings.read(path, metricsPort), cause).ifPresent(Logger::info);
         } catch (PlatformSettings.SettingsException e) {
             Logger.warn(e, "settings could not be read; keeping the previous ones");
         }
     }
+
+    /** Applies settings that were read; returns the line to log, none after a periodic read without changes. */
+    Optional<String> apply(EntrySettings loaded, Cause cause) {
+        if (!loaded.equals(current)) {
+            current = loaded;
+            onChange.accept(loaded);
+            return Optional.of("settings changed; reloaded on " + cause.name().toLowerCase(Locale.ROOT));
+        }
+        return cause == Cause.SIGNAL ? Optional.of("settings reloaded on signal; no changes") : Optional.empty();
+    }
 }
--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/SettingsReloaderTest.java
@@ -0,0 +1,58 @@
+package org.hyssophitch.entry;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.hyssophitch.core.entry.EntrySettings;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+/** What is applied and logged when the settings file is read again. */
+public class SettingsReloaderTest {
+
+    private static final EntrySettings SETTINGS = new EntrySettings(
+            "host-1",
+            "z1",
+            "r",
+            Map.of("z1", "r"),
+            new EntrySettings.Addresses("a:1", "a:2", "a:3", "a:4", "a:5"),
+            "s:1",
+            new EntrySettings.Bounds(1_500, 0.2, 50, 10_000, 60, 5));
+    private static final EntrySettings CHANGED =
+            SETTINGS.withBounds(new EntrySettings.Bounds(900, 0.2, 50, 10_000, 60, 5));
+
+    @DataProvider
+    Object[][] reloads() {
+        return new Object[][] {
+            {SETTINGS, SettingsReloader.Cause.SIGNAL, Optional.of("settings reloaded on signal; no changes"), List.of()
+            },
+            {SETTINGS, SettingsReloader.Cause.PERIOD, Optional.empty(), List.of()},
+            {
+                CHANGED,
+                SettingsReloader.Cause.SIGNAL,
+                Optional.of("settings changed; reloaded on signal"),
+                List.of(CHANGED)
+            },
+            {
+                CHANGED,
+                SettingsReloader.Cause.PERIOD,
+                Optional.of("settings changed; reloaded on period"),
+                List.of(CHANGED)
+            },
+        };
+    }
+
+    @Test(dataProvider = "reloads")
+    public void logsSignalsAndChanges(
+            EntrySettings loaded, SettingsReloader.Cause cause, Optional<String> line, List<EntrySettings> applied) {
+        List<EntrySettings> received = new ArrayList<>();
+        SettingsReloader reloader = new SettingsReloader(Path.of("unused"), 1, SETTINGS, received::add);
+        assertEquals(reloader.apply(loaded, cause), line);
+        assertEquals(received, applied);
+    }
+}
