Rules about calls that must wait have a class of their own

Change: TargetRules holds how long a call waits, for how fast a server, and who goes first; nothing behaves differently.

--- a/core/src/main/java/org/hyssophitch/core/call/ProbingDispatcher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ProbingDispatcher.java
@@ -42,14 +42,6 @@
     private static final int MAX_REMOTE_SAMPLE_SIZE = 3;
     /** Minimum number of usable servers in the own zone for probing only those first. */
     private static final int MIN_SAME_ZONE_SERVERS = 2;
-    /** Maximum wait of a call that will miss its target, as a fraction of the time to its deadline. */
-    private static final double LATE_CALL_WAIT_FRACTION = 0.2;
-    /** Minimum time in microseconds that a call may wait, unless its deadline is earlier. */
-    private static final long MIN_WAIT_MICROS = 60_000;
-    /** Time in microseconds that a call without a target may wait. */
-    private static final long DEFAULT_WAIT_MICROS = 250_000;
-    /** Time in microseconds before the end of its wait from which a late call may take a server's last slot. */
-    private static final long LAST_SLOT_MICROS = 40_000;
 
     private final EngineState state;
     private final CallFinisher finisher;
@@ -69,7 +61,7 @@
             rejectUnlessHedge(isHedge, call, Reason.NO_SERVER, nowMicros);
             return;
         }
-        call.setWaitUntilMicros(waitUntil(call, nowMicros));
+        call.setWaitUntilMicros(TargetRules.waitUntil(call, nowMicros));
         boolean isWaiting = service.queue().contains(call.queueEntry());
         if (!isWaiting && !service.queue().offer(call.queueEntry())) {
             rejectUnlessHedge(isHedge, call, Reason.QUEUE_FULL, nowMicros);
@@ -213,7 +205,7 @@
                 .map(w -> state.calls().get(w.callId()))
                 .sorted(Comparator.comparingInt(
                                 (ActiveCall c) -> c.request().policy().priority())
-                        .thenComparing(c -> willMissTarget(c, nowMicros))
+                        .thenComparing(c -> TargetRules.willMissTarget(c, nowMicros))
                         .thenComparingLong(c -> c.request().policy().targetMicros()))
                 .toList();
         waiting.forEach(c -> {
@@ -223,32 +215,11 @@
         });
     }
 
-    /** Returns whether the call will probably miss its target even if it starts now. */
-    private static boolean willMissTarget(ActiveCall call, long nowMicros) {
-        CallPolicy policy = call.request().policy();
-        return nowMicros + expectedMicros(call) > policy.targetMicros();
-    }
-
-    /** Returns the expected latency of the call in microseconds; 0 when it has no target latency. */
-    private static double expectedMicros(ActiveCall call) {
-        return call.request().policy().targetLatencyMicros() * call.service().typicalLatencyShare();
-    }
-
-    /**
-     * Returns the highest relative cost of a server at which the call still meets its target. A call waits for a faster
-     * server while it can still meet its target there, and accepts any server once it is late.
-     */
-    private static double maxCostForTarget(ActiveCall call, long nowMicros) {
-        double expected = expectedMicros(call);
-        boolean acceptsAny = expected == 0 || willMissTarget(call, nowMicros);
-        return acceptsAny ? Double.MAX_VALUE : (call.request().policy().targetMicros() - nowMicros) / expected;
-    }
-
     private boolean tryPlace(ActiveCall call, double maxCost, long nowMicros) {
         LoadPlacement placement = new LoadPlacement(
                 state.settings().zone(),
                 nowMicros,
-                expectedMicros(call),
+                TargetRules.expectedMicros(call),
                 call.service().othersUtilization());
         boolean isHedge = !call.attempts().isEmpty();
         List<ServerState> untried = untried(call, nowMicros).stream()
@@ -259,11 +230,12 @@
                 untried.stream().filter(s -> hasCurrentReport(s, nowMicros)).toList();
         boolean mayProbeMore = maxCost < Double.MAX_VALUE;
         Optional<ServerState> chosen = placement.choose(current.isEmpty() && !mayProbeMore ? untried : current);
-        double acceptable = isHedge ? ACCEPTABLE_COST : Math.min(maxCost, maxCostForTarget(call, nowMicros));
+        double acceptable =
+                isHedge ? ACCEPTABLE_COST : Math.min(maxCost, TargetRules.maxCostForTarget(call, nowMicros));
         if (chosen.isEmpty() || placement.cost(chosen.get()) > acceptable) {
             return false;
         }
-        if (yieldsLastSlot(call, nowMicros) && isLastFastSlot(placement, chosen.get())) {
+        if (TargetRules.yieldsLastSlot(call, nowMicros) && isLastFastSlot(placement, chosen.get())) {
             return false;
         }
         Choice choice = new Choice(chosen.get(), views(untried, placement, chosen.get(), nowMicros));
@@ -286,16 +258,6 @@
                 .toList();
     }
 
-    /**
-     * Returns whether a late call leaves the last slot of a fast server to calls that can still meet their target and
-     * that may be queued at any entry host. It does so until shortly before its own wait ends, so that no call is
-     * rejected while a slot stays empty.
-     */
-    private static boolean yieldsLastSlot(ActiveCall call, long nowMicros) {
-        boolean willMissTarget = expectedMicros(call) > 0 && willMissTarget(call, nowMicros);
-        return willMissTarget && nowMicros < call.waitUntilMicros() - LAST_SLOT_MICROS;
-    }
-
     private static boolean isLastFastSlot(LoadPlacement placement, ServerState server) {
         return placement.isLastSlotBelowKnee(server) && placement.cost(server) <= ACCEPTABLE_COST;
     }
@@ -355,23 +317,6 @@
         }
     }
 
-    /**
-     * Returns the time in microseconds until which a call may wait: while it can still meet its target, or for a short
-     * time if it can't, as spare capacity may turn up between other calls.
-     */
-    private static long waitUntil(ActiveCall call, long nowMicros) {
-        CallPolicy policy = call.request().policy();
-        long toDeadline = call.request().deadlineMicros() - nowMicros;
-        if (policy.targetLatencyMicros() == 0) {
-            return nowMicros + Math.min(toDeadline, DEFAULT_WAIT_MICROS);
-        }
-        long forTarget = policy.targetMicros() - (long) expectedMicros(call) + MIN_WAIT_MICROS;
-        long forLateCall = nowMicros + Math.max(MIN_WAIT_MICROS, (long) (toDeadline * LATE_CALL_WAIT_FRACTION));
-        return Math.min(
-                Math.max(forTarget, willMissTarget(call, nowMicros) ? forLateCall : nowMicros + MIN_WAIT_MICROS),
-                call.request().deadlineMicros());
-    }
-
     private void scheduleTimer(ServiceState service, long nowMicros) {
         ProbeRound round = service.probeRound();
         long at = round.isRunning() ? round.deadlineMicros() : round.nextMicros();
