A starting host serves before it lists the other hosts, and doesn't report what it lists

Ruled out: the start of the process itself (0.28 s of processor time here up to its first call). Change: the hosts are listed after the front is open; listed members are neither gossiped nor logged one by one; lines about members that appear count among the limited ones; a subset of servers is chosen again only when the servers changed.

--- a/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
@@ -95,10 +95,11 @@
     private void defineService(Service service, long nowMicros) {
         List<ServerState> servers = new ArrayList<>();
         service.servers().forEach(b -> servers.add(defineServer(b, nowMicros)));
-        ServerSubset subset =
-                ServerSubset.of(state.settings().host(), state.settings().zone(), servers);
-        state.fleetLimits().ifPresent(f -> servers.forEach(s -> setLoadProbeRate(s, f, subset, nowMicros)));
         ServiceState known = state.services().get(service.name());
+        ServerSubset subset = known != null && known.subset().isOf(servers)
+                ? known.subset()
+                : ServerSubset.of(state.settings().host(), state.settings().zone(), servers);
+        state.fleetLimits().ifPresent(f -> servers.forEach(s -> setLoadProbeRate(s, f, subset, nowMicros)));
         if (known == null) {
             String zone = state.settings().zone();
             state.services()
--- a/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
@@ -159,6 +159,10 @@
         return remaining.isEmpty() ? servers : remaining;
     }
 
+    ServerSubset subset() {
+        return subset;
+    }
+
     /** Returns the eligible servers that this host uses, or all eligible ones if it uses none of them. */
     List<ServerState> eligible(long nowMicros) {
         List<ServerState> all =
--- a/core/src/main/java/org/hyssophitch/core/membership/MembershipEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/membership/MembershipEngine.java
@@ -136,6 +136,24 @@
         if (update.host().equals(self.host())) {
             return refute(update);
         }
+        boolean isChange = put(update, nowMicros);
+        if (isChange) {
+            onChange.accept(update);
+        }
+        return isChange;
+    }
+
+    /**
+     * Merges a record that every host reads for itself, so that it is not reported for gossip: in a large fleet whose
+     * hosts all start at once, that would be one report for each pair of hosts.
+     *
+     * @return whether it changed this host's view
+     */
+    public boolean mergeListed(Member update, long nowMicros) {
+        return update.host().equals(self.host()) ? refute(update) : put(update, nowMicros);
+    }
+
+    private boolean put(Member update, long nowMicros) {
         Member known = members.get(update.host());
         if (known != null && !update.supersedes(known)) {
             return false;
@@ -143,7 +161,6 @@
         isMemberListStale = true;
         members.put(update.host(), update);
         lastChangeMicros.put(update.host(), nowMicros);
-        onChange.accept(update);
         return true;
     }
 
--- a/core/src/main/java/org/hyssophitch/core/routing/ServerSubset.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerSubset.java
@@ -25,12 +25,19 @@
     private static final int MAX_OTHER_ZONES = 16;
 
     private final String zone;
+    private final List<String> candidates;
     private final Set<String> names;
     private final double sameZoneFraction;
     private final double otherZonesFraction;
 
-    private ServerSubset(String zone, Set<String> names, double sameZoneFraction, double otherZonesFraction) {
+    private ServerSubset(
+            String zone,
+            List<String> candidates,
+            Set<String> names,
+            double sameZoneFraction,
+            double otherZonesFraction) {
         this.zone = zone;
+        this.candidates = candidates;
         this.names = Set.copyOf(names);
         this.sameZoneFraction = sameZoneFraction;
         this.otherZonesFraction = otherZonesFraction;
@@ -50,7 +57,17 @@
                         RendezvousHash.owners(host, sameZone, MAX_SAME_ZONE).stream(),
                         RendezvousHash.owners(host, otherZones, MAX_OTHER_ZONES).stream())
                 .collect(Collectors.toCollection(HashSet::new));
-        return new ServerSubset(zone, chosen, fraction(sameZone, MAX_SAME_ZONE), fraction(otherZones, MAX_OTHER_ZONES));
+        return new ServerSubset(
+                zone,
+                names(servers, ServerSubset::isUsable),
+                chosen,
+                fraction(sameZone, MAX_SAME_ZONE),
+                fraction(otherZones, MAX_OTHER_ZONES));
+    }
+
+    /** Returns whether this subset was chosen from the same usable servers, so that it needn't be chosen again. */
+    public boolean isOf(List<ServerState> servers) {
+        return candidates.equals(names(servers, ServerSubset::isUsable));
     }
 
     /** Returns whether the host uses the server. */
--- /dev/null
+++ b/core/src/test/java/org/hyssophitch/core/membership/MembershipEngineTest.java
@@ -0,0 +1,46 @@
+package org.hyssophitch.core.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** What a host reports to the others of what it learns. */
+public class MembershipEngineTest {
+
+    private List<String> reported;
+    private MembershipEngine engine;
+
+    @BeforeMethod
+    public void setUp() {
+        reported = new ArrayList<>();
+        engine = new MembershipEngine(member("self", 1), new SplittableRandom(1), m -> reported.add(m.host()));
+    }
+
+    /** All hosts that start at once list each other; reports would grow with hosts times hosts. */
+    @Test
+    public void listedMembersAreKnownButNotReported() {
+        IntStream.range(0, 150).forEach(i -> assertTrue(engine.mergeListed(member("host-" + i, 1), 0)));
+        assertEquals(engine.live().size(), 151);
+        assertEquals(reported, List.of());
+    }
+
+    @Test
+    public void listedMemberDoesNotReplaceALaterOne() {
+        engine.merge(member("host-1", 2), 0);
+        assertFalse(engine.mergeListed(member("host-1", 1), 0));
+        assertEquals(engine.member("host-1").orElseThrow().incarnation(), 2);
+        assertEquals(reported, List.of("host-1"));
+    }
+
+    private static Member member(String host, long incarnation) {
+        return new Member(host, incarnation, 0, MemberState.ALIVE, "z", host + ":1", host + ":2", 1, true, 0, 0);
+    }
+}
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -161,7 +161,8 @@
 
     /**
      * Opens the endpoints, starts the store watches, and listens for requests once the initial state has been loaded or
-     * {@value #MAX_STORE_WAIT_MILLIS} ms have passed.
+     * {@value #MAX_STORE_WAIT_MILLIS} ms have passed. The other entry hosts, which no request needs, are listed after
+     * that.
      */
     void start() {
         EntrySettings.Addresses a = settings.addresses();
@@ -174,13 +175,13 @@
             peers.start();
             configurationWatcher.start();
             serverWatcher.start();
-            registration.start();
         });
         awaitInitialState();
         front.open(group, Addresses.parse(a.front()));
         runOnLoop(() -> {
             recordStage("started");
             peers.refreshReadiness();
+            registration.start();
         });
     }
 
--- a/entry/src/main/java/org/hyssophitch/entry/EventLog.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EventLog.java
@@ -4,6 +4,7 @@
 
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.load.TokenBucket;
+import org.hyssophitch.core.membership.MemberState;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.core.timeline.EventRecorder;
 import org.hyssophitch.wire.concurrent.WallClock;
@@ -57,6 +58,8 @@
                     case EventBody.CallArrived b -> false;
                     case EventBody.CallAnswered b -> false;
                     case EventBody.CallQueued b -> routineLimit.tryTake(1, nowMicros);
+                    case EventBody.MemberChanged b
+                    when b.state().equals(MemberState.ALIVE.name()) -> routineLimit.tryTake(1, nowMicros);
                     case EventBody.HedgeSkipped b -> routineLimit.tryTake(1, nowMicros);
                     case EventBody.ServerChosen b -> routineLimit.tryTake(1, nowMicros);
                     case EventBody.AttemptEnded b ->
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -127,7 +127,13 @@
     /** Merges the entry hosts listed in the store into the membership. */
     void onListed(Map<String, StoredObject<EntryHost>> objects) {
         long now = WallClock.nowMicros();
-        objects.values().stream().flatMap(o -> o.value().stream()).forEach(h -> membership.merge(member(h), now));
+        long changed = objects.values().stream()
+                .flatMap(o -> o.value().stream())
+                .filter(h -> membership.mergeListed(member(h), now))
+                .count();
+        if (changed > 0) {
+            Logger.info("{} entry hosts listed, {} of them new", objects.size(), changed);
+        }
         updateFleetSize();
     }
 
--- a/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
@@ -147,6 +147,16 @@
         assertTrue(directory(settings).contains(settings.addresses().front()));
     }
 
+    /** After a loss of all hosts callers wait for the front; listing a hundred other hosts must not delay it. */
+    @Test
+    public void listensForRequestsBeforeItListsTheOtherHosts() throws Exception {
+        store.setFailureMode(FakeStore.FailureMode.UNRESPONSIVE);
+        CompletableFuture<EntryProgram> started = CompletableFuture.supplyAsync(() -> start(settings));
+        await(() -> store.calls().stream().anyMatch(c -> c.contains(ENTRY_HOSTS_KIND)));
+        assertTrue(request(settings, "/s/x").startsWith("HTTP/1.1 503"));
+        started.get(3, TimeUnit.SECONDS);
+    }
+
     /** A watch whose connection no longer delivers changes can be detected only by a peer's newer configuration. */
     @Test
     public void relistsWhenAPeerHasANewerConfiguration() throws Exception {
