--- a/core/src/main/java/org/hyssophitch/core/call/TargetRules.java
+++ b/core/src/main/java/org/hyssophitch/core/call/TargetRules.java
@@ -1,8 +1,8 @@
 package org.hyssophitch.core.call;
 
 /**
- * Rules about calls that have a target latency and must wait for a server: how long, for how fast a server, and who goes
- * first. Stateless.
+ * Rules about calls that have a target latency and must wait for a server: how long, for how fast a server, and who
+ * goes first. Stateless.
  *
  * <p>Made for overload, where each slot that a late call takes makes another call late, and for servers whose speed
  * changes, where waiting for a fast server can be better than taking a slow one.
--- a/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
+++ b/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
@@ -143,7 +143,7 @@
         onListed(firstPagePosition);
     }
 
-    /** Continues from the first page's position, because objects of that page may have changed while others were read. */
+    /** Continues from the first page's position, as objects of that page may have changed while others were read. */
     private void onListed(StorePosition newPosition) {
         boolean isRestored = position.revision() > 0 && !newPosition.isSameEpoch(position);
         position = newPosition;
@@ -159,9 +159,12 @@
     }
 
     private void watch() {
+        if (isStopped) {
+            return;
+        }
         if (mustList) {
             list("");
-        } else if (!isStopped) {
+        } else {
             watchId++;
             long current = watchId;
             isWatching = true;
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -148,15 +148,7 @@
         storeRelay.serve(configurations.name(), configurationWatcher, configurationCodec);
         registration = new Registration(
                 store, new EntryHostKind(), settings.host(), timers, peers, this::onStoreRecovered, random.split());
-        metrics.registerGauge(
-                "hyssophitch_log_lines_lost", "log lines lost because their ring was full", JsonLineWriter::dropped);
-        metrics.registerGauge(
-                "hyssophitch_calls_in_flight", "requests without a final answer", dispatcher::activeCalls);
-        metrics.registerGauge(
-                "hyssophitch_backend_connections", "connections to backend servers", dispatcher::backendConnections);
-        metrics.registerGauge("hyssophitch_caller_connections", "connections of callers", front::connections);
-        metrics.registerGauge(
-                "hyssophitch_configuration_version", "version of the configuration in force", router::version);
+        registerGauges();
     }
 
     /**
@@ -185,6 +177,18 @@
         });
     }
 
+    private void registerGauges() {
+        metrics.registerGauge(
+                "hyssophitch_log_lines_lost", "log lines lost because their ring was full", JsonLineWriter::dropped);
+        metrics.registerGauge(
+                "hyssophitch_calls_in_flight", "requests without a final answer", dispatcher::activeCalls);
+        metrics.registerGauge(
+                "hyssophitch_backend_connections", "connections to backend servers", dispatcher::backendConnections);
+        metrics.registerGauge("hyssophitch_caller_connections", "connections of callers", front::connections);
+        metrics.registerGauge(
+                "hyssophitch_configuration_version", "version of the configuration in force", router::version);
+    }
+
     /** Delays opening the front, because requests that arrive before the first store response would be rejected. */
     private void awaitInitialState() {
         long startNanos = System.nanoTime();
