--- a/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
@@ -19,9 +19,9 @@
 /**
  * Reads one kind of objects from the store or through a relay. Not thread-safe; confined to the event loop.
  *
- * <p>Objects are listed at the store, and through a relay if the store turns this host away. Changes are watched through
- * a relay, and at the store if this host is to do so or the relay fails. Positions are always those of the store, so a
- * watcher can change between both at any time.
+ * <p>Objects are listed at the store, and through a relay if the store turns this host away. Changes are watched
+ * through a relay, and at the store if this host is to do so or the relay fails. Positions are always those of the
+ * store, so a watcher can change between both at any time.
  *
  * @param <T> type of the decoded value
  */
--- a/wire/src/main/java/org/hyssophitch/wire/codec/RelayedConfigurationCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/RelayedConfigurationCodec.java
@@ -12,8 +12,8 @@
 import org.hyssophitch.wire.generated.Wire;
 
 /**
- * Codec of relayed configurations. The content of a large change is left out, as a relay could not send it to many hosts
- * in time over a thin link; the hosts then read it from the store. Stateless.
+ * Codec of relayed configurations. The content of a large change is left out, as a relay could not send it to many
+ * hosts in time over a thin link; the hosts then read it from the store. Stateless.
  */
 public final class RelayedConfigurationCodec implements RelayCodec<Configuration> {
 
