A host whose relay can't vouch for its view lists at the store

Ruled out: the relays' own delay (0.1 s); the retry of failed relays, as the hosts asked the store at once. Change: 503 from a relay makes a host list; a host that asks a relay which isn't one gets 421 and asks elsewhere; a watch at the store in place of a relay's waits 1 s at most. Measured: StoreRelayTest.changesReachAllHostsInTimeWhenTheRelaysWatchesAreCut passes, not run without the change.

--- a/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
@@ -12,6 +12,7 @@
 import org.hyssophitch.core.store.StorePosition;
 import org.hyssophitch.core.store.StoreResult;
 import org.hyssophitch.core.store.Timers;
+import org.hyssophitch.core.store.WatchPacing;
 import org.hyssophitch.wire.codec.RelayCodec;
 import org.hyssophitch.wire.net.HttpClient;
 import org.tinylog.Logger;
@@ -20,8 +21,9 @@
  * Reads one kind of objects from the store or through a relay. Not thread-safe; confined to the event loop.
  *
  * <p>Objects are listed at the store, and through a relay if the store turns this host away. Changes are watched
- * through a relay, and at the store if this host is to do so or the relay fails. Positions are always those of the
- * store, so a watcher can change between both at any time.
+ * through a relay, and at the store if this host is to do so or the relay doesn't answer. Positions are always those of
+ * the store, so a watcher can change between both at any time. A relay that can't vouch for its view any more may have
+ * missed changes, and so may a watch that begins at that moment: then the objects are listed.
  *
  * @param <T> type of the decoded value
  */
@@ -38,6 +40,7 @@
 
     private static final int OK = 200;
     private static final int GONE = 410;
+    private static final int UNAVAILABLE = 503;
     private static final String NO_RELAY = "";
     private static final byte[] NO_BODY = new byte[0];
 
@@ -100,7 +103,9 @@
         currentRelay = relay.map(Member::host).orElse(NO_RELAY);
         restart = () -> watch(since, waitMillis, onResult);
         if (relay.isEmpty()) {
-            watchStore(since, waitMillis, onResult);
+            boolean isSubstitute = selector.pacing(timers.nowMicros()) == WatchPacing.RELAYED;
+            int wait = isSubstitute ? Math.min(waitMillis, WatchPacing.RELAYED.waitMillis()) : waitMillis;
+            watchStore(since, wait, onResult);
         } else {
             watchThrough(relay.get(), new RelayRequest.Changes(kind, since, waitMillis), onResult);
         }
@@ -160,7 +165,7 @@
         int timeoutMillis = waitMillis + TIMEOUT_MARGIN_MILLIS;
         clients.of(relay).call("GET", request.target(), NO_BODY, timeoutMillis, o -> {
             Optional<StoreResult<V>> result = interpret(o, decoder);
-            if (result.isEmpty()) {
+            if (!isAnswered(o)) {
                 recordFailure(relay, o);
             }
             onResult.accept(result);
@@ -172,7 +177,9 @@
             case HttpClient.Outcome.Failed f -> Optional.empty();
             case HttpClient.Outcome.Answered a when a.status() == OK -> decode(a.body(), decoder);
             case HttpClient.Outcome.Answered a ->
-                a.status() == GONE ? Optional.of(new StoreResult.HistoryGone<>()) : Optional.empty();
+                a.status() == GONE || a.status() == UNAVAILABLE
+                        ? Optional.of(new StoreResult.HistoryGone<>())
+                        : Optional.empty();
         };
     }
 
@@ -185,6 +192,10 @@
         }
     }
 
+    private static boolean isAnswered(HttpClient.Outcome outcome) {
+        return outcome instanceof HttpClient.Outcome.Answered a && (a.status() == OK || a.status() == GONE);
+    }
+
     private void recordFailure(Member relay, HttpClient.Outcome outcome) {
         selector.onRelayFailed(relay.host(), timers.nowMicros());
         String detail =
--- a/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
+++ b/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
@@ -29,7 +29,7 @@
  */
 final class StoreRelay {
 
-    private static final int UNAVAILABLE = 503;
+    private static final int MISDIRECTED = 421;
 
     private final RelaySelector selector;
     private final RelayClients clients;
@@ -71,7 +71,7 @@
             return CompletableFuture.completedFuture(HttpReply.notFound());
         }
         if (pacing() != WatchPacing.RELAY) {
-            return CompletableFuture.completedFuture(HttpReply.empty(UNAVAILABLE));
+            return CompletableFuture.completedFuture(HttpReply.empty(MISDIRECTED));
         }
         return kind.handle(request);
     }
--- a/entry/src/test/java/org/hyssophitch/entry/EntryProgramFixture.java
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramFixture.java
@@ -4,8 +4,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
@@ -33,6 +35,7 @@
     ScriptedServer second;
     List<EntryProgram> programs;
     EntrySettings settings;
+    private final Set<Integer> usedPorts = new HashSet<>();
 
     @BeforeMethod
     public void setUp() throws IOException {
@@ -135,13 +138,18 @@
         }
     }
 
+    /** Returns an address that no other host of the test was given; free ports aren't reserved until they are bound. */
+    private String freeAddress() {
+        int port = IntStream.generate(FreePorts::one)
+                .filter(usedPorts::add)
+                .findFirst()
+                .orElseThrow();
+        return "127.0.0.1:" + port;
+    }
+
     EntrySettings settings(String host) {
-        EntrySettings.Addresses addresses = new EntrySettings.Addresses(
-                "127.0.0.1:" + FreePorts.one(),
-                "127.0.0.1:" + FreePorts.one(),
-                "127.0.0.1:" + FreePorts.one(),
-                "127.0.0.1:" + FreePorts.one(),
-                "127.0.0.1:" + FreePorts.one());
+        EntrySettings.Addresses addresses =
+                new EntrySettings.Addresses(freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress());
         return new EntrySettings(
                 host,
                 "z1",
--- a/entry/src/test/java/org/hyssophitch/entry/FakeStore.java
+++ b/entry/src/test/java/org/hyssophitch/entry/FakeStore.java
@@ -73,6 +73,13 @@
         failureMode = value;
     }
 
+    /** Ends the pending watches with 503. */
+    synchronized void cutWatches() {
+        List<PendingWatch> cut = List.copyOf(pendingWatches);
+        pendingWatches.clear();
+        cut.forEach(w -> w.response().complete(HttpReply.empty(503)));
+    }
+
     /** Drops the history and ends the pending watches with 410. */
     synchronized void compact() {
         compactedRevision = revision;
--- a/entry/src/test/java/org/hyssophitch/entry/StoreRelayTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/StoreRelayTest.java
@@ -52,6 +52,21 @@
         assertEquals(second.requests(), List.of());
     }
 
+    /** A store that drops its history is deaf for a moment: a watch that begins then must not be relied on. */
+    @Test
+    public void changesReachAllHostsInTimeWhenTheRelaysWatchesAreCut() throws Exception {
+        List<EntrySettings> fleet = startFleet();
+        store.setFailureMode(FakeStore.FailureMode.SILENT_WATCHES);
+        configure(2, "svc", 1);
+        register("i-2", second, "svc", "draining", 3);
+        store.cutWatches();
+        Thread.sleep(APPLY_DEADLINE_MILLIS);
+        second.requests().clear();
+        fleet.forEach(s -> assertTrue(request(s, "/more1/x").endsWith("first"), s.host()));
+        assertEquals(second.requests(), List.of());
+        store.setFailureMode(FakeStore.FailureMode.NONE);
+    }
+
     private List<EntrySettings> startFleet() throws InterruptedException {
         configure(1, "svc");
         register("i-1", first, "svc", "ready");
