--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -124,7 +124,10 @@
         return membership.raiseIncarnationAbove(incarnation);
     }
 
-    /** Merges the entry hosts listed in the store into the membership. */
+    /**
+     * Merges the entry hosts listed in the store into the membership, and announces this host if there were new ones: it
+     * may have begun to accept callers before it knew anybody to tell.
+     */
     void onListed(Map<String, StoredObject<EntryHost>> objects) {
         long now = WallClock.nowMicros();
         long changed = objects.values().stream()
@@ -133,6 +136,7 @@
                 .count();
         if (changed > 0) {
             Logger.info("{} entry hosts listed, {} of them new", objects.size(), changed);
+            sendUrgentGossip();
         }
         updateFleetSize();
     }
