--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -125,8 +125,8 @@
     }
 
     /**
-     * Merges the entry hosts listed in the store into the membership, and announces this host if there were new ones: it
-     * may have begun to accept callers before it knew anybody to tell.
+     * Merges the entry hosts listed in the store into the membership, and announces this host if there were new ones:
+     * it may have begun to accept callers before it knew anybody to tell.
      */
     void onListed(Map<String, StoredObject<EntryHost>> objects) {
         long now = WallClock.nowMicros();
