A server that counts anew at another address is another process

Cause, found on reading the change: a registration without a start time, whose server starts again under its id, counts from 1, and was taken for an outdated statement of the process before. Change: name and address tell whether two registrations are of one process.

--- a/core/src/main/java/org/hyssophitch/core/entry/ServerRegistry.java
+++ b/core/src/main/java/org/hyssophitch/core/entry/ServerRegistry.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 
+import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.store.StoreChanges.Change;
 import org.hyssophitch.core.store.StoredObject;
@@ -142,7 +143,7 @@
 
     /** Returns whether a registration is earlier than the known one of the same server process. */
     private boolean isOutdated(RegisteredServer known, RegisteredServer server) {
-        if (known == null || !known.server().name().equals(server.server().name())) {
+        if (known == null || !isSameProcess(known.server(), server.server())) {
             return false;
         }
         boolean revertsDrain = known.server().draining() && !server.server().draining();
@@ -151,6 +152,11 @@
                 || revertsDrain && server.sequence() == known.sequence() && (hasSequence || isRestored);
     }
 
+    /** A server that starts again begins to count anew; it has another name, or at least another address. */
+    private static boolean isSameProcess(BackendServer a, BackendServer b) {
+        return a.name().equals(b.name()) && a.host().equals(b.host()) && a.port() == b.port();
+    }
+
     /** Returns whether a registration is not later than what was known of a server when it was removed. */
     private boolean isOfRemoved(RegisteredServer server) {
         Removal removal = removals.get(server.server().name());
--- a/core/src/test/java/org/hyssophitch/core/entry/ServerRegistryTest.java
+++ b/core/src/test/java/org/hyssophitch/core/entry/ServerRegistryTest.java
@@ -118,6 +118,16 @@
         assertFalse(registry.awaitsProof());
     }
 
+    @Test
+    public void serverThatCountsAnewAtAnotherAddressIsAnotherProcess() {
+        registry.onListed(Map.of("i-0", object("i-0", true, 50)), 0);
+        BackendServer moved = new BackendServer("i-0", "10.0.0.2", 80, "z", 3, 220, false, "i-0");
+        StoredObject<RegisteredServer> again =
+                new StoredObject<>("i-0", 2, Optional.of(new RegisteredServer("s", moved, 0, 1)));
+        registry.onChanged(List.of(new Change<>(again, false)), SECOND);
+        assertFalse(isDraining("i-0"));
+    }
+
     @Test
     public void keepsServersMissingFromTheRestoredStoreUntilTheyHadTimeToRegisterAgain() {
         registry.onListed(objects(3), 0);
