--- a/entry/src/main/java/org/hyssophitch/entry/RelayedKind.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RelayedKind.java
@@ -22,7 +22,7 @@
  * loop.
  *
  * <p>An answer without changes is given only while the store has recently confirmed that there are none; otherwise the
- * other host is turned away and asks the store itself. So a relay that is cut off from the store misleads nobody.
+ * other host is turned away and lists the objects at the store.
  *
  * @param <T> type of the decoded value
  */
--- a/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
@@ -22,8 +22,8 @@
  *
  * <p>Objects are listed at the store, and through a relay if the store turns this host away. Changes are watched
  * through a relay, and at the store if this host is to do so or the relay doesn't answer. Positions are always those of
- * the store, so a watcher can change between both at any time. A relay that can't vouch for its view any more may have
- * missed changes, and so may a watch that begins at that moment: then the objects are listed.
+ * the store, so a watcher can change between both at any time. A relay that turns this host away may have missed
+ * changes, and so may a watch that begins at that moment: then the objects are listed.
  *
  * @param <T> type of the decoded value
  */
