Observability: what servers state in their answers is decoded and recorded

The engine records ServerStated when a server states something else than before, with the kind of the answer (success, error, load probe), and LimitedServerUsed for each attempt at such a server; the metric hyssophitch_limited_server_attempts_total counts those by server and cause, undropped. The emulator's servers can state a limit.

No choice changes: nothing asks for the limit yet.

--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
@@ -17,6 +17,7 @@
 import org.hyssophitch.core.call.CallAction;
 import org.hyssophitch.core.call.CallEngine;
 import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.CallEvent.AnswerSource;
 import org.hyssophitch.core.call.CallEvent.ProbeOutcome;
 import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.EngineSettings;
@@ -77,9 +78,9 @@
 
     private record Connection(int epoch, long lastUsedMicros, boolean isSilent) {}
 
-    private record RunningAttempt(ModelServer server, ModelServer.Job job, boolean isError) {
+    private record RunningAttempt(ModelServer server, ModelServer.Job job, long sentMicros, boolean isError) {
         RunningAttempt withError() {
-            return new RunningAttempt(server, job, true);
+            return new RunningAttempt(server, job, sentMicros, true);
         }
     }
 
@@ -234,7 +235,7 @@
         ModelServer.Job job = new ModelServer.Job(
                 request.requestId(), isCrashing, reply -> time.after(delay(server), () -> onReply(a, server, reply)));
         running.computeIfAbsent(a.callId(), c -> new HashMap<>())
-                .put(a.attempt(), new RunningAttempt(server, job, false));
+                .put(a.attempt(), new RunningAttempt(server, job, time.nowMicros(), false));
         if (connection != null && connection.isSilent()) {
             long stall = a.stallMillis() * MICROS_PER_MILLI;
             time.after(stall, () -> endIfRunning(a, new AttemptResult.Lost(LostCause.STALLED)));
@@ -265,6 +266,7 @@
                     .addLast(new Connection(server.epoch(), time.nowMicros(), false));
             handle(new CallEvent.LoadReportsReceived(time.nowMicros(), List.of(server.report())));
         }
+        reportStatements(a, server, reply);
         switch (reply) {
             case ANSWERED -> handle(new CallEvent.AnswerStarted(time.nowMicros(), a.callId(), a.attempt(), OK));
             case ERROR -> {
@@ -278,6 +280,14 @@
         }
     }
 
+    private void reportStatements(CallAction.StartAttempt a, ModelServer server, ModelServer.Reply reply) {
+        if (reply != ModelServer.Reply.LOST) {
+            AnswerSource source = reply == ModelServer.Reply.ANSWERED ? AnswerSource.SUCCESS : AnswerSource.ERROR;
+            long sent = running.get(a.callId()).get(a.attempt()).sentMicros();
+            handle(new CallEvent.ServerAnswered(time.nowMicros(), sent, server.name(), source, server.statements()));
+        }
+    }
+
     private void endIfRunning(CallAction.StartAttempt a, AttemptResult result) {
         Map<Integer, RunningAttempt> attempts = running.getOrDefault(a.callId(), new HashMap<>());
         if (attempts.remove(a.attempt()) != null) {
--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelServer.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelServer.java
@@ -4,11 +4,15 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
 import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.core.statement.ServerStatement;
+import org.hyssophitch.core.statement.ServerStatement.RateLimit;
 import org.hyssophitch.standin.RunHistory;
 
 /** Model of one backend server with slots, a bounded queue and injected faults. Not thread-safe; owned by one run. */
@@ -78,6 +82,7 @@
     private boolean isDraining;
     private boolean isShedding;
     private int falseLoad = -1;
+    private Optional<RateLimit> statedLimit = Optional.empty();
     private long reportLagMicros;
     private boolean isReportAgeHidden;
     private long downUntilMicros;
@@ -156,6 +161,16 @@
         falseLoad = value;
     }
 
+    /** Sets the rate limit that the server states in its answers to requests; empty for none. */
+    public void setStatedLimit(Optional<RateLimit> value) {
+        statedLimit = value;
+    }
+
+    /** Returns what the server states about itself in an answer to a request. */
+    List<ServerStatement> statements() {
+        return statedLimit.<ServerStatement>map(l -> l).stream().toList();
+    }
+
     /**
      * Delays load reports.
      *
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
@@ -183,6 +183,10 @@
                 call,
                 new EventBody.ServerChosen(
                         call.request().service(), a.number(), cause.name(), server.name(), choice.candidates()));
+        server.conditions()
+                .limit()
+                .ifPresent(l -> state.record(
+                        nowMicros, call, new EventBody.LimitedServerUsed(server.name(), l.perSecond(), cause.name())));
         emitStart(call, a);
         scheduleHedge(call, a, nowMicros);
     }
--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -33,6 +33,7 @@
     private final ServiceDefinitions definitions;
     private final AttemptStarter starter;
     private final AttemptObserver observer;
+    private final StatementObserver statements;
 
     /**
      * Creates an engine without a configuration.
@@ -47,6 +48,7 @@
         definitions = new ServiceDefinitions(state, finisher);
         starter = new AttemptStarter(state, finisher);
         observer = new AttemptObserver(state, finisher, starter);
+        statements = new StatementObserver(state);
     }
 
     /**
@@ -58,6 +60,7 @@
         switch (event) {
             case CallEvent.CallArrived e -> onArrival(e.request(), e.nowMicros());
             case CallEvent.AnswerStarted e -> observer.onAnswerStarted(e);
+            case CallEvent.ServerAnswered e -> statements.onAnswer(e);
             case CallEvent.AttemptEnded e -> observer.onAttemptEnded(e);
             case CallEvent.CallerGone e -> onCallerGone(e.callId(), e.nowMicros());
             case CallEvent.ConfigurationAccepted e -> onConfiguration(e.configuration(), e.nowMicros());
--- a/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
@@ -10,6 +10,7 @@
 import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.core.statement.ServerStatement;
 
 /** Input of the call engine. Every event is immutable and has a timestamp in microseconds. */
 public sealed interface CallEvent {
@@ -23,6 +24,28 @@
     /** A backend server's response began: status and headers have arrived, the body follows. */
     record AnswerStarted(long nowMicros, long callId, int attempt, int status) implements CallEvent {}
 
+    /**
+     * A backend server's answer to a request or to a load probe arrived.
+     *
+     * @param sentMicros time in microseconds at which the request was sent
+     * @param server name of the server
+     * @param source kind of the answer
+     * @param statements what the server states about itself in the answer; empty when it states nothing
+     */
+    record ServerAnswered(
+            long nowMicros, long sentMicros, String server, AnswerSource source, List<ServerStatement> statements)
+            implements CallEvent {}
+
+    /** Kinds of answers in which a backend server states something about itself. */
+    enum AnswerSource {
+        /** Success, which is passed on to the caller. */
+        SUCCESS,
+        /** Error or refusal. */
+        ERROR,
+        /** Answer to a load probe. */
+        LOAD_PROBE
+    }
+
     /** An attempt ended. */
     record AttemptEnded(long nowMicros, long callId, int attempt, AttemptResult result) implements CallEvent {}
 
--- a/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
@@ -9,6 +9,7 @@
 import org.hyssophitch.core.health.OutlierDetector;
 import org.hyssophitch.core.load.LoadReport;
 import org.hyssophitch.core.load.TokenBucket;
+import org.hyssophitch.core.statement.ServerConditions;
 
 /**
  * State of one backend server as seen by this entry host: attempts in flight, in-flight limit, health, load and speed.
@@ -32,6 +33,7 @@
     private BackendServer server;
     private AdaptiveLimit limit;
     private int attemptLimit;
+    private final ServerConditions conditions = new ServerConditions();
     private final OutlierDetector health = new OutlierDetector();
     private final Map<Long, Long> startMicrosByAttempt = new HashMap<>();
     private LoadReport report;
@@ -80,6 +82,11 @@
         return health;
     }
 
+    /** Returns the conditions that the server has stated in its answers. */
+    public ServerConditions conditions() {
+        return conditions;
+    }
+
     public AdaptiveLimit limit() {
         return limit;
     }
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/statement/ServerStatement.java
@@ -0,0 +1,20 @@
+package org.hyssophitch.core.statement;
+
+/** One statement of a backend server about itself, made in an answer. Every statement is immutable. */
+public sealed interface ServerStatement {
+
+    /**
+     * The server takes a limited number of requests from all entry hosts together, for as long as its answers say so.
+     *
+     * @param perSecond requests per second; positive and finite
+     */
+    record RateLimit(double perSecond) implements ServerStatement {}
+
+    /**
+     * A statement whose value can't be used. It has no effect but a log line.
+     *
+     * @param name name of the statement
+     * @param value value as received, shortened
+     */
+    record Unusable(String name, String value) implements ServerStatement {}
+}
--- a/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
+++ b/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
@@ -44,6 +44,16 @@
     /** A backend server is leaving, so this process sends it no new calls; or a source revoked its leaving notice. */
     record ServerLeaving(String server, String source) implements EventBody {}
 
+    /**
+     * A backend server states another condition in its answers than before; "none" when it no longer states one.
+     *
+     * @param source kind of the answer
+     */
+    record ServerStated(String server, String statement, String source) implements EventBody {}
+
+    /** An attempt was sent to a backend server that states a rate limit in its answers. */
+    record LimitedServerUsed(String server, double limitPerSecond, String cause) implements EventBody {}
+
     /** A backend server registered itself with the platform, or its registration was removed. */
     record ServerRegistered(String server, String service, boolean isGone) implements EventBody {}
 
--- a/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
@@ -36,6 +36,12 @@
             .help("log lines left out to bound their volume")
             .register(registry);
 
+    private final Counter limitedServerAttempts = Counter.builder()
+            .name("hyssophitch_limited_server_attempts_total")
+            .help("attempts sent to backend servers that state a rate limit, by server and cause")
+            .labelNames("server", "cause")
+            .register(registry);
+
     PrometheusRegistry registry() {
         return registry;
     }
@@ -58,6 +64,10 @@
         events.labelValues(type).inc();
     }
 
+    void onLimitedServerUsed(String server, String cause) {
+        limitedServerAttempts.labelValues(server, cause).inc();
+    }
+
     void onDroppedLine() {
         droppedLines.inc();
     }
--- a/entry/src/main/java/org/hyssophitch/entry/EventLog.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EventLog.java
@@ -53,6 +53,9 @@
     @Override
     public void record(long nowMicros, String requestId, EventBody body) {
         metrics.onEvent(body.type());
+        if (body instanceof EventBody.LimitedServerUsed u) {
+            metrics.onLimitedServerUsed(u.server(), u.cause());
+        }
         boolean isLogged =
                 switch (body) {
                     case EventBody.CallArrived b -> false;
@@ -61,6 +64,7 @@
                     case EventBody.MemberChanged b
                     when b.state().equals(MemberState.ALIVE.name()) -> routineLimit.tryTake(1, nowMicros);
                     case EventBody.HedgeSkipped b -> routineLimit.tryTake(1, nowMicros);
+                    case EventBody.LimitedServerUsed b -> routineLimit.tryTake(1, nowMicros);
                     case EventBody.ServerChosen b -> routineLimit.tryTake(1, nowMicros);
                     case EventBody.AttemptEnded b ->
                         b.result().equals("completed")
--- a/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -20,6 +21,7 @@
 import org.hyssophitch.core.call.AttemptResult.NotRunCause;
 import org.hyssophitch.core.call.CallAction;
 import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.CallEvent.AnswerSource;
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.wire.concurrent.WallClock;
 
@@ -45,6 +47,7 @@
     private StallDetector stallDetector = StallDetector.NONE;
     private HttpResponse head;
     private Optional<NotRunCause> notRunCause = Optional.empty();
+    private long sentMicros;
     private int bufferedBytes;
     private boolean isMisleadingStatus;
     private boolean isAnswerStarted;
@@ -115,6 +118,7 @@
             end(new AttemptResult.NotRun(NotRunCause.CONNECT_FAILED));
             return;
         }
+        sentMicros = now;
         newConnection.channel().write(requestHead((action.deadlineMicros() - now) / MICROS_PER_MILLI));
         exchange.sendBody(this);
         newConnection.channel().flush();
@@ -162,6 +166,9 @@
                 .loadReport(action.server().name(), status, response.headers(), now)
                 .ifPresent(r -> dispatcher.handle(new CallEvent.LoadReportsReceived(now, List.of(r))));
         notRunCause = dispatcher.headerConventions().notRunCause(status, response.headers());
+        if (notRunCause.filter(c -> c == NotRunCause.WRONG_INSTANCE).isEmpty()) {
+            reportStatements(response, now);
+        }
         isMisleadingStatus =
                 notRunCause.isEmpty() && dispatcher.headerConventions().impliesNotRun(status);
         if (dispatcher.responseBufferBytes() == CallDispatcher.NO_RESPONSE_BUFFERING
@@ -171,6 +178,16 @@
         }
     }
 
+    private void reportStatements(HttpResponse response, long now) {
+        boolean isSuccess = response.status().codeClass() == HttpStatusClass.SUCCESS;
+        dispatcher.handle(new CallEvent.ServerAnswered(
+                now,
+                sentMicros,
+                action.server().name(),
+                isSuccess ? AnswerSource.SUCCESS : AnswerSource.ERROR,
+                dispatcher.headerConventions().statements(response.headers())));
+    }
+
     @Override
     public void onContent(HttpContent content) {
         stallDetector.onProgress();
--- a/http/src/main/java/org/hyssophitch/http/HeaderConventions.java
+++ b/http/src/main/java/org/hyssophitch/http/HeaderConventions.java
@@ -1,5 +1,6 @@
 package org.hyssophitch.http;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -7,6 +8,7 @@
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.core.statement.ServerStatement;
 
 /**
  * Header conventions of a deployment: the names and formats of the headers that its callers and backend servers use.
@@ -49,6 +51,11 @@
      */
     Optional<LoadReport> loadReport(String server, int status, HttpHeaders response, long nowMicros);
 
+    /** Returns what a backend server states about itself in a response; empty when it states nothing. */
+    default List<ServerStatement> statements(HttpHeaders response) {
+        return List.of();
+    }
+
     /** Returns the HTTP status of a response that the load balancer itself generates. */
     default int status(Reason reason) {
         return reason.status();
--- a/http/src/main/java/org/hyssophitch/http/LoadProber.java
+++ b/http/src/main/java/org/hyssophitch/http/LoadProber.java
@@ -15,6 +15,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.hyssophitch.core.call.CallAction;
 import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.CallEvent.AnswerSource;
 import org.hyssophitch.core.call.CallEvent.ProbeOutcome;
 import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.load.LoadReport;
@@ -57,6 +58,7 @@
         private final ScheduledFuture<?> timer;
         private BackendConnection connection;
         private HttpResponse responseHead;
+        private long sentMicros;
         private boolean isEnded;
 
         private LoadProbe(BackendServer server, String path) {
@@ -78,6 +80,7 @@
                 return;
             }
             connection = newConnection;
+            sentMicros = WallClock.nowMicros();
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
             request.headers().set(HttpHeaderNames.HOST, server.host() + ":" + server.port());
             newConnection.channel().writeAndFlush(request);
@@ -106,6 +109,14 @@
             Optional<LoadReport> report =
                     headerConventions.loadReport(server.name(), status, responseHead.headers(), now);
             boolean isOtherInstance = !headerConventions.isFromServer(responseHead.headers(), server);
+            if (!isOtherInstance) {
+                dispatcher.handle(new CallEvent.ServerAnswered(
+                        now,
+                        sentMicros,
+                        server.name(),
+                        AnswerSource.LOAD_PROBE,
+                        headerConventions.statements(responseHead.headers())));
+            }
             if (isOtherInstance) {
                 end(Optional.empty(), ProbeOutcome.WRONG_INSTANCE);
             } else {
