--- /dev/null
+++ b/bench/src/main/java/org/hyssophitch/bench/limit/LimitPlan.java
@@ -0,0 +1,53 @@
+package org.hyssophitch.bench.limit;
+
+/**
+ * A simulated fleet in front of one service, of which some servers state a rate limit. Immutable.
+ *
+ * @param hosts number of entry hosts
+ * @param servers number of backend servers of the service
+ * @param limitedServers number of servers that state the limit
+ * @param limitPerSecond stated limit in requests per second
+ * @param requestsPerSecond requests per second of all callers
+ * @param seconds duration of the simulation
+ * @param faults what happens to the entry hosts
+ */
+public record LimitPlan(
+        int hosts,
+        int servers,
+        int limitedServers,
+        double limitPerSecond,
+        double requestsPerSecond,
+        int seconds,
+        Faults faults) {
+
+    /** What happens to the entry hosts and the stated limits during a simulation. */
+    public enum Faults {
+        /** Nothing. */
+        NONE,
+        /** Hosts are killed and start again, and knowledge of that is late. */
+        RESTARTS,
+        /** The limit vanishes, appears again and changes. */
+        CHANGES
+    }
+
+    /** Second in which the servers begin to state their limit. */
+    public static final int LIMIT_START_SECOND = 8;
+
+    /** Creates a plan without faults in which the demand for a limited server is several times its limit. */
+    public static LimitPlan of(int hosts, double limitPerSecond) {
+        int servers = 8;
+        double demandFactor = 3;
+        return new LimitPlan(
+                hosts, servers, 1, limitPerSecond, limitPerSecond * demandFactor * servers, 40, Faults.NONE);
+    }
+
+    /** Returns this plan with other faults. */
+    public LimitPlan withFaults(Faults value) {
+        return new LimitPlan(hosts, servers, limitedServers, limitPerSecond, requestsPerSecond, seconds, value);
+    }
+
+    /** Returns this plan with another number of limited servers. */
+    public LimitPlan withLimitedServers(int value) {
+        return new LimitPlan(hosts, servers, value, limitPerSecond, requestsPerSecond, seconds, faults);
+    }
+}
