--- a/bench/src/main/java/org/hyssophitch/bench/command/BenchMain.java
+++ b/bench/src/main/java/org/hyssophitch/bench/command/BenchMain.java
@@ -25,7 +25,8 @@
                 ControlCommand.class,
                 LatencyCommand.class,
                 SlopesCommand.class,
-                DayCommand.class);
+                DayCommand.class,
+                LimitsCommand.class);
         try {
             System.exit(builder.build().parse(arguments).execute());
         } catch (ParseException e) {
--- a/bench/src/main/java/org/hyssophitch/bench/day/DayFleet.java
+++ b/bench/src/main/java/org/hyssophitch/bench/day/DayFleet.java
@@ -13,6 +13,7 @@
 import org.hyssophitch.bench.day.DayPlan.ServicePlan;
 import org.hyssophitch.bench.day.DayPlan.ServiceTime;
 import org.hyssophitch.bench.model.ModelEntryHost;
+import org.hyssophitch.bench.model.ModelGossip;
 import org.hyssophitch.bench.model.ModelServer;
 import org.hyssophitch.bench.model.VirtualTime;
 import org.hyssophitch.core.call.CallEvent;
@@ -59,6 +60,9 @@
     private final Map<String, ModelServer> servers = new TreeMap<>();
     private final Map<String, RegistryEntry> registry = new TreeMap<>();
     private final List<DayHost> hosts = new ArrayList<>();
+    private final ModelGossip gossip = new ModelGossip(time, SERVER_UPDATE_DELAY_MICROS, () -> hosts.stream()
+            .map(DayHost::host)
+            .toList());
     private final Map<String, Integer> serverNumbers = new HashMap<>();
     private long requests;
     private long loadProbesOfReplacedHosts;
@@ -182,16 +186,7 @@
     private DayHost newHost(String name, String zone) {
         long incarnation = time.nowMicros() + 1;
         EngineSettings settings = new EngineSettings(name, zone, incarnation).withFleetLimits(plan.limits());
-        ModelEntryHost host = new ModelEntryHost(
-                settings,
-                time,
-                servers,
-                random.split(),
-                extraAttempts,
-                s -> time.after(
-                        SERVER_UPDATE_DELAY_MICROS,
-                        () -> hosts.forEach(h ->
-                                h.host().handle(new CallEvent.SuspicionsReceived(time.nowMicros(), s.suspicions())))));
+        ModelEntryHost host = new ModelEntryHost(settings, time, servers, random.split(), extraAttempts, gossip);
         RequestRouter router = new RequestRouter(random.split());
         router.accept(configuration);
         host.handle(new CallEvent.ConfigurationAccepted(time.nowMicros(), configuration));
@@ -207,7 +202,12 @@
         Map<String, Integer> live = hosts.stream()
                 .filter(h -> !h.isDead())
                 .collect(Collectors.groupingBy(DayHost::zone, Collectors.summingInt(h -> 1)));
-        hosts.forEach(h -> h.host().handle(new CallEvent.FleetChanged(time.nowMicros(), live)));
+        Map<String, String> zones =
+                hosts.stream().collect(Collectors.toMap(h -> h.host().name(), DayHost::zone));
+        hosts.forEach(h -> {
+            h.host().handle(new CallEvent.FleetChanged(time.nowMicros(), live));
+            h.host().handle(new CallEvent.HostsChanged(time.nowMicros(), zones));
+        });
     }
 
     private CallEvent.ServersRegistered registrationEvent() {
--- a/bench/src/main/java/org/hyssophitch/bench/limit/LimitPlan.java
+++ b/bench/src/main/java/org/hyssophitch/bench/limit/LimitPlan.java
@@ -33,12 +33,16 @@
     /** Second in which the servers begin to state their limit. */
     public static final int LIMIT_START_SECOND = 8;
 
+    private static final int MIN_SERVERS = 8;
+    private static final double SERVERS_PER_HOST = 0.45;
+    /** Demand for a server without a limit, as a multiple of the limit. */
+    private static final double DEMAND_FACTOR = 3;
+
     /** Creates a plan without faults in which the demand for a limited server is several times its limit. */
     public static LimitPlan of(int hosts, double limitPerSecond) {
-        int servers = 8;
-        double demandFactor = 3;
+        int servers = Math.max(MIN_SERVERS, (int) (hosts * SERVERS_PER_HOST));
         return new LimitPlan(
-                hosts, servers, 1, limitPerSecond, limitPerSecond * demandFactor * servers, 40, Faults.NONE);
+                hosts, servers, 1, limitPerSecond, limitPerSecond * DEMAND_FACTOR * servers, 40, Faults.NONE);
     }
 
     /** Returns this plan with other faults. */
--- a/bench/src/main/java/org/hyssophitch/bench/limit/LimitRun.java
+++ b/bench/src/main/java/org/hyssophitch/bench/limit/LimitRun.java
@@ -10,6 +10,7 @@
 import java.util.stream.IntStream;
 
 import org.hyssophitch.bench.model.ModelEntryHost;
+import org.hyssophitch.bench.model.ModelGossip;
 import org.hyssophitch.bench.model.ModelServer;
 import org.hyssophitch.bench.model.ServerBehaviour;
 import org.hyssophitch.bench.model.VirtualTime;
@@ -53,6 +54,7 @@
     private final SplittableRandom random;
     private final Map<String, ModelServer> servers = new TreeMap<>();
     private final List<ModelEntryHost> hosts = new ArrayList<>();
+    private final ModelGossip gossip = new ModelGossip(time, 0, () -> hosts);
     private final List<LimitMonitor> monitors = new ArrayList<>();
     private final Configuration configuration = configuration();
     private long requests;
@@ -79,7 +81,7 @@
                 monitors.stream().mapToDouble(LimitMonitor::worstExcess).max().orElseThrow(),
                 monitors.stream().mapToDouble(LimitMonitor::shareUsed).min().orElseThrow(),
                 (double) served / requests,
-                0);
+                (double) gossip.limitMessages() / plan.hosts() / plan.seconds());
     }
 
     private void addServer(int index) {
@@ -113,7 +115,7 @@
                 servers,
                 random.split(),
                 (now, id, body) -> recorders.forEach(r -> r.record(now, id, body)),
-                s -> {});
+                gossip);
         host.handle(new CallEvent.ConfigurationAccepted(time.nowMicros(), configuration));
         host.handle(new CallEvent.ServersRegistered(time.nowMicros(), Map.of(SERVICE, registered())));
         return host;
@@ -122,7 +124,12 @@
     private void publishHosts() {
         Map<String, Integer> byZone =
                 hosts.stream().collect(Collectors.groupingBy(ModelEntryHost::zone, Collectors.summingInt(h -> 1)));
-        hosts.forEach(h -> h.handle(new CallEvent.FleetChanged(time.nowMicros(), byZone)));
+        Map<String, String> zones =
+                hosts.stream().collect(Collectors.toMap(ModelEntryHost::name, ModelEntryHost::zone));
+        hosts.forEach(h -> {
+            h.handle(new CallEvent.FleetChanged(time.nowMicros(), byZone));
+            h.handle(new CallEvent.HostsChanged(time.nowMicros(), zones));
+        });
     }
 
     private void stateLimit(double perSecond) {
--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
@@ -21,6 +21,7 @@
 import org.hyssophitch.core.call.CallEvent.ProbeOutcome;
 import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.EngineSettings;
+import org.hyssophitch.core.call.FleetNews;
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.load.LoadReport;
 import org.hyssophitch.core.timeline.EventRecorder;
@@ -93,7 +94,7 @@
     private final Map<Long, CallRequest> requests = new HashMap<>();
     private final Map<Long, Map<Integer, RunningAttempt>> running = new HashMap<>();
     private final Map<String, Deque<Connection>> idle = new HashMap<>();
-    private final Consumer<CallAction.ShareSuspicions> suspicionListener;
+    private final FleetNews fleetNews;
     private boolean isDead;
     private boolean isTickScheduled;
     private long loadProbes;
@@ -106,7 +107,7 @@
      * @param servers model servers by name; the caller may add more later
      * @param random random number generator of the engine
      * @param recorder receives the decisions of the engine
-     * @param suspicionListener receives the suspicions that the host shares with other hosts
+     * @param fleetNews receives what the host shares with other hosts
      */
     public ModelEntryHost(
             EngineSettings settings,
@@ -114,13 +115,13 @@
             Map<String, ModelServer> servers,
             SplittableRandom random,
             EventRecorder recorder,
-            Consumer<CallAction.ShareSuspicions> suspicionListener) {
+            FleetNews fleetNews) {
         this.name = settings.host();
         this.zone = settings.zone();
         this.time = time;
         this.servers = servers;
         this.engine = new CallEngine(settings, random, recorder);
-        this.suspicionListener = suspicionListener;
+        this.fleetNews = fleetNews;
     }
 
     public String name() {
@@ -202,7 +203,8 @@
                 answer(a.callId(), new Answer(a.reason(), false, false, a.retryAfterMillis(), a.detail()));
             case CallAction.AbortAnswer a -> answer(a.callId(), new Answer(a.reason(), true, false, 0, ""));
             case CallAction.ProbeLoad a -> a.servers().forEach(s -> probeLoad(servers.get(s.name())));
-            case CallAction.ShareSuspicions a -> suspicionListener.accept(a);
+            case CallAction.ShareSuspicions a -> fleetNews.shareSuspicions(a.suspicions());
+            case CallAction.ShareLimit a -> fleetNews.shareLimit(a.news(), a.isUrgent());
         }
     }
 
--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelRun.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelRun.java
@@ -48,6 +48,7 @@
     private final SplittableRandom random;
     private final Map<String, ModelServer> servers = new TreeMap<>();
     private final List<ModelEntryHost> hosts = new ArrayList<>();
+    private final ModelGossip gossip = new ModelGossip(time, SUSPICION_SHARING_DELAY_MICROS, this::hosts);
     private final Map<ModelEntryHost, Long> incarnations = new HashMap<>();
     private final RunHistory runHistory = new RunHistory();
     private final Map<String, Histogram> latencies = new LinkedHashMap<>();
@@ -239,16 +240,7 @@
     private ModelEntryHost newHost(String name, String zone, long incarnation) {
         EngineSettings base = new EngineSettings(name, zone, incarnation).withFeatures(features);
         EngineSettings settings = fleetLimits.map(base::withFleetLimits).orElse(base);
-        ModelEntryHost host = new ModelEntryHost(
-                settings,
-                time,
-                servers,
-                random.split(),
-                EventRecorder.NONE,
-                shared -> time.after(
-                        SUSPICION_SHARING_DELAY_MICROS,
-                        () -> hosts.forEach(h ->
-                                h.handle(new CallEvent.SuspicionsReceived(time.nowMicros(), shared.suspicions())))));
+        ModelEntryHost host = new ModelEntryHost(settings, time, servers, random.split(), EventRecorder.NONE, gossip);
         incarnations.put(host, incarnation);
         host.handle(new CallEvent.ConfigurationAccepted(time.nowMicros(), configuration));
         return host;
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
@@ -148,6 +148,14 @@
 
     private void enqueue(ActiveCall call, long nowMicros) {
         ServiceState service = call.service();
+        long acceptsFrom = service.acceptsFromMicros(nowMicros);
+        if (acceptsFrom > call.request().deadlineMicros()) {
+            finisher.answer(call, notRunReason(call, Reason.SERVERS_LIMITED), nowMicros);
+            return;
+        }
+        if (acceptsFrom > nowMicros) {
+            state.timers().add(new EngineState.Timer(acceptsFrom, 0, 0, EngineState.TimerKind.ROUND));
+        }
         boolean missesDeadline =
                 nowMicros + service.estimatedWaitMicros() > call.request().deadlineMicros();
         if (missesDeadline && state.isOn(EngineFeature.EARLY_REFUSAL)) {
@@ -185,6 +193,7 @@
                         call.request().service(), a.number(), cause.name(), server.name(), choice.candidates()));
         server.conditions()
                 .limit()
+                .current()
                 .ifPresent(l -> state.record(
                         nowMicros, call, new EventBody.LimitedServerUsed(server.name(), l.perSecond(), cause.name())));
         emitStart(call, a);
--- a/core/src/main/java/org/hyssophitch/core/call/CallAction.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallAction.java
@@ -4,6 +4,7 @@
 
 import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
+import org.hyssophitch.core.statement.LimitNews;
 
 /** Output of the call engine, to be carried out by its caller, which does the I/O. Every action is immutable. */
 public sealed interface CallAction {
@@ -56,6 +57,13 @@
      */
     record ProbeLoad(List<BackendServer> servers, String healthPath) implements CallAction {}
 
+    /**
+     * Share what this host knows of a rate limit that a backend server states with the other entry hosts.
+     *
+     * @param isUrgent whether they should hear it at once
+     */
+    record ShareLimit(LimitNews news, boolean isUrgent) implements CallAction {}
+
     /** Share crash suspicions with the other entry hosts. */
     record ShareSuspicions(List<Suspicion> suspicions) implements CallAction {}
 }
--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -60,7 +60,9 @@
         switch (event) {
             case CallEvent.CallArrived e -> onArrival(e.request(), e.nowMicros());
             case CallEvent.AnswerStarted e -> observer.onAnswerStarted(e);
-            case CallEvent.ServerAnswered e -> statements.onAnswer(e);
+            case CallEvent.ServerAnswered e -> onServerAnswered(e);
+            case CallEvent.LimitNewsReceived e -> onLimitNews(e);
+            case CallEvent.HostsChanged e -> statements.onHostsChanged(e);
             case CallEvent.AttemptEnded e -> observer.onAttemptEnded(e);
             case CallEvent.CallerGone e -> onCallerGone(e.callId(), e.nowMicros());
             case CallEvent.ConfigurationAccepted e -> onConfiguration(e.configuration(), e.nowMicros());
@@ -104,6 +106,7 @@
     }
 
     private void onArrival(CallRequest request, long nowMicros) {
+        statements.onTime(nowMicros);
         ServiceState service = state.services().get(request.service());
         if (service == null) {
             boolean isEmpty = state.configuration().version() == 0;
@@ -152,7 +155,7 @@
     }
 
     private void refuse(CallRequest request, Reason reason, String detail) {
-        long retryAfter = CallFinisher.retryAfterMillis(state.services().get(request.service()), reason);
+        long retryAfter = CallFinisher.retryAfterMillis(state.services().get(request.service()), reason, 0);
         state.emit(new CallAction.AnswerCaller(request.callId(), reason, retryAfter, detail));
     }
 
@@ -193,6 +196,18 @@
         startQueued(nowMicros);
     }
 
+    private void onServerAnswered(CallEvent.ServerAnswered e) {
+        if (statements.onAnswer(e)) {
+            startQueued(e.nowMicros());
+        }
+    }
+
+    private void onLimitNews(CallEvent.LimitNewsReceived e) {
+        if (statements.onNews(e.news(), e.nowMicros())) {
+            startQueued(e.nowMicros());
+        }
+    }
+
     private void onLoadProbeCompleted(CallEvent.LoadProbeCompleted e) {
         state.crashDetector().onProbeCompleted(e.server(), e.outcome(), e.nowMicros());
         ServerState server = state.servers().get(e.server());
--- a/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
@@ -10,6 +10,7 @@
 import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.core.statement.LimitNews;
 import org.hyssophitch.core.statement.ServerStatement;
 
 /** Input of the call engine. Every event is immutable and has a timestamp in microseconds. */
@@ -36,6 +37,16 @@
             long nowMicros, long sentMicros, String server, AnswerSource source, List<ServerStatement> statements)
             implements CallEvent {}
 
+    /** Other entry hosts told what they have heard of rate limits that backend servers state. */
+    record LimitNewsReceived(long nowMicros, List<LimitNews> news) implements CallEvent {}
+
+    /**
+     * The entry hosts that share the limits of backend servers changed.
+     *
+     * @param zoneByHost availability zones of all known hosts that haven't left, also of silent ones
+     */
+    record HostsChanged(long nowMicros, Map<String, String> zoneByHost) implements CallEvent {}
+
     /** Kinds of answers in which a backend server states something about itself. */
     enum AnswerSource {
         /** Success, which is passed on to the caller. */
--- a/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
@@ -18,6 +18,9 @@
     private static final long NO_ROOM_RETRY_AFTER_MILLIS = 200;
 
     private static final long NO_ROOM_RETRY_JITTER_MILLIS = 500;
+    /** Highest priority number that delays the return of a caller further. */
+    private static final int MAX_RETURN_RANK = 3;
+
     private static final int MIN_SERVER_ERROR_STATUS = 500;
     private static final long MICROS_PER_MILLI = 1_000;
 
@@ -35,10 +38,13 @@
             return;
         }
         settleTicket(call, reason, 0);
-        long retryAfter = retryAfterMillis(call.service(), reason);
+        long retryAfter = retryAfterMillis(call.service(), reason, nowMicros);
         if (reason == Reason.NO_ROOM) {
             retryAfter += state.random().nextLong(NO_ROOM_RETRY_JITTER_MILLIS);
         }
+        if (reason == Reason.SERVERS_LIMITED) {
+            retryAfter += returnDelayMillis(call);
+        }
         state.emit(new CallAction.AnswerCaller(call.callId(), reason, retryAfter, ""));
         close(call, reason, nowMicros);
     }
@@ -73,8 +79,9 @@
     }
 
     /** Returns the delay in milliseconds after which a caller should retry; 0 when a retry can't help. */
-    static long retryAfterMillis(ServiceState service, Reason reason) {
+    static long retryAfterMillis(ServiceState service, Reason reason, long nowMicros) {
         return switch (reason) {
+            case SERVERS_LIMITED -> limitedRetryAfterMillis(service.acceptsFromMicros(nowMicros), nowMicros);
             case QUEUE_FULL, DEADLINE_TOO_SHORT, DEADLINE_PASSED_WAITING, ATTEMPTS_REFUSED ->
                 Math.max(MIN_RETRY_AFTER_MILLIS, service.estimatedWaitMicros() / MICROS_PER_MILLI);
             case NO_ROOM -> NO_ROOM_RETRY_AFTER_MILLIS;
@@ -84,6 +91,19 @@
         };
     }
 
+    /** The time until a server takes requests; another host may have a share of its limit if this one has none. */
+    private static long limitedRetryAfterMillis(long acceptsFromMicros, long nowMicros) {
+        return acceptsFromMicros == Long.MAX_VALUE
+                ? DEFAULT_RETRY_AFTER_MILLIS
+                : Math.max(NO_ROOM_RETRY_AFTER_MILLIS, (acceptsFromMicros - nowMicros) / MICROS_PER_MILLI);
+    }
+
+    /** Lets the callers of important calls return first, and spreads those of equal calls. */
+    private long returnDelayMillis(ActiveCall call) {
+        int rank = Math.min(MAX_RETURN_RANK, Math.max(0, call.request().policy().priority()));
+        return (rank * NO_ROOM_RETRY_JITTER_MILLIS) + state.random().nextLong(NO_ROOM_RETRY_JITTER_MILLIS);
+    }
+
     private void cancel(ActiveCall call, ActiveCall.Attempt a, long nowMicros) {
         long elapsed = release(call, a, nowMicros);
         a.server().health().onCancelled();
--- a/core/src/main/java/org/hyssophitch/core/call/EngineState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/EngineState.java
@@ -16,6 +16,8 @@
 import org.hyssophitch.core.health.SuspectTracker;
 import org.hyssophitch.core.routing.ServerSelector;
 import org.hyssophitch.core.routing.ServerState;
+import org.hyssophitch.core.statement.ConditionTable;
+import org.hyssophitch.core.statement.KnownHosts;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.core.timeline.EventRecorder;
 
@@ -50,7 +52,9 @@
     private Configuration configuration = Configuration.NONE;
     private IssuerView issuers = host -> IssuerView.GONE;
     private int bulkInFlight;
+    private final ConditionTable conditions = new ConditionTable();
     private Map<String, Integer> hostsByZone = Map.of();
+    private KnownHosts knownHosts;
     private Map<String, List<RegisteredServer>> registered = Map.of();
     private List<CallAction> actions = new ArrayList<>();
 
@@ -60,6 +64,7 @@
         this.selector = new ServerSelector(random);
         this.recorder = recorder;
         this.suspects = settings.fleetLimits().isPresent() ? SuspectTracker.strict() : new SuspectTracker();
+        this.knownHosts = KnownHosts.ofSelf(settings.host(), settings.zone(), minHosts());
         this.tickets = new TicketRegistry(settings.host(), settings.incarnation());
     }
 
@@ -117,6 +122,24 @@
         hostsByZone = Map.copyOf(value);
     }
 
+    /** Returns the conditions that backend servers have stated. */
+    ConditionTable conditions() {
+        return conditions;
+    }
+
+    /** Returns the entry hosts that share the limits that backend servers state. */
+    KnownHosts knownHosts() {
+        return knownHosts;
+    }
+
+    void setKnownHosts(Map<String, String> zoneByHost) {
+        knownHosts = knownHosts.withOthers(zoneByHost);
+    }
+
+    private int minHosts() {
+        return settings.fleetLimits().map(FleetLimits::minHosts).orElse(configuration.maxEntryHosts());
+    }
+
     /** Returns the self-registered backend servers by service name. */
     Map<String, List<RegisteredServer>> registered() {
         return registered;
@@ -164,6 +187,7 @@
 
     void setConfiguration(Configuration value) {
         configuration = value;
+        knownHosts = knownHosts.withMinCount(minHosts());
     }
 
     IssuerView issuers() {
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/call/FleetNews.java
@@ -0,0 +1,33 @@
+package org.hyssophitch.core.call;
+
+import java.util.List;
+
+import org.hyssophitch.core.health.SuspectTracker.Suspicion;
+import org.hyssophitch.core.statement.LimitNews;
+
+/** Receives what an engine shares with the other entry hosts. Called on the engine's thread. */
+public interface FleetNews {
+
+    /** Shares nothing. */
+    FleetNews NONE = new FleetNews() {
+        @Override
+        public void shareSuspicions(List<Suspicion> suspicions) {
+            // A single host has nobody to tell.
+        }
+
+        @Override
+        public void shareLimit(LimitNews news, boolean isUrgent) {
+            // A single host has nobody to tell.
+        }
+    };
+
+    /** Shares suspicions of requests that crash servers. */
+    void shareSuspicions(List<Suspicion> suspicions);
+
+    /**
+     * Shares what this host knows of a rate limit that a backend server states.
+     *
+     * @param isUrgent whether the other hosts should hear it at once
+     */
+    void shareLimit(LimitNews news, boolean isUrgent);
+}
--- a/core/src/main/java/org/hyssophitch/core/call/ProbingDispatcher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ProbingDispatcher.java
@@ -62,6 +62,10 @@
             return;
         }
         call.setWaitUntilMicros(TargetRules.waitUntil(call, nowMicros));
+        if (service.acceptsFromMicros(nowMicros) > call.waitUntilMicros()) {
+            rejectUnlessHedge(isHedge, call, Reason.SERVERS_LIMITED, nowMicros);
+            return;
+        }
         boolean isWaiting = service.queue().contains(call.queueEntry());
         if (!isWaiting && !service.queue().offer(call.queueEntry())) {
             rejectUnlessHedge(isHedge, call, Reason.QUEUE_FULL, nowMicros);
@@ -155,7 +159,8 @@
     }
 
     /**
-     * Returns the servers to probe, those with the fewest attempts in flight first. The first round probes only servers
+     * Returns the servers to probe: first those with a limit of which this host has a share left, then those with the
+     * fewest attempts in flight. The first round probes only servers
      * of this host's zone when it has enough usable ones.
      *
      * @param probed servers that were probed already
@@ -168,7 +173,8 @@
                 .filter(s -> !probed.contains(s.name()))
                 .toList());
         shuffle(usable);
-        usable.sort(Comparator.comparingInt(ServerState::inFlight));
+        usable.sort(Comparator.comparing((ServerState s) -> !s.conditions().hasShare())
+                .thenComparingInt(ServerState::inFlight));
         List<ServerState> sameZone =
                 usable.stream().filter(s -> s.server().zone().equals(zone)).toList();
         if (probed.isEmpty() && sameZone.size() >= MIN_SAME_ZONE_SERVERS) {
@@ -296,19 +302,22 @@
                 .isPresent();
     }
 
+    /** Rejects calls that have waited too long, and those that no server will take while they can wait. */
     private void rejectExpired(ServiceState service, long nowMicros) {
+        long acceptsFrom = service.acceptsFromMicros(nowMicros);
         List<ActiveCall> expired = service.queue().waiting().stream()
                 .map(w -> state.calls().get(w.callId()))
-                .filter(c -> c != null && nowMicros >= c.waitUntilMicros())
+                .filter(c -> c != null && Math.max(nowMicros, acceptsFrom) >= c.waitUntilMicros())
                 .toList();
-        expired.forEach(c -> endWait(c, nowMicros));
+        Reason reason = acceptsFrom > nowMicros ? Reason.SERVERS_LIMITED : Reason.NO_ROOM;
+        expired.forEach(c -> endWait(c, reason, nowMicros));
     }
 
     /** Ends the wait of a call; an attempt that is in flight continues. */
-    private void endWait(ActiveCall call, long nowMicros) {
+    private void endWait(ActiveCall call, Reason reason, long nowMicros) {
         call.service().queue().remove(call.queueEntry());
         if (call.attempts().isEmpty()) {
-            finisher.answer(call, AttemptStarter.notRunReason(call, Reason.NO_ROOM), nowMicros);
+            finisher.answer(call, AttemptStarter.notRunReason(call, reason), nowMicros);
         } else {
             state.record(
                     nowMicros,
--- a/core/src/main/java/org/hyssophitch/core/call/Reason.java
+++ b/core/src/main/java/org/hyssophitch/core/call/Reason.java
@@ -18,6 +18,8 @@
     QUEUE_FULL(Outcome.NOT_RUN, 503),
     /** No server had capacity while the call could still wait for it. */
     NO_ROOM(Outcome.NOT_RUN, 503),
+    /** By what the servers state about themselves, none takes a request while the call could still wait. */
+    SERVERS_LIMITED(Outcome.NOT_RUN, 503),
     DEADLINE_TOO_SHORT(Outcome.NOT_RUN, 503),
     DEADLINE_PASSED_WAITING(Outcome.NOT_RUN, 503),
     NO_SERVER(Outcome.NOT_RUN, 503),
--- a/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
@@ -90,6 +90,7 @@
         });
         dropServices(names, nowMicros);
         state.servers().keySet().retainAll(servers);
+        state.conditions().retain(servers, nowMicros);
     }
 
     private void defineService(Service service, long nowMicros) {
@@ -121,10 +122,16 @@
     private ServerState defineServer(BackendServer server, long nowMicros) {
         int hosts = Math.max(state.configuration().maxEntryHosts(), state.hosts());
         int limit = server.attemptLimit(hosts);
-        ServerState known =
-                state.servers().computeIfAbsent(server.name(), n -> new ServerState(server.withDraining(false), limit));
+        ServerState known = state.servers()
+                .computeIfAbsent(
+                        server.name(),
+                        n -> new ServerState(
+                                server.withDraining(false),
+                                limit,
+                                state.conditions().of(n)));
         boolean wasLeaving = known.isLeaving();
         known.redefine(server, limit);
+        known.conditions().setZone(server.zone());
         recordLeaving(known, wasLeaving, "operator", nowMicros);
         return known;
     }
--- a/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
@@ -163,11 +163,16 @@
         return subset;
     }
 
-    /** Returns the eligible servers that this host uses, or all eligible ones if it uses none of them. */
+    /**
+     * Returns the eligible servers that this host uses, or all eligible ones if it uses none of them. It uses those of
+     * its subset, and any server of whose stated limit it has a share.
+     */
     List<ServerState> eligible(long nowMicros) {
         List<ServerState> all =
                 servers.stream().filter(s -> s.isEligible(nowMicros)).toList();
-        List<ServerState> used = all.stream().filter(subset::contains).toList();
+        List<ServerState> used = all.stream()
+                .filter(s -> subset.contains(s) || s.conditions().hasShare())
+                .toList();
         return used.isEmpty() ? all : used;
     }
 
@@ -176,6 +181,18 @@
         return servers.stream().anyMatch(s -> !s.isLeaving());
     }
 
+    /**
+     * Returns the time in microseconds from which a server takes a request, by what the servers state about themselves;
+     * {@link Long#MAX_VALUE} if this isn't known of any.
+     */
+    long acceptsFromMicros(long nowMicros) {
+        return servers.stream()
+                .filter(s -> !s.isLeaving())
+                .mapToLong(s -> s.conditions().acceptsFromMicros(nowMicros))
+                .min()
+                .orElse(Long.MAX_VALUE);
+    }
+
     /** Returns whether a server may be ejected: more than half of the other servers have to remain available. */
     boolean mayEject(ServerState candidate, long nowMicros) {
         long others = servers.stream().filter(s -> s != candidate).count();
--- a/core/src/main/java/org/hyssophitch/core/control/AgentMessage.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentMessage.java
@@ -17,6 +17,7 @@
  * @param leaving notices about leaving backend servers
  * @param suspicions requests suspected of crashing backend servers
  * @param registrations notices about backend servers that register themselves
+ * @param limits rate limits that backend servers state
  */
 public record AgentMessage(
         Member sender,
@@ -25,4 +26,5 @@
         List<AgedLoadReport> loads,
         List<LeavingNotice> leaving,
         List<Suspicion> suspicions,
-        List<RegistrationNotice> registrations) {}
+        List<RegistrationNotice> registrations,
+        List<AgedLimitNews> limits) {}
--- a/core/src/main/java/org/hyssophitch/core/control/AgentMessageBuilder.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentMessageBuilder.java
@@ -66,7 +66,8 @@
                 loads,
                 withRandomKnown(leaving.take(NOTICES_PER_MESSAGE), known.leaving()),
                 suspicions.take(NOTICES_PER_MESSAGE),
-                withRandomKnown(registrations.take(REGISTRATIONS_PER_MESSAGE), known.registrations()));
+                withRandomKnown(registrations.take(REGISTRATIONS_PER_MESSAGE), known.registrations()),
+                List.of());
     }
 
     /**
--- a/core/src/main/java/org/hyssophitch/core/load/TokenBucket.java
+++ b/core/src/main/java/org/hyssophitch/core/load/TokenBucket.java
@@ -43,6 +43,12 @@
         return true;
     }
 
+    /** Takes the given number of tokens also if they aren't available; they are owed then. */
+    public void withdraw(double amount, long nowMicros) {
+        refill(nowMicros);
+        tokens -= amount;
+    }
+
     /**
      * Returns the time in microseconds until the given number of tokens is available: 0 if it is now, and
      * {@link Long#MAX_VALUE} if it isn't and the refill rate is 0.
--- a/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
@@ -33,7 +33,7 @@
     private BackendServer server;
     private AdaptiveLimit limit;
     private int attemptLimit;
-    private final ServerConditions conditions = new ServerConditions();
+    private final ServerConditions conditions;
     private final OutlierDetector health = new OutlierDetector();
     private final Map<Long, Long> startMicrosByAttempt = new HashMap<>();
     private LoadReport report;
@@ -54,13 +54,20 @@
      *
      * @param server definition of the server
      * @param attemptLimit maximum number of attempts of this entry host in flight at the server
+     * @param conditions what the server has stated in its answers
      */
-    public ServerState(BackendServer server, int attemptLimit) {
+    public ServerState(BackendServer server, int attemptLimit, ServerConditions conditions) {
         this.server = server;
+        this.conditions = conditions;
         this.attemptLimit = attemptLimit;
         this.limit = new AdaptiveLimit(attemptLimit);
     }
 
+    /** Creates the initial state of a server that has stated nothing. */
+    public ServerState(BackendServer server, int attemptLimit) {
+        this(server, attemptLimit, new ServerConditions(server.name()));
+    }
+
     /** Applies a changed definition of the same server; a changed attempt limit resets the adaptive limit. */
     public void redefine(BackendServer newServer, int newAttemptLimit) {
         server = newServer;
@@ -218,6 +225,7 @@
     public void onStart(long attemptKey, long nowMicros) {
         startMicrosByAttempt.put(attemptKey, nowMicros);
         health.onAttempt();
+        conditions.onAttempt(nowMicros);
     }
 
     /** Records that an attempt ended with any result; returns its duration in microseconds, 0 if it is unknown. */
@@ -247,7 +255,10 @@
 
     /** Returns whether an attempt may be sent now. */
     public boolean isEligible(long nowMicros) {
-        return !isLeaving() && inFlight() < limit.current() && health.isAvailable(nowMicros);
+        return !isLeaving()
+                && inFlight() < limit.current()
+                && health.isAvailable(nowMicros)
+                && conditions.accepts(nowMicros);
     }
 
     /** Returns the reason why no attempt may be sent now, as written in timeline events; "eligible" if one may be. */
@@ -258,6 +269,9 @@
         if (!health.isAvailable(nowMicros)) {
             return "ejected";
         }
+        if (!conditions.accepts(nowMicros)) {
+            return "stated-limit";
+        }
         return inFlight() >= limit.current() ? "at-limit" : "eligible";
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/statement/KnownHosts.java
@@ -0,0 +1,50 @@
+package org.hyssophitch.core.statement;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The entry hosts that share the limits that backend servers state, as one host knows them. Immutable.
+ *
+ * @param self name of this host
+ * @param zoneByHost availability zones of all known hosts that haven't left; hosts that are silent stay, as they may
+ *     still send requests
+ * @param minCount smallest number of hosts to assume, for a host that knows no others yet
+ */
+public record KnownHosts(String self, Map<String, String> zoneByHost, int minCount) {
+
+    /** Copies the hosts. */
+    public KnownHosts {
+        zoneByHost = Map.copyOf(zoneByHost);
+    }
+
+    /** Returns hosts of which only this one is known. */
+    public static KnownHosts ofSelf(String self, String zone, int minCount) {
+        return new KnownHosts(self, Map.of(self, zone), minCount);
+    }
+
+    /** Returns these hosts with others than this one. */
+    public KnownHosts withOthers(Map<String, String> others) {
+        Map<String, String> all = new HashMap<>(others);
+        all.put(self, zoneByHost.get(self));
+        return new KnownHosts(self, all, minCount);
+    }
+
+    /** Returns these hosts with another number to assume at least, or this instance when nothing changes. */
+    public KnownHosts withMinCount(int value) {
+        return value == minCount ? this : new KnownHosts(self, zoneByHost, value);
+    }
+
+    /** Returns the number of hosts to assume. */
+    int count() {
+        return Math.max(minCount, zoneByHost.size());
+    }
+
+    /** Returns the names of the hosts in an availability zone. */
+    List<String> namesIn(String zone) {
+        return zoneByHost.keySet().stream()
+                .filter(h -> zoneByHost.get(h).equals(zone))
+                .toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/statement/LimitShare.java
@@ -0,0 +1,62 @@
+package org.hyssophitch.core.statement;
+
+import java.util.Collection;
+import java.util.List;
+
+import org.hyssophitch.core.load.RendezvousHash;
+
+/**
+ * One entry host's share of a rate limit that a backend server states for all hosts together. Immutable.
+ *
+ * <p>Made for limits far below one request per host and second. If every host had a share, their bursts of at least one
+ * request each would add up to more than the limit. So only some hosts, the owners, use a limited server: as many as
+ * can have a burst of one request, chosen by a hash of the names without coordination, in the server's availability
+ * zone, whose hosts use it most. The shares of the owners add up to the limit, and the sum of their bursts grows with
+ * the limit, not with the number of hosts.
+ *
+ * @param perSecond requests per second
+ * @param burst requests at once after a pause; 0 for a host that isn't an owner
+ */
+public record LimitShare(double perSecond, double burst) {
+
+    /** Share of a host that isn't an owner. */
+    public static final LimitShare NONE = new LimitShare(0, 0);
+
+    /** Sum of all owners' bursts, in seconds of the limit. */
+    private static final double BURST_SECONDS = 2;
+    /** Sum of all owners' bursts that doesn't depend on the limit. */
+    private static final double FIXED_BURST = 3;
+    /** Smallest number of hosts in the server's availability zone that use it alone. */
+    private static final int MIN_SAME_ZONE_HOSTS = 3;
+    /** Part of the limit that the hosts share to ask a server that no host has heard from for long. */
+    private static final double TRIAL_FRACTION = 0.25;
+
+    /**
+     * Returns this host's share.
+     *
+     * @param limitPerSecond the stated limit in requests per second
+     * @param server name of the server
+     * @param zone availability zone of the server
+     * @param hosts the entry hosts
+     */
+    public static LimitShare of(double limitPerSecond, String server, String zone, KnownHosts hosts) {
+        double burst = limitPerSecond * BURST_SECONDS + FIXED_BURST;
+        List<String> sameZone = hosts.namesIn(zone);
+        boolean isZoneUsed = sameZone.size() >= MIN_SAME_ZONE_HOSTS;
+        Collection<String> candidates =
+                isZoneUsed ? sameZone : hosts.zoneByHost().keySet();
+        int owners = (int) Math.min(isZoneUsed ? sameZone.size() : hosts.count(), burst);
+        boolean isOwner = RendezvousHash.owners(server, candidates, owners).contains(hosts.self());
+        return isOwner ? new LimitShare(limitPerSecond / owners, burst / owners) : NONE;
+    }
+
+    /**
+     * Returns the share for trials, whose answers show whether the server still states the limit.
+     *
+     * @param limitPerSecond the stated limit in requests per second
+     * @param hosts the entry hosts
+     */
+    static LimitShare ofTrials(double limitPerSecond, KnownHosts hosts) {
+        return new LimitShare(limitPerSecond * TRIAL_FRACTION / hosts.count(), 1);
+    }
+}
--- a/core/src/main/java/org/hyssophitch/core/statement/ServerConditions.java
+++ b/core/src/main/java/org/hyssophitch/core/statement/ServerConditions.java
@@ -11,25 +11,108 @@
  */
 public final class ServerConditions {
 
-    private Optional<RateLimit> limit = Optional.empty();
+    /** Minimum interval in microseconds between log lines about statements that can't be used. */
+    private static final long UNUSABLE_INTERVAL_MICROS = 10_000_000;
 
-    /** Returns the rate limit that the server states; empty when it states none. */
-    public Optional<RateLimit> limit() {
+    private final StatedLimit limit;
+    private long nextUnusableMicros;
+
+    /**
+     * Creates the conditions of a server that has stated nothing.
+     *
+     * @param server name of the server process
+     */
+    public ServerConditions(String server) {
+        this.limit = new StatedLimit(server);
+    }
+
+    /** Sets the availability zone of the server, whose entry hosts use it most. */
+    public void setZone(String zone) {
+        limit.setZone(zone);
+    }
+
+    /** Returns whether the server states a rate limit and this host has a share of it. */
+    public boolean hasShare() {
+        return limit.current().isPresent() && limit.share().burst() > 0;
+    }
+
+    /** Returns the rate limit that the server states, and this host's use of it. */
+    public StatedLimit limit() {
         return limit;
     }
 
+    /** Returns whether a request may be sent to the server now. */
+    public boolean accepts(long nowMicros) {
+        return acceptsFromMicros(nowMicros) <= nowMicros;
+    }
+
+    /** Returns the time in microseconds from which a request may be sent; {@link Long#MAX_VALUE} if none may be. */
+    public long acceptsFromMicros(long nowMicros) {
+        return limit.acceptsFromMicros(nowMicros);
+    }
+
+    /** Counts an attempt that is sent to the server. */
+    public void onAttempt(long nowMicros) {
+        limit.onAttempt(nowMicros);
+    }
+
     /**
-     * Applies the statements of one answer.
+     * Applies the statements of an answer. One that states a condition counts whatever it answers; only a success
+     * shows that the server no longer states one.
      *
-     * @return whether the conditions changed
+     * @param statements what the answer states
+     * @param isSuccess whether it is a success that is passed on to a caller
+     * @param sentMicros time in microseconds at which its request was sent
+     * @param hosts the entry hosts
+     * @param nowMicros current time in microseconds
+     * @return whether a condition changed
      */
-    public boolean onAnswer(List<ServerStatement> statements) {
-        Optional<RateLimit> stated = statements.stream()
+    public boolean onAnswer(
+            List<ServerStatement> statements, boolean isSuccess, long sentMicros, KnownHosts hosts, long nowMicros) {
+        Optional<RateLimit> lowest = statements.stream()
                 .filter(RateLimit.class::isInstance)
                 .map(RateLimit.class::cast)
-                .findFirst();
-        boolean isChanged = !stated.equals(limit);
-        limit = stated;
-        return isChanged;
+                .min((a, b) -> Double.compare(a.perSecond(), b.perSecond()));
+        if (lowest.isPresent()) {
+            return limit.hear(lowest.get(), hosts, nowMicros);
+        }
+        return isSuccess && limit.hearNone(sentMicros, hosts, nowMicros);
+    }
+
+    /** Applies what another host has heard of the server's limit; returns whether it changed. */
+    public boolean onNews(LimitNews news, KnownHosts hosts, long nowMicros) {
+        return limit.apply(news, hosts, nowMicros);
+    }
+
+    /** Adapts to a change of the entry hosts. */
+    public void onHostsChanged(KnownHosts hosts, long nowMicros) {
+        limit.divide(hosts, nowMicros);
+    }
+
+    /** Adapts to the passing of time. */
+    public void onTime(KnownHosts hosts, long nowMicros) {
+        limit.tryAfterSilence(hosts, nowMicros);
+    }
+
+    /** Returns whether a statement that can't be used should be recorded now. */
+    public boolean takeUnusable(long nowMicros) {
+        boolean isDue = nowMicros >= nextUnusableMicros;
+        nextUnusableMicros = isDue ? nowMicros + UNUSABLE_INTERVAL_MICROS : nextUnusableMicros;
+        return isDue;
+    }
+
+    /** Returns the time in microseconds at which some host last heard a statement of the server; 0 if none has. */
+    long heardMicros() {
+        return limit.heardMicros();
+    }
+
+    /** Returns whether the other hosts should hear the news at once. */
+    public boolean hasUrgentNews() {
+        return limit.isSignificant();
+    }
+
+    /** Returns the news to share with the other hosts now; empty if there are none. */
+    public Optional<LimitNews> takeNews(long nowMicros) {
+        return limit.takeNews(nowMicros);
     }
 }
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -20,7 +20,6 @@
 import org.hyssophitch.core.entry.EntrySettings;
 import org.hyssophitch.core.entry.RequestRouter;
 import org.hyssophitch.core.entry.ServiceDefaults;
-import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.store.KindWatcher;
 import org.hyssophitch.core.store.ObjectStore;
 import org.hyssophitch.core.timeline.EventBody;
@@ -98,13 +97,6 @@
         EngineSettings engineSettings =
                 new EngineSettings(settings.host(), settings.zone(), incarnation).withFleetLimits(fleetLimits());
         PlatformHeaders headers = new PlatformHeaders();
-        dispatcher = new CallDispatcher(
-                new CallEngine(engineSettings, random.split(), log),
-                loop,
-                headers,
-                CallDispatcher.RESPONSE_BUFFER_BYTES,
-                s -> shareSuspicions(s.suspicions()));
-        front = new FrontListener(dispatcher, new EntryRules(router, headers, metrics, log));
         peers = new Peers(
                 settings,
                 incarnation,
@@ -114,8 +106,14 @@
                 router::version,
                 this::isReady,
                 this::onStoreRecovered,
-                s -> dispatcher.handle(new CallEvent.SuspicionsReceived(WallClock.nowMicros(), s)),
-                n -> dispatcher.handle(new CallEvent.FleetChanged(WallClock.nowMicros(), n)));
+                this::handle);
+        dispatcher = new CallDispatcher(
+                new CallEngine(engineSettings, random.split(), log),
+                loop,
+                headers,
+                CallDispatcher.RESPONSE_BUFFER_BYTES,
+                peers);
+        front = new FrontListener(dispatcher, new EntryRules(router, headers, metrics, log));
         EventLoopTimers timers = new EventLoopTimers(loop);
         ObjectStore store = new PlatformStore(
                 new HttpClient(
@@ -292,8 +290,8 @@
         registration.onStoreRestored();
     }
 
-    private void shareSuspicions(List<Suspicion> suspicions) {
-        peers.shareSuspicions(suspicions);
+    private void handle(CallEvent event) {
+        dispatcher.handle(event);
     }
 
     private FleetLimits fleetLimits() {
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -14,6 +14,9 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.FleetNews;
+import org.hyssophitch.core.control.AgedLimitNews;
 import org.hyssophitch.core.control.AgentMessage;
 import org.hyssophitch.core.control.GossipBuffer;
 import org.hyssophitch.core.entry.EntryHost;
@@ -23,6 +26,7 @@
 import org.hyssophitch.core.membership.Member;
 import org.hyssophitch.core.membership.MemberState;
 import org.hyssophitch.core.membership.MembershipEngine;
+import org.hyssophitch.core.statement.LimitNews;
 import org.hyssophitch.core.store.StoredObject;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.core.timeline.EventRecorder;
@@ -38,7 +42,7 @@
  * Membership of the entry hosts: discovers them in the store, detects failures by heartbeats, and spreads member
  * changes and suspicions by gossip over datagrams. Not thread-safe; confined to the event loop, except {@link #open}.
  */
-final class Peers {
+final class Peers implements FleetNews {
 
     private static final long TICK_INTERVAL_MILLIS = 250;
     /** Number of datagrams that carry each gossip item. */
@@ -55,17 +59,18 @@
     private final MembershipEngine membership;
     private final GossipBuffer<Member> memberGossip = new GossipBuffer<>(GOSSIP_TRANSMISSIONS);
     private final GossipBuffer<Suspicion> suspicionGossip = new GossipBuffer<>(GOSSIP_TRANSMISSIONS);
+    private final GossipBuffer<LimitNews> limitGossip = new GossipBuffer<>(GOSSIP_TRANSMISSIONS);
     private final EventRecorder recorder;
     private final RandomGenerator random;
     private final LongSupplier configurationVersion;
     private final BooleanSupplier readiness;
     private final Runnable onStaleConfiguration;
-    private final Consumer<List<Suspicion>> onSuspicions;
-    private final Consumer<Map<String, Integer>> onFleetChanged;
+    private final Consumer<CallEvent> onEvent;
     private DatagramEndpoint endpoint;
     private boolean isAccepting;
     private boolean wasBehind;
     private Map<String, Integer> peakLiveByZone = Map.of();
+    private Map<String, String> zoneByHost = Map.of();
 
     Peers(
             EntrySettings settings,
@@ -76,16 +81,14 @@
             LongSupplier configurationVersion,
             BooleanSupplier readiness,
             Runnable onStaleConfiguration,
-            Consumer<List<Suspicion>> onSuspicions,
-            Consumer<Map<String, Integer>> onFleetChanged) {
+            Consumer<CallEvent> onEvent) {
         this.loop = loop;
         this.random = random;
         this.recorder = recorder;
         this.configurationVersion = configurationVersion;
         this.readiness = readiness;
         this.onStaleConfiguration = onStaleConfiguration;
-        this.onSuspicions = onSuspicions;
-        this.onFleetChanged = onFleetChanged;
+        this.onEvent = onEvent;
         this.membership = new MembershipEngine(
                 member(new EntryHost(
                         settings.host(),
@@ -157,8 +160,16 @@
         sendUrgentGossip();
     }
 
-    /** Gossips suspicions to the other entry hosts. */
-    void shareSuspicions(List<Suspicion> suspicions) {
+    @Override
+    public void shareLimit(LimitNews news, boolean isUrgent) {
+        limitGossip.add(news.server(), news);
+        if (isUrgent) {
+            sendUrgentGossip();
+        }
+    }
+
+    @Override
+    public void shareSuspicions(List<Suspicion> suspicions) {
         suspicions.forEach(s -> suspicionGossip.add(s.fingerprint() + '|' + s.server(), s));
         sendUrgentGossip();
     }
@@ -231,8 +242,8 @@
     }
 
     /**
-     * Reports the peak number of live hosts per zone. The peak is used so that a host that sees only some of the others
-     * doesn't exceed its share of the fleet-wide limits.
+     * Reports the peak number of live hosts per zone, and the names of all hosts that haven't left. The peak is used so
+     * that a host that sees only some of the others doesn't exceed its share of the fleet-wide limits.
      */
     private void updateFleetSize() {
         Map<String, Integer> peak = new HashMap<>(peakLiveByZone);
@@ -242,7 +253,14 @@
                 .forEach((zone, live) -> peak.merge(zone, live, Math::max));
         if (!peak.equals(peakLiveByZone)) {
             peakLiveByZone = peak;
-            onFleetChanged.accept(peak);
+            onEvent.accept(new CallEvent.FleetChanged(WallClock.nowMicros(), peak));
+        }
+        Map<String, String> known = membership.members().stream()
+                .filter(m -> m.state() != MemberState.LEFT)
+                .collect(Collectors.toMap(Member::host, Member::zone));
+        if (!known.equals(zoneByHost)) {
+            zoneByHost = known;
+            onEvent.accept(new CallEvent.HostsChanged(WallClock.nowMicros(), known));
         }
     }
 
@@ -257,6 +275,7 @@
     }
 
     private void send(String to, Optional<Heartbeat> heartbeat) {
+        long now = WallClock.nowMicros();
         AgentMessage message = new AgentMessage(
                 membership.self(),
                 heartbeat,
@@ -264,8 +283,11 @@
                 List.of(),
                 List.of(),
                 suspicionGossip.take(MAX_GOSSIP_PER_DATAGRAM),
-                List.of());
-        endpoint.send(to, AgentMessageCodec.encode(message, clock.tick(WallClock.nowMicros())));
+                List.of(),
+                limitGossip.take(MAX_GOSSIP_PER_DATAGRAM).stream()
+                        .map(n -> AgedLimitNews.of(n, now))
+                        .toList());
+        endpoint.send(to, AgentMessageCodec.encode(message, clock.tick(now)));
     }
 
     private void onDatagram(Wire.AgentDatagram datagram) {
@@ -279,7 +301,12 @@
         membership.refreshSender(message.sender());
         message.members().forEach(m -> membership.merge(m, now));
         if (!message.suspicions().isEmpty()) {
-            onSuspicions.accept(message.suspicions());
+            onEvent.accept(new CallEvent.SuspicionsReceived(now, message.suspicions()));
+        }
+        if (!message.limits().isEmpty()) {
+            List<LimitNews> news =
+                    message.limits().stream().map(n -> n.toLimitNews(now)).toList();
+            onEvent.accept(new CallEvent.LimitNewsReceived(now, news));
         }
         message.heartbeat().ifPresent(h -> membership
                 .onHeartbeat(h, message.sender().agentAddress(), now)
--- a/entry/src/test/java/org/hyssophitch/entry/DataPath.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -18,6 +18,7 @@
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.call.EngineSettings;
 import org.hyssophitch.core.call.FleetLimits;
+import org.hyssophitch.core.call.FleetNews;
 import org.hyssophitch.core.configuration.AddressRule;
 import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.configuration.CallerLimits;
@@ -63,7 +64,7 @@
                 loop,
                 new PlatformHeaders(),
                 CallDispatcher.RESPONSE_BUFFER_BYTES,
-                s -> {});
+                FleetNews.NONE);
         front = new FrontListener(dispatcher, new EntryRules(router, new PlatformHeaders(), metrics, log));
         port = FreePorts.one();
         Configuration c = configuration(limits);
--- a/http/src/main/java/org/hyssophitch/http/CallDispatcher.java
+++ b/http/src/main/java/org/hyssophitch/http/CallDispatcher.java
@@ -12,6 +12,7 @@
 import org.hyssophitch.core.call.CallAction;
 import org.hyssophitch.core.call.CallEngine;
 import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.FleetNews;
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.tinylog.Logger;
 
@@ -36,7 +37,7 @@
     private final BackendPools pools;
     private final LoadProber loadProber;
     private final int responseBufferBytes;
-    private final Consumer<CallAction.ShareSuspicions> onSuspicions;
+    private final FleetNews fleetNews;
     private final Map<Long, CallerExchange> exchanges = new HashMap<>();
     private final Deque<CallEvent> pendingEvents = new ArrayDeque<>();
     private ScheduledFuture<?> timer;
@@ -51,21 +52,21 @@
      * @param loop event loop that everything runs on
      * @param headerConventions header conventions of callers and backend servers
      * @param responseBufferBytes size in bytes up to which a response is buffered before it is relayed to the caller
-     * @param onSuspicions receives suspicions to share with the other entry hosts
+     * @param fleetNews receives what the engine shares with the other entry hosts
      */
     public CallDispatcher(
             CallEngine engine,
             EventLoop loop,
             HeaderConventions headerConventions,
             int responseBufferBytes,
-            Consumer<CallAction.ShareSuspicions> onSuspicions) {
+            FleetNews fleetNews) {
         this.engine = engine;
         this.loop = loop;
         this.headerConventions = headerConventions;
         this.pools = new BackendPools(loop);
         this.loadProber = new LoadProber(this, pools, headerConventions, loop);
         this.responseBufferBytes = responseBufferBytes;
-        this.onSuspicions = onSuspicions;
+        this.fleetNews = fleetNews;
     }
 
     /** Passes an event to the engine. Events raised while it is handled are queued and handled after it. */
@@ -140,7 +141,8 @@
                 withExchange(a.callId(), x -> x.refuse(a.reason(), a.retryAfterMillis(), a.detail()));
             case CallAction.AbortAnswer a -> withExchange(a.callId(), x -> x.abortResponse(a.reason()));
             case CallAction.ProbeLoad a -> loadProber.probe(a);
-            case CallAction.ShareSuspicions a -> onSuspicions.accept(a);
+            case CallAction.ShareSuspicions a -> fleetNews.shareSuspicions(a.suspicions());
+            case CallAction.ShareLimit a -> fleetNews.shareLimit(a.news(), a.isUrgent());
         }
     }
 
--- a/proxy/src/main/java/org/hyssophitch/proxy/Proxy.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/Proxy.java
@@ -10,10 +10,12 @@
 import org.hyssophitch.core.call.CallEngine;
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.call.EngineSettings;
+import org.hyssophitch.core.call.FleetNews;
 import org.hyssophitch.core.control.AgedLoadReport;
 import org.hyssophitch.core.control.ProxyStatus;
 import org.hyssophitch.core.entry.RequestRouter;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
+import org.hyssophitch.core.statement.LimitNews;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.core.timeline.ProcessTimeline;
 import org.hyssophitch.http.CallDispatcher;
@@ -65,7 +67,7 @@
                 loop,
                 new HyssophitchHeaders(settings.host(), agentLink::proxyAddress),
                 CallDispatcher.NO_RESPONSE_BUFFERING,
-                s -> suspicions.addAll(s.suspicions()));
+                fleetNews());
         ProxyMetrics metrics = new ProxyMetrics();
         LocalEndpoints localEndpoints = new LocalEndpoints(engine, timeline, metrics);
         listener = new FrontListener(dispatcher, new CallRules(router, localEndpoints, metrics));
@@ -105,6 +107,21 @@
         Logger.info("proxy {} stopped; no requests were in flight", settings.host());
     }
 
+    /** The agent spreads suspicions; each host hears for itself what servers state. */
+    private FleetNews fleetNews() {
+        return new FleetNews() {
+            @Override
+            public void shareSuspicions(List<Suspicion> shared) {
+                suspicions.addAll(shared);
+            }
+
+            @Override
+            public void shareLimit(LimitNews news, boolean isUrgent) {
+                // Agents don't spread limits.
+            }
+        };
+    }
+
     private void handle(CallEvent event) {
         if (event instanceof CallEvent.ConfigurationAccepted e) {
             router.accept(e.configuration());
--- a/wire/src/main/java/org/hyssophitch/wire/codec/AgentMessageCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/AgentMessageCodec.java
@@ -2,8 +2,10 @@
 
 import java.util.Optional;
 
+import org.hyssophitch.core.control.AgedLimitNews;
 import org.hyssophitch.core.control.AgentMessage;
 import org.hyssophitch.core.membership.Heartbeat;
+import org.hyssophitch.core.statement.ServerStatement.RateLimit;
 import org.hyssophitch.core.timeline.HybridTimestamp;
 import org.hyssophitch.wire.generated.Wire;
 
@@ -23,7 +25,8 @@
                 .addAllLoads(MemberCodec.encodeLoads(m.loads()))
                 .addAllLeaving(MemberCodec.encodeNotices(m.leaving()))
                 .addAllSuspicions(MemberCodec.encodeSuspicions(m.suspicions()))
-                .addAllRegistrations(RegistrationCodec.encodeNotices(m.registrations()));
+                .addAllRegistrations(RegistrationCodec.encodeNotices(m.registrations()))
+                .addAllLimits(m.limits().stream().map(AgentMessageCodec::encode).toList());
         m.heartbeat().ifPresent(h -> b.setHeartbeat(encode(h)));
         return b.build();
     }
@@ -38,7 +41,8 @@
                 MemberCodec.decodeLoads(d.getLoadsList()),
                 MemberCodec.decodeNotices(d.getLeavingList()),
                 MemberCodec.decodeSuspicions(d.getSuspicionsList()),
-                RegistrationCodec.decodeNotices(d.getRegistrationsList()));
+                RegistrationCodec.decodeNotices(d.getRegistrationsList()),
+                d.getLimitsList().stream().map(AgentMessageCodec::decode).toList());
     }
 
     /** Returns the sender's clock reading at the time of sending. */
@@ -46,6 +50,23 @@
         return MemberCodec.decode(d.getClock());
     }
 
+    private static Wire.LimitNews encode(AgedLimitNews n) {
+        return Wire.LimitNews.newBuilder()
+                .setServer(n.server())
+                .setPerSecond(n.limit().map(RateLimit::perSecond).orElse(0.0))
+                .setAgeMicros(n.ageMicros())
+                .build();
+    }
+
+    private static AgedLimitNews decode(Wire.LimitNews n) {
+        double perSecond = n.getPerSecond();
+        boolean isLimit = perSecond > 0 && Double.isFinite(perSecond);
+        return new AgedLimitNews(
+                n.getServer(),
+                isLimit ? Optional.of(new RateLimit(perSecond)) : Optional.empty(),
+                Math.max(0, n.getAgeMicros()));
+    }
+
     private static Wire.Heartbeat encode(Heartbeat h) {
         return Wire.Heartbeat.newBuilder()
                 .setKind(h.kind().ordinal())
--- a/wire/src/test/java/org/hyssophitch/wire/codec/RegistrationCodecTest.java
+++ b/wire/src/test/java/org/hyssophitch/wire/codec/RegistrationCodecTest.java
@@ -6,11 +6,13 @@
 
 import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.configuration.RegisteredServer;
+import org.hyssophitch.core.control.AgedLimitNews;
 import org.hyssophitch.core.control.AgentMessage;
 import org.hyssophitch.core.control.ProxyUpdate;
 import org.hyssophitch.core.control.RegistrationNotice;
 import org.hyssophitch.core.membership.Member;
 import org.hyssophitch.core.membership.MemberState;
+import org.hyssophitch.core.statement.ServerStatement.RateLimit;
 import org.hyssophitch.core.timeline.HybridTimestamp;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -27,7 +29,7 @@
     private static final HybridTimestamp CLOCK = new HybridTimestamp(5, 1);
 
     @Test
-    public void datagramsPreserveRegistrations() {
+    public void datagramsPreserveRegistrationsAndLimits() {
         AgentMessage message = new AgentMessage(
                 SENDER,
                 Optional.empty(),
@@ -37,7 +39,10 @@
                 List.of(),
                 List.of(
                         new RegistrationNotice("b1", Optional.of(SERVER), 77),
-                        new RegistrationNotice("b2", Optional.empty(), 78)));
+                        new RegistrationNotice("b2", Optional.empty(), 78)),
+                List.of(
+                        new AgedLimitNews("b1", Optional.of(new RateLimit(2.5)), 79),
+                        new AgedLimitNews("b2", Optional.empty(), 0)));
 
         assertEquals(AgentMessageCodec.decode(AgentMessageCodec.encode(message, CLOCK)), message);
     }
