A server that wants nothing for a time gets no requests and load probes in it

What callers saw: a server that turned a request away with 503 and Retry-After got the next requests and the load probes as before; when all servers of a service did, callers waited up to half of their target before they were turned away. Cause: a backend server's Retry-After was read by nobody. Evidence: WaitStatementTest failed on the code before (31 requests in the time instead of 1; a retry loop of 4 attempts when no server wants any). The fix: a third record of ServerStatement, RequestedWait as its rule, asked where limits and leaving are asked (ServerConditions.acceptsFromMicros). Probes: rounds take only eligible servers, the slowdown probe asks acceptsProbes. The wait counts from 503 answers to requests and probes, at most 120 s and never for longer than the server's process; a date or an implausible value has no effect but a line in the log.

Order of return: each host comes back at its own place in an order that a hash of the server's name gives all known hosts, 40 ms apart, spread over 5 s and over the wait itself at most (RequestedWaitTest at 14, 30 and 150 hosts: with places by hash alone, 7 of 14 hosts returned within 200 ms; by rank no more than 7 of 150). Callers of a service whose servers all wait are turned away at once with the earliest time of return, important calls first.

Tests of the mechanism: LimitShareTest (35 fleets, also while a host joins), StatedLimitTest, RequestedWaitTest, StatementFormatsTest.

--- a/core/src/main/java/org/hyssophitch/core/call/SlowdownDetector.java
+++ b/core/src/main/java/org/hyssophitch/core/call/SlowdownDetector.java
@@ -47,7 +47,8 @@
         boolean mayHedge = a != null
                 && call.attempts().size() == 1
                 && call.service().queue().size() == 0;
-        if (mayHedge && a.server().tryTakeSpareLoadProbe(nowMicros)) {
+        boolean mayProbe = mayHedge && a.server().conditions().acceptsProbes(nowMicros);
+        if (mayProbe && a.server().tryTakeSpareLoadProbe(nowMicros)) {
             callsByServer
                     .computeIfAbsent(a.server().name(), s -> new HashSet<>())
                     .add(call.callId());
--- a/core/src/main/java/org/hyssophitch/core/call/StatementObserver.java
+++ b/core/src/main/java/org/hyssophitch/core/call/StatementObserver.java
@@ -33,7 +33,7 @@
                 conditions.onAnswer(e.statements(), isSuccess, e.sentMicros(), state.knownHosts(), e.nowMicros());
         String source = e.source().name();
         if (isChanged) {
-            record(e.server(), conditions.describe(), source, e.nowMicros());
+            record(e.server(), conditions.describe(e.nowMicros()), source, e.nowMicros());
         }
         e.statements().stream()
                 .filter(Unusable.class::isInstance)
@@ -53,7 +53,7 @@
         ServerConditions conditions = state.conditions().of(news.server());
         boolean isChanged = conditions.onNews(news, state.knownHosts(), nowMicros);
         if (isChanged) {
-            record(news.server(), conditions.describe(), OTHER_HOST, nowMicros);
+            record(news.server(), conditions.describe(nowMicros), OTHER_HOST, nowMicros);
         }
         share(conditions, nowMicros);
         return isChanged;
--- a/core/src/main/java/org/hyssophitch/core/load/RendezvousHash.java
+++ b/core/src/main/java/org/hyssophitch/core/load/RendezvousHash.java
@@ -34,11 +34,6 @@
         return owners(key, hosts, 1).contains(host);
     }
 
-    /** Returns a number from 0 to 1 that differs from host to host, by which they spread what they do for a key. */
-    public static double phase(String key, String host) {
-        return (weight(key, host) >>> 1) / (double) Long.MAX_VALUE;
-    }
-
     private static long weight(String key, String host) {
         CRC32C crc = new CRC32C();
         crc.update((key + '|' + host).getBytes(StandardCharsets.UTF_8));
--- a/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
@@ -274,7 +274,7 @@
             return "ejected";
         }
         if (!conditions.accepts(nowMicros)) {
-            return "stated-limit";
+            return "stated-condition";
         }
         return inFlight() >= limit.current() ? "at-limit" : "eligible";
     }
--- a/core/src/main/java/org/hyssophitch/core/statement/KnownHosts.java
+++ b/core/src/main/java/org/hyssophitch/core/statement/KnownHosts.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 
+import org.hyssophitch.core.load.RendezvousHash;
+
 /**
  * The entry hosts that share the limits that backend servers state, as one host knows them. Immutable.
  *
@@ -41,6 +43,16 @@
         return Math.max(minCount, zoneByHost.size());
     }
 
+    /**
+     * Returns this host's place among all known ones, from 0 to 1, in an order that differs from key to key. The hosts
+     * spread evenly by it what they do for a key.
+     */
+    double phase(String key) {
+        int size = zoneByHost.size();
+        List<String> order = RendezvousHash.owners(key, zoneByHost.keySet(), size);
+        return (double) order.indexOf(self) / size;
+    }
+
     /** Returns the names of the hosts in an availability zone. */
     List<String> namesIn(String zone) {
         return zoneByHost.keySet().stream()
--- a/core/src/main/java/org/hyssophitch/core/statement/ServerConditions.java
+++ b/core/src/main/java/org/hyssophitch/core/statement/ServerConditions.java
@@ -8,6 +8,7 @@
 import org.hyssophitch.core.statement.ServerStatement.Leaving;
 import org.hyssophitch.core.statement.ServerStatement.RateLimit;
 import org.hyssophitch.core.statement.ServerStatement.Unusable;
+import org.hyssophitch.core.statement.ServerStatement.Wait;
 
 /**
  * The conditions that one backend server process has stated in its answers. Not thread-safe; confined to the call
@@ -18,7 +19,9 @@
     /** Minimum interval in microseconds between log lines about statements that can't be used. */
     private static final long UNUSABLE_INTERVAL_MICROS = 10_000_000;
 
+    private final String server;
     private final StatedLimit limit;
+    private final RequestedWait wait = new RequestedWait();
     private long leavingSinceMicros;
     private long nextUnusableMicros;
 
@@ -28,6 +31,7 @@
      * @param server name of the server process
      */
     public ServerConditions(String server) {
+        this.server = server;
         this.limit = new StatedLimit(server);
     }
 
@@ -58,7 +62,12 @@
 
     /** Returns the time in microseconds from which a request may be sent; {@link Long#MAX_VALUE} if none may be. */
     public long acceptsFromMicros(long nowMicros) {
-        return isLeaving() ? Long.MAX_VALUE : limit.acceptsFromMicros(nowMicros);
+        return isLeaving() ? Long.MAX_VALUE : Math.max(wait.endMicros(nowMicros), limit.acceptsFromMicros(nowMicros));
+    }
+
+    /** Returns whether the server may be probed now: not while it wants nothing. */
+    public boolean acceptsProbes(long nowMicros) {
+        return wait.endMicros(nowMicros) <= nowMicros;
     }
 
     /** Counts an attempt that is sent to the server. */
@@ -84,6 +93,7 @@
             isChanged |= switch (s) {
                 case RateLimit l -> false;
                 case Leaving l -> hearLeaving(nowMicros);
+                case Wait w -> wait.hear(w, hosts.phase(server), hosts.count(), nowMicros);
                 case Unusable u -> false;
             };
         }
@@ -112,9 +122,10 @@
     }
 
     /** Returns the conditions in force as written to events; "none" without any. */
-    public String describe() {
+    public String describe(long nowMicros) {
         List<String> all = Stream.of(
                         isLeaving() ? Optional.of("leaving") : Optional.<String>empty(),
+                        wait.describe(nowMicros),
                         limit.current().map(l -> "limit " + l.perSecond() + "/s"))
                 .flatMap(Optional::stream)
                 .toList();
@@ -145,7 +156,7 @@
 
     /** Returns the time in microseconds at which some host last heard a statement of the server; 0 if none has. */
     long heardMicros() {
-        return Math.max(limit.heardMicros(), leavingSinceMicros);
+        return Math.max(Math.max(limit.heardMicros(), leavingSinceMicros), wait.heardMicros());
     }
 
     /** Returns whether the other hosts should hear the news at once. */
--- a/core/src/main/java/org/hyssophitch/core/statement/ServerStatement.java
+++ b/core/src/main/java/org/hyssophitch/core/statement/ServerStatement.java
@@ -13,6 +13,13 @@
     /** The server is leaving and takes no new work, for as long as its process lives. */
     record Leaving() implements ServerStatement {}
 
+    /**
+     * The server turned the request away and wants nothing from this entry host for a time.
+     *
+     * @param micros the time in microseconds from the answer on
+     */
+    record Wait(long micros) implements ServerStatement {}
+
     /**
      * A statement whose value can't be used. It has no effect but a log line.
      *
--- a/core/src/main/java/org/hyssophitch/core/statement/StatedLimit.java
+++ b/core/src/main/java/org/hyssophitch/core/statement/StatedLimit.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 
-import org.hyssophitch.core.load.RendezvousHash;
 import org.hyssophitch.core.load.TokenBucket;
 import org.hyssophitch.core.statement.ServerStatement.RateLimit;
 
@@ -127,7 +126,7 @@
         if (limit.isPresent() && isSilent && !isTrial && share.burst() == 0) {
             isTrial = true;
             setShare(LimitShare.ofTrials(limit.get().perSecond(), hosts), nowMicros);
-            bucket.withdraw(phase(hosts), nowMicros);
+            bucket.withdraw(hosts.phase(server), nowMicros);
         }
     }
 
@@ -170,15 +169,11 @@
         isTrial = false;
         bucket = new TokenBucket(initial.perSecond(), initial.burst(), nowMicros);
         double allowed = initial.perSecond() * RecentAttempts.WINDOW_MICROS / MICROS_PER_SECOND;
-        bucket.withdraw(Math.max(0, recent.count(nowMicros) - allowed) + phase(hosts), nowMicros);
+        bucket.withdraw(Math.max(0, recent.count(nowMicros) - allowed) + hosts.phase(server), nowMicros);
     }
 
     private void setShare(LimitShare value, long nowMicros) {
         share = value;
         bucket.setRate(value.perSecond(), value.burst(), nowMicros);
     }
-
-    private double phase(KnownHosts hosts) {
-        return RendezvousHash.phase(server, hosts.self());
-    }
 }
--- a/core/src/main/java/org/hyssophitch/core/statement/StatementParser.java
+++ b/core/src/main/java/org/hyssophitch/core/statement/StatementParser.java
@@ -6,6 +6,7 @@
 import org.hyssophitch.core.statement.ServerStatement.Leaving;
 import org.hyssophitch.core.statement.ServerStatement.RateLimit;
 import org.hyssophitch.core.statement.ServerStatement.Unusable;
+import org.hyssophitch.core.statement.ServerStatement.Wait;
 
 /**
  * Parses the values in which backend servers state something, whatever the headers of a deployment are called.
@@ -19,6 +20,10 @@
     /** Highest rate limit in requests per second that is plausible. */
     private static final double MAX_LIMIT_PER_SECOND = 1_000_000;
 
+    /** Longest wait in seconds that is plausible. */
+    private static final double MAX_WAIT_SECONDS = 3_600;
+
+    private static final double MICROS_PER_SECOND = 1_000_000;
     private static final int MAX_LOGGED_CHARS = 40;
     private static final String YES = "1";
     private static final String NO = "0";
@@ -50,6 +55,18 @@
         };
     }
 
+    /**
+     * Parses for how many seconds the server wants nothing; a date isn't usable, as clocks differ.
+     *
+     * @param name name of the header
+     */
+    public static ServerStatement wait(String name, String value) {
+        double seconds = number(value);
+        return seconds >= 0 && seconds <= MAX_WAIT_SECONDS
+                ? new Wait((long) (seconds * MICROS_PER_SECOND))
+                : unusable(name, value);
+    }
+
     /** Parses a decimal number; NaN if it is malformed. */
     private static double number(String value) {
         return DECIMAL.matcher(value.trim()).matches() ? Double.parseDouble(value.trim()) : Double.NaN;
