The time from which a service takes a request is found without a look at all servers

acceptsFromMicros is asked for each call that arrives; it ends at the first server that takes a request now. No change of behaviour: the tests of the statements and of placement pass as before.

--- a/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceState.java
@@ -186,11 +186,15 @@
      * {@link Long#MAX_VALUE} if this isn't known of any.
      */
     long acceptsFromMicros(long nowMicros) {
-        return servers.stream()
-                .filter(s -> !s.isLeaving())
-                .mapToLong(s -> s.conditions().acceptsFromMicros(nowMicros))
-                .min()
-                .orElse(Long.MAX_VALUE);
+        long earliest = Long.MAX_VALUE;
+        for (ServerState s : servers) {
+            long from = s.isLeaving() ? Long.MAX_VALUE : s.conditions().acceptsFromMicros(nowMicros);
+            if (from <= nowMicros) {
+                return from;
+            }
+            earliest = Math.min(earliest, from);
+        }
+        return earliest;
     }
 
     /** Returns whether a server may be ejected: more than half of the other servers have to remain available. */
