Our own deployment's servers state limits and waits too; a host that knows no other takes no share

The proxy reads Load-Limit-Per-Second and a 503's Retry-After into the same statements as the platform's headers (one parser), and learns the entry hosts from its agent; leaving was told by Load-Draining already. Each proxy hears for itself: agents don't spread limits. Stand-in servers say both (hyssophitch-standin fault limit=2 or shed=true retry-after=3).

--- a/core/src/main/java/org/hyssophitch/core/statement/KnownHosts.java
+++ b/core/src/main/java/org/hyssophitch/core/statement/KnownHosts.java
@@ -38,6 +38,11 @@
         return value == minCount ? this : new KnownHosts(self, zoneByHost, value);
     }
 
+    /** Returns whether this host knows no other one although there are others. */
+    boolean isAloneAmongMany() {
+        return zoneByHost.size() == 1 && minCount > 1;
+    }
+
     /** Returns the number of hosts to assume. */
     int count() {
         return Math.max(minCount, zoneByHost.size());
--- a/core/src/main/java/org/hyssophitch/core/statement/LimitShare.java
+++ b/core/src/main/java/org/hyssophitch/core/statement/LimitShare.java
@@ -10,8 +10,8 @@
  *
  * <p>Made for limits far below one request per host and second. If every host had a share, their bursts of at least one
  * request each would add up to more than the limit. So only some hosts, the owners, use a limited server: as many as
- * can have a burst of somewhat more than one request, chosen by a hash of the names without coordination, in the server's availability
- * zone, whose hosts use it most. The shares of the owners add up to the limit, and the sum of their bursts grows with
+ * can have a burst of somewhat more than one request. They are chosen by a hash of the names, without coordination, in
+ * the server's availability zone, whose hosts use it most. The shares of the owners add up to the limit, and the sum of their bursts grows with
  * the limit, not with the number of hosts.
  *
  * @param perSecond requests per second
@@ -34,7 +34,8 @@
     private static final double TRIAL_FRACTION = 0.25;
 
     /**
-     * Returns this host's share.
+     * Returns this host's share. A host that knows no other one has none: all hosts may be in this state at once, after
+     * they were lost while the store was away, and would each take a whole share.
      *
      * @param limitPerSecond the stated limit in requests per second
      * @param server name of the server
@@ -42,6 +43,9 @@
      * @param hosts the entry hosts
      */
     public static LimitShare of(double limitPerSecond, String server, String zone, KnownHosts hosts) {
+        if (hosts.isAloneAmongMany()) {
+            return NONE;
+        }
         double burst = limitPerSecond * BURST_SECONDS + FIXED_BURST;
         List<String> sameZone = hosts.namesIn(zone);
         boolean isZoneUsed = sameZone.size() >= MIN_SAME_ZONE_HOSTS;
--- a/core/src/main/java/org/hyssophitch/core/statement/StatementParser.java
+++ b/core/src/main/java/org/hyssophitch/core/statement/StatementParser.java
@@ -1,7 +1,9 @@
 package org.hyssophitch.core.statement;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 import org.hyssophitch.core.statement.ServerStatement.Leaving;
 import org.hyssophitch.core.statement.ServerStatement.RateLimit;
@@ -25,6 +27,7 @@
 
     private static final double MICROS_PER_SECOND = 1_000_000;
     private static final int MAX_LOGGED_CHARS = 40;
+    private static final String RETRY_AFTER = "Retry-After";
     private static final String YES = "1";
     private static final String NO = "0";
 
@@ -55,16 +58,16 @@
         };
     }
 
-    /**
-     * Parses for how many seconds the server wants nothing; a date isn't usable, as clocks differ.
-     *
-     * @param name name of the header
-     */
-    public static ServerStatement wait(String name, String value) {
+    /** Parses values of Retry-After: for how many seconds the server wants nothing. A date isn't usable. */
+    public static Stream<ServerStatement> waits(List<String> values) {
+        return values.stream().map(StatementParser::wait);
+    }
+
+    private static ServerStatement wait(String value) {
         double seconds = number(value);
         return seconds >= 0 && seconds <= MAX_WAIT_SECONDS
                 ? new Wait((long) (seconds * MICROS_PER_SECOND))
-                : unusable(name, value);
+                : unusable(RETRY_AFTER, value);
     }
 
     /** Parses a decimal number; NaN if it is malformed. */
--- a/core/src/test/java/org/hyssophitch/core/statement/LimitShareTest.java
+++ b/core/src/test/java/org/hyssophitch/core/statement/LimitShareTest.java
@@ -67,6 +67,15 @@
         assertTrue(window <= 1.5 * limit * WINDOW_SECONDS + 5, "window " + window);
     }
 
+    /** After a loss of all hosts while the store is away, each host knows only itself. */
+    @Test(dataProvider = "fleets")
+    public void hostsThatKnowNoOthersTakeNoShare(int hosts, double limit) {
+        double window = shares(hosts, limit, all -> Map.of()).stream()
+                .mapToDouble(LimitShare::burst)
+                .sum();
+        assertEquals(window, 0.0);
+    }
+
     private static List<LimitShare> shares(
             int hosts, double limit, Function<Map<String, String>, Map<String, String>> view) {
         Map<String, String> all =
--- a/proxy/src/main/java/org/hyssophitch/proxy/AgentLink.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/AgentLink.java
@@ -19,6 +19,7 @@
 import org.hyssophitch.core.control.ProxyUpdate;
 import org.hyssophitch.core.load.LoadReport;
 import org.hyssophitch.core.membership.Member;
+import org.hyssophitch.core.membership.MemberState;
 import org.hyssophitch.core.timeline.HybridClock;
 import org.hyssophitch.wire.codec.ConfigurationCodec;
 import org.hyssophitch.wire.codec.FrameCodec;
@@ -46,6 +47,7 @@
     private final Supplier<ProxyStatus> status;
     private final Map<String, String> proxyAddresses = new HashMap<>();
     private final Map<String, RegisteredServer> registeredServers = new TreeMap<>();
+    private Map<String, String> zoneByHost = Map.of();
     private Channel channel;
     private boolean isConnecting;
     private ScheduledFuture<?> statusTimer;
@@ -120,6 +122,7 @@
     private void onUpdate(ProxyUpdate u, long now) {
         u.members().forEach(m -> proxyAddresses.put(m.host(), m.proxyAddress()));
         eventSink.accept(new CallEvent.TicketIssuersChanged(now, ticketIssuers(u.members())));
+        onHosts(u.members(), now);
         eventSink.accept(new CallEvent.LeavingChanged(now, u.leaving(), "agent"));
         u.registrations().ifPresent(r -> onRegistrations(r, now));
         if (!u.loads().isEmpty()) {
@@ -132,6 +135,17 @@
         }
     }
 
+    /** An update lists all members; hosts that left no longer share the limits that servers state. */
+    private void onHosts(List<Member> members, long now) {
+        Map<String, String> known = members.stream()
+                .filter(m -> m.state() != MemberState.LEFT)
+                .collect(Collectors.toMap(Member::host, Member::zone));
+        if (!known.equals(zoneByHost)) {
+            zoneByHost = known;
+            eventSink.accept(new CallEvent.HostsChanged(now, known));
+        }
+    }
+
     private void onRegistrations(ProxyUpdate.Registrations r, long now) {
         r.applyTo(registeredServers);
         eventSink.accept(new CallEvent.ServersRegistered(
--- a/proxy/src/main/java/org/hyssophitch/proxy/HyssophitchHeaders.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/HyssophitchHeaders.java
@@ -1,9 +1,11 @@
 package org.hyssophitch.proxy;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -11,6 +13,8 @@
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.load.LoadReport;
+import org.hyssophitch.core.statement.ServerStatement;
+import org.hyssophitch.core.statement.StatementParser;
 import org.hyssophitch.http.HeaderConventions;
 import org.hyssophitch.http.OutgoingRequest;
 import org.hyssophitch.http.Refusal;
@@ -113,6 +117,16 @@
         return LoadHeaders.parse(server, response::get, nowMicros);
     }
 
+    @Override
+    public List<ServerStatement> statements(int status, HttpHeaders response) {
+        Stream<ServerStatement> limits = response.getAll(LoadHeaders.LIMIT_PER_SECOND).stream()
+                .map(v -> StatementParser.limit(LoadHeaders.LIMIT_PER_SECOND, v));
+        Stream<ServerStatement> waits = status == SERVICE_UNAVAILABLE
+                ? StatementParser.waits(response.getAll(HttpHeaderNames.RETRY_AFTER))
+                : Stream.empty();
+        return Stream.concat(limits, waits).toList();
+    }
+
     @Override
     public byte[] prepareRefusal(HttpHeaders headers, Refusal refusal) {
         Reason reason = refusal.reason();
--- a/standin/src/main/java/org/hyssophitch/standin/FakeBackendServer.java
+++ b/standin/src/main/java/org/hyssophitch/standin/FakeBackendServer.java
@@ -183,6 +183,7 @@
         if (isNotRun) {
             response.headers().set(CallHeaders.OUTCOME, CallHeaders.NOT_RUN);
         }
+        addStatements(response, isNotRun);
         context.writeAndFlush(response).addListener(f -> {
             if (isTruncated) {
                 context.close();
@@ -190,6 +191,15 @@
         });
     }
 
+    private void addStatements(DefaultFullHttpResponse response, boolean isNotRun) {
+        if (faults.limitPerSecond() > 0) {
+            response.headers().set(LoadHeaders.LIMIT_PER_SECOND, Double.toString(faults.limitPerSecond()));
+        }
+        if (isNotRun && faults.retryAfterSeconds() > 0) {
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, Double.toString(faults.retryAfterSeconds()));
+        }
+    }
+
     private void addLoadHeaders(DefaultFullHttpResponse response) {
         long now = WallClock.nowMicros();
         loadSamples.addLast(new LoadSample(now, running.size() + queue.size()));
--- a/standin/src/main/java/org/hyssophitch/standin/ServerFaults.java
+++ b/standin/src/main/java/org/hyssophitch/standin/ServerFaults.java
@@ -13,6 +13,8 @@
  * @param falseLoad number of requests in flight to report in place of the actual one; -1 for the actual one
  * @param loadLagMillis age of the reported load in milliseconds
  * @param isHidingAge whether load reports omit their age
+ * @param limitPerSecond rate limit that each answer states; 0 for none
+ * @param retryAfterSeconds time that each rejection asks to wait; 0 for none
  */
 public record ServerFaults(
         double slowFactor,
@@ -22,10 +24,12 @@
         boolean isShedding,
         int falseLoad,
         long loadLagMillis,
-        boolean isHidingAge) {
+        boolean isHidingAge,
+        double limitPerSecond,
+        double retryAfterSeconds) {
 
     /** No faults. */
-    public static final ServerFaults NONE = new ServerFaults(1, false, false, false, false, -1, 0, false);
+    public static final ServerFaults NONE = new ServerFaults(1, false, false, false, false, -1, 0, false, 0, 0);
 
     /** Returns these faults with the changes that the query parameters specify. */
     public ServerFaults with(HttpQuery q) {
@@ -37,7 +41,9 @@
                 flag(q, "shed", isShedding),
                 (int) q.parameter("false-load", falseLoad),
                 q.parameter("load-lag-ms", loadLagMillis),
-                flag(q, "hide-age", isHidingAge));
+                flag(q, "hide-age", isHidingAge),
+                Double.parseDouble(q.parameter("limit", Double.toString(limitPerSecond))),
+                Double.parseDouble(q.parameter("retry-after", Double.toString(retryAfterSeconds))));
     }
 
     private static boolean flag(HttpQuery q, String name, boolean current) {
--- a/wire/src/main/java/org/hyssophitch/wire/report/LoadHeaders.java
+++ b/wire/src/main/java/org/hyssophitch/wire/report/LoadHeaders.java
@@ -15,6 +15,9 @@
     /** {@code true} while the server is draining. */
     public static final String DRAINING = "Load-Draining";
 
+    /** Requests per second that the server takes from all entry hosts together; missing if it states no limit. */
+    public static final String LIMIT_PER_SECOND = "Load-Limit-Per-Second";
+
     private static final long MICROS_PER_MILLI = 1_000;
 
     private LoadHeaders() {}
