--- a/core/src/test/java/org/hyssophitch/core/call/FleetLimitsTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/FleetLimitsTest.java
@@ -41,6 +41,17 @@
                 withoutSameZoneHosts <= LIMITS.loadProbesPerSecond(), withoutSameZoneHosts + " load probes per second");
     }
 
+    /**
+     * After a loss of all hosts while the store is away, each host knows only itself. It can't tell its share of the
+     * allowance, so it takes none; the ratio to its own calls needs no number of hosts.
+     */
+    @Test
+    public void hostsThatKnowNoOthersExceedTheAllowanceTogether() {
+        int hosts = 153;
+        assertTrue(hosts * LIMITS.extraAttemptAllowanceShare(1) <= LIMITS.extraAttemptAllowance());
+        assertTrue(hosts * LIMITS.extraAttemptAllowanceShare(0) <= LIMITS.extraAttemptAllowance());
+    }
+
     @Test(dataProvider = "fleets")
     public void extraAttemptsOfAllHostsStayWithinAllowance(Map<String, Integer> hostsByZone) {
         int all = hostsByZone.values().stream().mapToInt(Integer::intValue).sum();
