--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -155,7 +155,7 @@
     }
 
     private void refuse(CallRequest request, Reason reason, String detail) {
-        long retryAfter = CallFinisher.retryAfterMillis(state.services().get(request.service()), reason, 0);
+        long retryAfter = CallFinisher.retryAfterMillis(state.services().get(request.service()), reason);
         state.emit(new CallAction.AnswerCaller(request.callId(), reason, retryAfter, detail));
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
@@ -18,6 +18,8 @@
     private static final long NO_ROOM_RETRY_AFTER_MILLIS = 200;
 
     private static final long NO_ROOM_RETRY_JITTER_MILLIS = 500;
+    /** Delay of a caller's return for each rank of priority below the highest. */
+    private static final long RETURN_RANK_DELAY_MILLIS = 500;
     /** Highest priority number that delays the return of a caller further. */
     private static final int MAX_RETURN_RANK = 3;
 
@@ -38,13 +40,12 @@
             return;
         }
         settleTicket(call, reason, 0);
-        long retryAfter = retryAfterMillis(call.service(), reason, nowMicros);
+        long retryAfter = reason == Reason.SERVERS_LIMITED
+                ? limitedRetryAfterMillis(call, nowMicros)
+                : retryAfterMillis(call.service(), reason);
         if (reason == Reason.NO_ROOM) {
             retryAfter += state.random().nextLong(NO_ROOM_RETRY_JITTER_MILLIS);
         }
-        if (reason == Reason.SERVERS_LIMITED) {
-            retryAfter += returnDelayMillis(call);
-        }
         state.emit(new CallAction.AnswerCaller(call.callId(), reason, retryAfter, ""));
         close(call, reason, nowMicros);
     }
@@ -79,9 +80,8 @@
     }
 
     /** Returns the delay in milliseconds after which a caller should retry; 0 when a retry can't help. */
-    static long retryAfterMillis(ServiceState service, Reason reason, long nowMicros) {
+    static long retryAfterMillis(ServiceState service, Reason reason) {
         return switch (reason) {
-            case SERVERS_LIMITED -> limitedRetryAfterMillis(service.acceptsFromMicros(nowMicros), nowMicros);
             case QUEUE_FULL, DEADLINE_TOO_SHORT, DEADLINE_PASSED_WAITING, ATTEMPTS_REFUSED ->
                 Math.max(MIN_RETRY_AFTER_MILLIS, service.estimatedWaitMicros() / MICROS_PER_MILLI);
             case NO_ROOM -> NO_ROOM_RETRY_AFTER_MILLIS;
@@ -91,17 +91,17 @@
         };
     }
 
-    /** The time until a server takes requests; another host may have a share of its limit if this one has none. */
-    private static long limitedRetryAfterMillis(long acceptsFromMicros, long nowMicros) {
-        return acceptsFromMicros == Long.MAX_VALUE
+    /**
+     * Returns the time until a server of the service takes requests again. Callers of important calls return first, and
+     * those of equal calls one after the other. Without a share of any limit, another host may have one at any time.
+     */
+    private long limitedRetryAfterMillis(ActiveCall call, long nowMicros) {
+        long acceptsFrom = call.service().acceptsFromMicros(nowMicros);
+        long base = acceptsFrom == Long.MAX_VALUE
                 ? DEFAULT_RETRY_AFTER_MILLIS
-                : Math.max(NO_ROOM_RETRY_AFTER_MILLIS, (acceptsFromMicros - nowMicros) / MICROS_PER_MILLI);
-    }
-
-    /** Lets the callers of important calls return first, and spreads those of equal calls. */
-    private long returnDelayMillis(ActiveCall call) {
-        int rank = Math.min(MAX_RETURN_RANK, Math.max(0, call.request().policy().priority()));
-        return (rank * NO_ROOM_RETRY_JITTER_MILLIS) + state.random().nextLong(NO_ROOM_RETRY_JITTER_MILLIS);
+                : Math.max(NO_ROOM_RETRY_AFTER_MILLIS, (acceptsFrom - nowMicros) / MICROS_PER_MILLI);
+        int rank = Math.clamp(call.request().policy().priority(), 0, MAX_RETURN_RANK);
+        return base + rank * RETURN_RANK_DELAY_MILLIS + state.random().nextLong(RETURN_RANK_DELAY_MILLIS);
     }
 
     private void cancel(ActiveCall call, ActiveCall.Attempt a, long nowMicros) {
--- a/core/src/main/java/org/hyssophitch/core/call/FleetLimits.java
+++ b/core/src/main/java/org/hyssophitch/core/call/FleetLimits.java
@@ -30,8 +30,8 @@
     public static final FleetLimits DEFAULT = new FleetLimits(0.2, 20, 10_000_000, 60, 13);
 
     /**
-     * Returns one host's share of the extra-attempt allowance. A host that knows no other one has none: it can't tell its
-     * share, and all hosts may be in this state at once.
+     * Returns one host's share of the extra-attempt allowance. A host that knows no other one has none: it can't tell
+     * its share, and all hosts may be in this state at once.
      */
     public double extraAttemptAllowanceShare(int hosts) {
         if (hosts <= 1 && minHosts > 1) {
--- a/core/src/main/java/org/hyssophitch/core/statement/KnownHosts.java
+++ b/core/src/main/java/org/hyssophitch/core/statement/KnownHosts.java
@@ -10,8 +10,8 @@
  * The entry hosts that share the limits that backend servers state, as one host knows them. Immutable.
  *
  * @param self name of this host
- * @param zoneByHost availability zones of all known hosts that haven't left; hosts that are silent stay, as they may
- *     still send requests
+ * @param zoneByHost availability zones of the known hosts by name; also of those that fell silent a short time ago, as
+ *     they may still send requests
  * @param minCount smallest number of hosts to assume, for a host that knows no others yet
  */
 public record KnownHosts(String self, Map<String, String> zoneByHost, int minCount) {
--- a/core/src/main/java/org/hyssophitch/core/statement/LimitShare.java
+++ b/core/src/main/java/org/hyssophitch/core/statement/LimitShare.java
@@ -11,8 +11,8 @@
  * <p>Made for limits far below one request per host and second. If every host had a share, their bursts of at least one
  * request each would add up to more than the limit. So only some hosts, the owners, use a limited server: as many as
  * can have a burst of somewhat more than one request. They are chosen by a hash of the names, without coordination, in
- * the server's availability zone, whose hosts use it most. The shares of the owners add up to the limit, and the sum of their bursts grows with
- * the limit, not with the number of hosts.
+ * the server's availability zone, whose hosts use it most. The shares of the owners add up to the limit, and the sum of
+ * their bursts grows with the limit, not with the number of hosts.
  *
  * @param perSecond requests per second
  * @param burst requests at once after a pause; 0 for a host that isn't an owner
--- a/core/src/main/java/org/hyssophitch/core/statement/ServerConditions.java
+++ b/core/src/main/java/org/hyssophitch/core/statement/ServerConditions.java
@@ -88,16 +88,20 @@
      */
     public boolean onAnswer(
             List<ServerStatement> statements, boolean isSuccess, long sentMicros, KnownHosts hosts, long nowMicros) {
-        boolean isChanged = false;
-        for (ServerStatement s : statements) {
-            isChanged |= switch (s) {
-                case RateLimit l -> false;
-                case Leaving l -> hearLeaving(nowMicros);
-                case Wait w -> wait.hear(w, hosts.phase(server), hosts.count(), nowMicros);
-                case Unusable u -> false;
-            };
-        }
-        return isChanged | onLimit(lowestLimit(statements), isSuccess, sentMicros, hosts, nowMicros);
+        boolean isLimitChanged = onLimit(lowestLimit(statements), isSuccess, sentMicros, hosts, nowMicros);
+        long changes =
+                statements.stream().filter(s -> hear(s, hosts, nowMicros)).count();
+        return isLimitChanged || changes > 0;
+    }
+
+    /** Applies one statement; returns whether it changed a condition. */
+    private boolean hear(ServerStatement statement, KnownHosts hosts, long nowMicros) {
+        return switch (statement) {
+            case Leaving s -> hearLeaving(nowMicros);
+            case Wait s -> wait.hear(s, hosts.phase(server), hosts.count(), nowMicros);
+            case RateLimit s -> false; // The lowest limit of the answer has been applied.
+            case Unusable s -> false;
+        };
     }
 
     private static Optional<RateLimit> lowestLimit(List<ServerStatement> statements) {
--- a/core/src/main/java/org/hyssophitch/core/statement/StatedLimit.java
+++ b/core/src/main/java/org/hyssophitch/core/statement/StatedLimit.java
@@ -25,8 +25,8 @@
     private static final double MICROS_PER_SECOND = 1_000_000;
 
     private final String server;
-    private String zone = "";
     private final RecentAttempts recent = new RecentAttempts();
+    private String zone = "";
     private Optional<RateLimit> limit = Optional.empty();
     private LimitShare share = LimitShare.NONE;
     private TokenBucket bucket;
