--- a/standin/src/main/java/org/hyssophitch/standin/command/FaultCommand.java
+++ b/standin/src/main/java/org/hyssophitch/standin/command/FaultCommand.java
@@ -35,9 +35,8 @@
 
     @Arguments(
             title = "fault=value",
-            description =
-                    "servers: slow, fail-fast, drain, truncate, shed, false-load, load-lag-ms, hide-age, limit, retry-after, silent,"
-                            + " crash; platform: outage, lost-answers, stale-reads, rate, host-lag-ms")
+            description = "servers: slow, fail-fast, drain, truncate, shed, false-load, load-lag-ms, hide-age, limit,"
+                    + " retry-after, silent, crash; platform: outage, lost-answers, stale-reads, rate, host-lag-ms")
     private List<String> faults = new ArrayList<>();
 
     @Override
