--- a/bench/src/main/java/org/hyssophitch/bench/limit/LimitRun.java
+++ b/bench/src/main/java/org/hyssophitch/bench/limit/LimitRun.java
@@ -91,18 +91,20 @@
 
     private void scheduleFaults() {
         switch (plan.faults()) {
-            case NONE, SEVERAL_SERVERS -> {}
             case LOSS -> gossip.setLoss(0.5);
             case RESTARTS -> scheduleRestart();
-            case CHANGES -> {
-                at(16, () -> stateLimit(0));
-                at(20, () -> stateLimit(plan.limitPerSecond()));
-                at(26, () -> stateLimit(2 * plan.limitPerSecond()));
-                at(32, () -> stateLimit(plan.limitPerSecond()));
-            }
+            case CHANGES -> scheduleChanges();
+            default -> {}
         }
     }
 
+    private void scheduleChanges() {
+        at(16, () -> stateLimit(0));
+        at(20, () -> stateLimit(plan.limitPerSecond()));
+        at(26, () -> stateLimit(2 * plan.limitPerSecond()));
+        at(32, () -> stateLimit(plan.limitPerSecond()));
+    }
+
     private void at(int second, Runnable step) {
         time.after(second * MICROS_PER_SECOND - time.nowMicros(), step);
     }
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -249,8 +249,8 @@
     }
 
     /**
-     * Reports the peak number of live hosts per zone, and the hosts that live or died recently. The peak is used so that
-     * a host that sees only some of the others doesn't exceed its share of the fleet-wide limits.
+     * Reports the peak number of live hosts per zone, and the hosts that live or died recently. The peak is used so
+     * that a host that sees only some of the others doesn't exceed its share of the fleet-wide limits.
      */
     private void updateFleetSize() {
         Map<String, Integer> peak = new HashMap<>(peakLiveByZone);
