Observability: what a host hears of requests that crash servers is recorded

Logs told which requests a host itself suspects, but not what reaches it from other hosts, so that 'nobody heard of it' and 'it was heard and not enough' looked alike.

--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -72,7 +72,7 @@
             case CallEvent.FleetChanged e -> onFleetChanged(e.hostsByZone(), e.nowMicros());
             case CallEvent.FleetLimitsChanged e -> definitions.applyLimits(e.limits(), e.nowMicros());
             case CallEvent.LeavingChanged e -> onLeavingChanged(e.servers(), e.source(), e.nowMicros());
-            case CallEvent.SuspicionsReceived e -> e.suspicions().forEach(state.suspects()::merge);
+            case CallEvent.SuspicionsReceived e -> state.crashDetector().onReceived(e.suspicions(), e.nowMicros());
             case CallEvent.TicketIssuersChanged e -> state.setIssuers(e.issuers());
             case CallEvent.TimePassed e -> onTime(e.nowMicros());
         }
--- a/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
@@ -50,6 +50,16 @@
         }
     }
 
+    /** Merges suspicions of other entry hosts. */
+    void onReceived(List<Suspicion> received, long nowMicros) {
+        received.stream().filter(state.suspects()::merge).forEach(s -> state.recorder()
+                .record(
+                        nowMicros,
+                        "",
+                        new EventBody.SuspicionReceived(
+                                s.fingerprint(), s.server(), state.suspects().crashedServers(s.fingerprint()))));
+    }
+
     private void reportCrash(String server, Set<String> inFlight, long nowMicros) {
         List<Suspicion> found = state.suspects().onCrash(server, inFlight, nowMicros);
         if (!found.isEmpty()) {
--- a/core/src/main/java/org/hyssophitch/core/health/SuspectTracker.java
+++ b/core/src/main/java/org/hyssophitch/core/health/SuspectTracker.java
@@ -160,10 +160,21 @@
         return knownSuspects.isEmpty() ? inFlight : knownSuspects;
     }
 
-    /** Merges a suspicion of this or another entry host; for each server, the one with the highest score is kept. */
-    public void merge(Suspicion s) {
-        suspects.computeIfAbsent(s.fingerprint(), f -> new Suspect())
-                .suspicionByServer
-                .merge(s.server(), s, (a, b) -> a.score() >= b.score() ? a : b);
+    /**
+     * Merges a suspicion of this or another entry host; for each server, the one with the highest score is kept.
+     *
+     * @return whether the request wasn't yet suspected because of this server
+     */
+    public boolean merge(Suspicion s) {
+        Map<String, Suspicion> known = suspects.computeIfAbsent(s.fingerprint(), f -> new Suspect()).suspicionByServer;
+        boolean isNew = !known.containsKey(s.server());
+        known.merge(s.server(), s, (a, b) -> a.score() >= b.score() ? a : b);
+        return isNew;
+    }
+
+    /** Returns the number of servers that crashed while requests with the given fingerprint were in flight. */
+    public int crashedServers(String fingerprint) {
+        Suspect suspect = suspects.get(fingerprint);
+        return suspect == null ? 0 : suspect.suspicionByServer.size();
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
+++ b/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
@@ -63,6 +63,13 @@
     /** A request was suspected of crashing backend servers, or was convicted or cleared of the suspicion. */
     record RequestSuspected(String fingerprint, String verdict, double score) implements EventBody {}
 
+    /**
+     * Another entry host reported that a server crashed while this request was in flight.
+     *
+     * @param crashedServers number of servers for which this host now suspects the request
+     */
+    record SuspicionReceived(String fingerprint, String server, int crashedServers) implements EventBody {}
+
     /** The process entered a life-cycle stage: started, stopping or stopped. */
     record ProcessStage(String stage) implements EventBody {}
 
