--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/SuspicionSpreadTest.java
@@ -0,0 +1,122 @@
+package org.hyssophitch.entry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.entry.EntryHost;
+import org.hyssophitch.core.entry.EntrySettings;
+import org.hyssophitch.core.health.SuspectTracker;
+import org.hyssophitch.core.health.SuspectTracker.Suspicion;
+import org.hyssophitch.core.health.SuspectTracker.Verdict;
+import org.hyssophitch.core.store.StoredObject;
+import org.hyssophitch.wire.concurrent.WallClock;
+import org.hyssophitch.wire.net.EventLoops;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+/** A request that crashes servers must be known on every entry host, whichever of them the caller tries next. */
+public class SuspicionSpreadTest extends EntryProgramFixture {
+
+    /** Time in milliseconds within which every reachable host must act on what one of them has found. */
+    private static final long STABILITY_WINDOW_MILLIS = 3_000;
+
+    private static final String FINGERPRINT = "h.example GET /x#0";
+    private static final int CRASHES = 3;
+
+    private final Map<String, SuspectTracker> trackers = new HashMap<>();
+    private EventLoopGroup group;
+    private EventLoop loop;
+
+    @BeforeMethod
+    public void createLoop() {
+        trackers.clear();
+        group = EventLoops.create(1);
+        loop = (EventLoop) group.next();
+    }
+
+    @AfterMethod
+    public void closeLoop() {
+        EventLoops.close(group);
+    }
+
+    @DataProvider
+    public Object[][] fleetSizes() {
+        return new Object[][] {{13}, {40}, {120}};
+    }
+
+    /** Three hosts see one crash each, so none of them can convict the request by what it has seen itself. */
+    @Test(dataProvider = "fleetSizes")
+    public void hostsKeepSendingARequestThatCrashedThreeServers(int fleetSize) throws InterruptedException {
+        List<Peers> fleet =
+                IntStream.range(0, fleetSize).mapToObj(i -> peers("host-" + i)).toList();
+        start(fleet);
+
+        IntStream.range(0, CRASHES).forEach(i -> EventLoops.run(loop, () -> reportCrash(fleet, i)));
+        Thread.sleep(STABILITY_WINDOW_MILLIS);
+
+        assertEquals(convictingHosts(), fleetSize, "hosts that refuse the request");
+    }
+
+    private void reportCrash(List<Peers> fleet, int index) {
+        String host = "host-" + index;
+        List<Suspicion> found =
+                trackers.get(host).onCrash("server-" + index, Set.of(FINGERPRINT), WallClock.nowMicros());
+        fleet.get(index).shareSuspicions(found);
+    }
+
+    private int convictingHosts() {
+        return EventLoops.call(loop, () -> (int) trackers.values().stream()
+                .filter(t -> t.verdict(FINGERPRINT, WallClock.nowMicros()) == Verdict.CONVICTED)
+                .count());
+    }
+
+    private void start(List<Peers> fleet) {
+        fleet.forEach(p -> p.open(group));
+        Map<String, StoredObject<EntryHost>> listed = fleet.stream()
+                .map(Peers::self)
+                .map(h -> new StoredObject<>(h.host(), 1, Optional.of(h)))
+                .collect(Collectors.toMap(StoredObject::name, Function.identity()));
+        EventLoops.run(
+                loop,
+                () -> fleet.forEach(p -> {
+                    p.onListed(listed);
+                    p.start();
+                }));
+    }
+
+    private Peers peers(String host) {
+        EntrySettings s = settings(host);
+        SuspectTracker tracker = SuspectTracker.strict();
+        trackers.put(host, tracker);
+        return new Peers(
+                s,
+                WallClock.nowMicros(),
+                loop,
+                new SplittableRandom(host.hashCode()),
+                (now, request, body) -> {},
+                () -> 1,
+                () -> true,
+                () -> {},
+                e -> onEvent(tracker, e));
+    }
+
+    private static void onEvent(SuspectTracker tracker, CallEvent event) {
+        if (event instanceof CallEvent.SuspicionsReceived e) {
+            e.suspicions().forEach(tracker::merge);
+        }
+    }
+}
