Every host passes on what it hears of requests that crash servers

What callers saw: in a large fleet, servers ended one after the other under one request, long after it had ended three.

Cause: a host sent its own report of a crash in 6 datagrams to random hosts, and a host that heard it kept it for itself. 6 others knew it, of 12 as of 119; each crash is seen by another host, so hardly any host ever added up the three that a refusal needs. Class: news that goes to a fixed number of hosts, though all have to act on it.

Ruled out as the main cause: the threshold (a fleet in which all hear all refuses after the third crash, in the same test).

Change: SuspicionExchange, one for the entry program and our agents. A host passes on each suspicion that it hears first; at once if the request crashed several servers. Those are also repeated in all datagrams, two at a time, so that a host that started later or was cut off hears of them. Suspicions of one crash, numerous after a mass crash, are not repeated. Agents passed news on already; hosts that started later heard nothing there either.

Evidence: SuspicionSpreadTest, real datagrams. Before: 3 of 13, 0 of 40, 0 of 120 hosts refuse the request 3 s after the third crash, and 0 of 41 with a host that starts later.

--- a/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
@@ -36,7 +36,6 @@
     private static final int GOSSIP_FANOUT = 3;
 
     private static final int LOAD_REPORTS_PER_MESSAGE = 12;
-    private static final int MAX_KNOWN_SUSPICIONS = 10_000;
     private static final long PROXY_UPDATE_PERIOD_MICROS = 50_000;
     private static final long REJOIN_PERIOD_MICROS = 1_000_000;
     private static final long FETCH_RETRY_MICROS = 500_000;
@@ -54,7 +53,6 @@
     private final RegistrationTable registrations = new RegistrationTable();
     private final AgentMessageBuilder messageBuilder;
     private final PendingProxyUpdate proxyUpdate = new PendingProxyUpdate();
-    private final RecentKeys knownSuspicions = new RecentKeys(MAX_KNOWN_SUSPICIONS);
     private List<AgentAction> actions = new ArrayList<>();
     private long nowMicros;
     private boolean hasUrgentGossip;
@@ -181,7 +179,7 @@
         m.members().forEach(member -> membership.merge(member, nowMicros));
         m.loads().forEach(l -> addReport(l.toLoadReport(nowMicros)));
         m.leaving().forEach(this::addLeaving);
-        m.suspicions().forEach(s -> addSuspicion(s, true));
+        addSuspicions(m.suspicions()).forEach(proxyUpdate::add);
         m.registrations().forEach(this::addRegistration);
         m.heartbeat().ifPresent(h -> membership
                 .onHeartbeat(h, m.sender().agentAddress(), nowMicros)
@@ -206,7 +204,7 @@
             pushConfiguration();
         }
         status.loads().forEach(l -> addReport(l.toLoadReport(nowMicros)));
-        status.suspicions().forEach(s -> addSuspicion(s, false));
+        addSuspicions(status.suspicions());
     }
 
     private void onProxyLost() {
@@ -344,16 +342,11 @@
         }
     }
 
-    private void addSuspicion(Suspicion s, boolean forwardToProxy) {
-        String key = s.fingerprint() + '|' + s.server() + '|' + s.crashMicros();
-        if (!knownSuspicions.add(key)) {
-            return;
-        }
-        messageBuilder.add(key, s);
-        hasUrgentGossip = true;
-        if (forwardToProxy) {
-            proxyUpdate.add(s);
-        }
+    /** Passes suspicions on to the other hosts, and returns those that are new. */
+    private List<Suspicion> addSuspicions(List<Suspicion> found) {
+        List<Suspicion> fresh = messageBuilder.add(found);
+        hasUrgentGossip |= !fresh.isEmpty();
+        return fresh;
     }
 
     private void updateProxy() {
@@ -392,7 +385,11 @@
         AgentMessageBuilder.KnownState known =
                 new AgentMessageBuilder.KnownState(membership.all(), leaving.all(), registrations.all(nowMicros));
         AgentMessage m = messageBuilder.build(
-                membership.self(), heartbeat, loadReports.freshest(LOAD_REPORTS_PER_MESSAGE, nowMicros), known);
+                membership.self(),
+                heartbeat,
+                loadReports.freshest(LOAD_REPORTS_PER_MESSAGE, nowMicros),
+                known,
+                nowMicros);
         actions.add(new AgentAction.Send(address, m));
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/control/AgentMessageBuilder.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentMessageBuilder.java
@@ -34,11 +34,12 @@
     private final RandomGenerator random;
     private final GossipBuffer<Member> members = new GossipBuffer<>(REPETITIONS);
     private final GossipBuffer<LeavingNotice> leaving = new GossipBuffer<>(REPETITIONS);
-    private final GossipBuffer<Suspicion> suspicions = new GossipBuffer<>(REPETITIONS);
+    private final SuspicionExchange suspicions;
     private final GossipBuffer<RegistrationNotice> registrations = new GossipBuffer<>(REPETITIONS);
 
     AgentMessageBuilder(RandomGenerator random) {
         this.random = random;
+        this.suspicions = new SuspicionExchange(random);
     }
 
     void add(Member m) {
@@ -53,19 +54,25 @@
         registrations.add(n.server(), n);
     }
 
-    void add(String key, Suspicion s) {
-        suspicions.add(key, s);
+    /** Adds suspicions and returns those that are new. */
+    List<Suspicion> add(List<Suspicion> found) {
+        return suspicions.add(found);
     }
 
     /** Builds the next message; every update in it counts as sent once more. */
-    AgentMessage build(Member sender, Optional<Heartbeat> heartbeat, List<AgedLoadReport> loads, KnownState known) {
+    AgentMessage build(
+            Member sender,
+            Optional<Heartbeat> heartbeat,
+            List<AgedLoadReport> loads,
+            KnownState known,
+            long nowMicros) {
         return new AgentMessage(
                 sender,
                 heartbeat,
                 withRandomKnown(members.take(MEMBERS_PER_MESSAGE), known.members()),
                 loads,
                 withRandomKnown(leaving.take(NOTICES_PER_MESSAGE), known.leaving()),
-                suspicions.take(NOTICES_PER_MESSAGE),
+                suspicions.take(NOTICES_PER_MESSAGE, nowMicros),
                 withRandomKnown(registrations.take(REGISTRATIONS_PER_MESSAGE), known.registrations()),
                 List.of());
     }
--- a/core/src/main/java/org/hyssophitch/core/health/SuspectTracker.java
+++ b/core/src/main/java/org/hyssophitch/core/health/SuspectTracker.java
@@ -87,13 +87,18 @@
         return new SuspectTracker(STRICT_REFUSAL_SERVERS, STRICT_REFUSAL_SCORE);
     }
 
+    /** Returns whether a crash was so long ago that it no longer counts. */
+    public static boolean isExpired(Suspicion s, long nowMicros) {
+        return nowMicros - s.crashMicros() > CRASH_RETENTION_MICROS;
+    }
+
     /** Returns the verdict on the requests with the given fingerprint, after expiring old crashes. */
     public Verdict verdict(String fingerprint, long nowMicros) {
         Suspect suspect = suspects.get(fingerprint);
         if (suspect == null) {
             return Verdict.CLEAR;
         }
-        suspect.suspicionByServer.values().removeIf(s -> nowMicros - s.crashMicros() > CRASH_RETENTION_MICROS);
+        suspect.suspicionByServer.values().removeIf(s -> isExpired(s, nowMicros));
         if (suspect.suspicionByServer.isEmpty() && suspect.running == 0) {
             suspects.remove(fingerprint);
             return Verdict.CLEAR;
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -19,6 +19,7 @@
 import org.hyssophitch.core.control.AgedLimitNews;
 import org.hyssophitch.core.control.AgentMessage;
 import org.hyssophitch.core.control.GossipBuffer;
+import org.hyssophitch.core.control.SuspicionExchange;
 import org.hyssophitch.core.entry.EntryHost;
 import org.hyssophitch.core.entry.EntrySettings;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
@@ -61,7 +62,7 @@
     private final HybridClock clock = new HybridClock();
     private final MembershipEngine membership;
     private final GossipBuffer<Member> memberGossip = new GossipBuffer<>(GOSSIP_TRANSMISSIONS);
-    private final GossipBuffer<Suspicion> suspicionGossip = new GossipBuffer<>(GOSSIP_TRANSMISSIONS);
+    private final SuspicionExchange suspicions;
     private final GossipBuffer<LimitNews> limitGossip = new GossipBuffer<>(GOSSIP_TRANSMISSIONS);
     private final EventRecorder recorder;
     private final RandomGenerator random;
@@ -88,6 +89,7 @@
             Consumer<CallEvent> onEvent) {
         this.loop = loop;
         this.random = random;
+        this.suspicions = new SuspicionExchange(random);
         this.recorder = recorder;
         this.configurationVersion = configurationVersion;
         this.readiness = readiness;
@@ -173,8 +175,8 @@
     }
 
     @Override
-    public void shareSuspicions(List<Suspicion> suspicions) {
-        suspicions.forEach(s -> suspicionGossip.add(s.fingerprint() + '|' + s.server(), s));
+    public void shareSuspicions(List<Suspicion> found) {
+        suspicions.add(found);
         sendUrgentGossip();
     }
 
@@ -296,7 +298,7 @@
                 memberGossip.take(MAX_GOSSIP_PER_DATAGRAM),
                 List.of(),
                 List.of(),
-                suspicionGossip.take(MAX_GOSSIP_PER_DATAGRAM),
+                suspicions.take(MAX_GOSSIP_PER_DATAGRAM, now),
                 List.of(),
                 limitGossip.take(MAX_GOSSIP_PER_DATAGRAM).stream()
                         .map(n -> AgedLimitNews.of(n, now))
@@ -314,9 +316,7 @@
         membership.merge(message.sender(), now);
         membership.refreshSender(message.sender());
         message.members().forEach(m -> membership.merge(m, now));
-        if (!message.suspicions().isEmpty()) {
-            onEvent.accept(new CallEvent.SuspicionsReceived(now, message.suspicions()));
-        }
+        receiveSuspicions(message.suspicions(), now);
         if (!message.limits().isEmpty()) {
             List<LimitNews> news =
                     message.limits().stream().map(n -> n.toLimitNews(now)).toList();
@@ -326,4 +326,15 @@
                 .onHeartbeat(h, message.sender().agentAddress(), now)
                 .forEach(a -> send(a.to(), Optional.of(a))));
     }
+
+    private void receiveSuspicions(List<Suspicion> received, long now) {
+        List<Suspicion> fresh = suspicions.add(received);
+        if (fresh.isEmpty()) {
+            return;
+        }
+        onEvent.accept(new CallEvent.SuspicionsReceived(now, fresh));
+        if (fresh.stream().anyMatch(suspicions::isUrgent)) {
+            sendUrgentGossip();
+        }
+    }
 }
--- a/entry/src/test/java/org/hyssophitch/entry/SuspicionSpreadTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/SuspicionSpreadTest.java
@@ -9,6 +9,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -71,6 +72,23 @@
         assertEquals(convictingHosts(), fleetSize, "hosts that refuse the request");
     }
 
+    /** A host that starts after all datagrams about the crashes were sent. */
+    @Test
+    public void hostThatStartsLaterSendsARequestThatCrashedThreeServers() throws InterruptedException {
+        List<Peers> fleet =
+                IntStream.range(0, 40).mapToObj(i -> peers("host-" + i)).toList();
+        start(fleet);
+        IntStream.range(0, CRASHES).forEach(i -> EventLoops.run(loop, () -> reportCrash(fleet, i)));
+        Thread.sleep(2 * STABILITY_WINDOW_MILLIS);
+
+        List<Peers> later = List.of(peers("later-host"));
+        List<Peers> all = Stream.concat(fleet.stream(), later.stream()).toList();
+        join(later, all);
+        Thread.sleep(STABILITY_WINDOW_MILLIS);
+
+        assertEquals(convictingHosts(), all.size(), "hosts that refuse the request");
+    }
+
     private void reportCrash(List<Peers> fleet, int index) {
         String host = "host-" + index;
         List<Suspicion> found =
@@ -85,7 +103,11 @@
     }
 
     private void start(List<Peers> fleet) {
-        fleet.forEach(p -> p.open(group));
+        join(fleet, fleet);
+    }
+
+    private void join(List<Peers> started, List<Peers> fleet) {
+        started.forEach(p -> p.open(group));
         Map<String, StoredObject<EntryHost>> listed = fleet.stream()
                 .map(Peers::self)
                 .map(h -> new StoredObject<>(h.host(), 1, Optional.of(h)))
