A server that a request crashes again after its restart counts again

What callers saw: with few servers, a request goes on ending them. Cause: crashes were kept by the server's name. A server that starts again under its name, as the platform allows, and is crashed once more by the same request counted once, so three crashes of one or two servers never led to a refusal. Class: an identity that outlives what it stands for. Change: a crash is a server and a time; reports within a second of each other are one crash. Evidence: CrashingRequestTest.serverThatStartsAgainUnderItsNameIsCrashedAgainAndAgain failed before (no refusal after three crashes), passes now.

--- a/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
@@ -57,7 +57,7 @@
                         nowMicros,
                         "",
                         new EventBody.SuspicionReceived(
-                                s.fingerprint(), s.server(), state.suspects().crashedServers(s.fingerprint()))));
+                                s.fingerprint(), s.server(), state.suspects().crashes(s.fingerprint()))));
     }
 
     private void reportCrash(String server, Set<String> inFlight, long nowMicros) {
--- a/core/src/main/java/org/hyssophitch/core/health/SuspectTracker.java
+++ b/core/src/main/java/org/hyssophitch/core/health/SuspectTracker.java
@@ -1,9 +1,10 @@
 package org.hyssophitch.core.health;
 
-import java.util.HashMap;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
@@ -14,7 +15,8 @@
  *
  * <p>A crash adds a total score of 1, shared evenly by the fingerprints in flight at the crashed server. A suspect
  * request runs on one server at a time. The requests of a fingerprint are refused ({@link Verdict#CONVICTED}) when it
- * was in flight during the crashes of enough servers and its score reaches a threshold. An answer whose status
+ * was in flight during enough crashes and its score reaches a threshold. A server that is up again and crashes once more
+ * counts again. An answer whose status
  * isn't a server error clears a suspect. The number of fingerprints is bounded; the oldest is dropped.
  */
 public final class SuspectTracker {
@@ -40,25 +42,38 @@
     public record Suspicion(String fingerprint, String server, long crashMicros, double score) {}
 
     private static final double REFUSAL_SCORE = 1.2;
-    private static final int REFUSAL_SERVERS = 2;
+    private static final int REFUSAL_CRASHES = 2;
     /** Score threshold where refusing a harmless request costs more than one more crash. */
     private static final double STRICT_REFUSAL_SCORE = 2;
-    /** Server threshold where refusing a harmless request costs more than one more crash. */
-    private static final int STRICT_REFUSAL_SERVERS = 3;
+    /** Threshold of crashes where refusing a harmless request costs more than one more crash. */
+    private static final int STRICT_REFUSAL_CRASHES = 3;
 
     /** Time in microseconds after which a crash no longer counts. */
     private static final long CRASH_RETENTION_MICROS = 600_000_000L;
 
+    /** Time in microseconds within which no server is up again after a crash and crashes once more. */
+    private static final long MIN_CRASH_INTERVAL_MICROS = 1_000_000;
+
     private static final int MAX_SUSPECTS = 1_000;
 
     private static final class Suspect {
-        private final Map<String, Suspicion> suspicionByServer = new HashMap<>();
+        private final List<Suspicion> crashes = new ArrayList<>();
         private int running;
 
         private double score() {
-            return suspicionByServer.values().stream()
-                    .mapToDouble(Suspicion::score)
-                    .sum();
+            return crashes.stream().mapToDouble(Suspicion::score).sum();
+        }
+
+        /** Adds a crash, or keeps the higher score if it is known; returns whether it is new. */
+        private boolean add(Suspicion s) {
+            Optional<Suspicion> known =
+                    crashes.stream().filter(c -> isSameCrash(c, s)).findFirst();
+            if (known.isPresent() && known.get().score() >= s.score()) {
+                return false;
+            }
+            known.ifPresent(crashes::remove);
+            crashes.add(s);
+            return known.isEmpty();
         }
     }
 
@@ -69,22 +84,22 @@
         }
     };
 
-    private final int refusalServers;
+    private final int refusalCrashes;
     private final double refusalScore;
 
-    /** Creates a tracker that refuses a request after the crashes of two servers. */
+    /** Creates a tracker that refuses a request after two crashes. */
     public SuspectTracker() {
-        this(REFUSAL_SERVERS, REFUSAL_SCORE);
+        this(REFUSAL_CRASHES, REFUSAL_SCORE);
     }
 
-    private SuspectTracker(int refusalServers, double refusalScore) {
-        this.refusalServers = refusalServers;
+    private SuspectTracker(int refusalCrashes, double refusalScore) {
+        this.refusalCrashes = refusalCrashes;
         this.refusalScore = refusalScore;
     }
 
-    /** Creates a tracker that refuses a request after the crashes of three servers. */
+    /** Creates a tracker that refuses a request after three crashes. */
     public static SuspectTracker strict() {
-        return new SuspectTracker(STRICT_REFUSAL_SERVERS, STRICT_REFUSAL_SCORE);
+        return new SuspectTracker(STRICT_REFUSAL_CRASHES, STRICT_REFUSAL_SCORE);
     }
 
     /** Returns whether a crash was so long ago that it no longer counts. */
@@ -98,12 +113,12 @@
         if (suspect == null) {
             return Verdict.CLEAR;
         }
-        suspect.suspicionByServer.values().removeIf(s -> isExpired(s, nowMicros));
-        if (suspect.suspicionByServer.isEmpty() && suspect.running == 0) {
+        suspect.crashes.removeIf(s -> isExpired(s, nowMicros));
+        if (suspect.crashes.isEmpty() && suspect.running == 0) {
             suspects.remove(fingerprint);
             return Verdict.CLEAR;
         }
-        boolean isConvicted = suspect.suspicionByServer.size() >= refusalServers && suspect.score() >= refusalScore;
+        boolean isConvicted = suspect.crashes.size() >= refusalCrashes && suspect.score() >= refusalScore;
         return isConvicted ? Verdict.CONVICTED : Verdict.SUSPECT;
     }
 
@@ -166,20 +181,22 @@
     }
 
     /**
-     * Merges a suspicion of this or another entry host; for each server, the one with the highest score is kept.
+     * Merges a suspicion of this or another entry host; for each crash, the one with the highest score is kept.
      *
-     * @return whether the request wasn't yet suspected because of this server
+     * @return whether this crash wasn't yet known
      */
     public boolean merge(Suspicion s) {
-        Map<String, Suspicion> known = suspects.computeIfAbsent(s.fingerprint(), f -> new Suspect()).suspicionByServer;
-        boolean isNew = !known.containsKey(s.server());
-        known.merge(s.server(), s, (a, b) -> a.score() >= b.score() ? a : b);
-        return isNew;
+        return suspects.computeIfAbsent(s.fingerprint(), f -> new Suspect()).add(s);
     }
 
-    /** Returns the number of servers that crashed while requests with the given fingerprint were in flight. */
-    public int crashedServers(String fingerprint) {
+    /** Returns the number of crashes during which requests with the given fingerprint were in flight. */
+    public int crashes(String fingerprint) {
         Suspect suspect = suspects.get(fingerprint);
-        return suspect == null ? 0 : suspect.suspicionByServer.size();
+        return suspect == null ? 0 : suspect.crashes.size();
+    }
+
+    /** Returns whether two suspicions, perhaps of different hosts, are of one crash of one server. */
+    private static boolean isSameCrash(Suspicion a, Suspicion b) {
+        return a.server().equals(b.server()) && Math.abs(a.crashMicros() - b.crashMicros()) < MIN_CRASH_INTERVAL_MICROS;
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
+++ b/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
@@ -66,9 +66,9 @@
     /**
      * Another entry host reported that a server crashed while this request was in flight.
      *
-     * @param crashedServers number of servers for which this host now suspects the request
+     * @param crashes number of crashes for which this host now suspects the request
      */
-    record SuspicionReceived(String fingerprint, String server, int crashedServers) implements EventBody {}
+    record SuspicionReceived(String fingerprint, String server, int crashes) implements EventBody {}
 
     /** The process entered a life-cycle stage: started, stopping or stopped. */
     record ProcessStage(String stage) implements EventBody {}
--- /dev/null
+++ b/core/src/test/java/org/hyssophitch/core/call/CrashingRequestTest.java
@@ -0,0 +1,48 @@
+package org.hyssophitch.core.call;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+
+import org.hyssophitch.core.call.CallEvent.ProbeOutcome;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+/** A request that crashes the servers that run it must stop reaching servers. */
+public class CrashingRequestTest extends ProbingDispatcherFixture {
+
+    private static final String FINGERPRINT = "crashing";
+    /** Time in microseconds after which a crashed server is up again. */
+    private static final long RESTART_MICROS = 6_000 * MILLI;
+
+    private static final List<Reason> REFUSED = List.of(Reason.REQUEST_CONVICTED);
+
+    @Test
+    public void serverThatStartsAgainUnderItsNameIsCrashedAgainAndAgain() {
+        register(List.of("s0"), List.of("z1"));
+        IntStream.rangeClosed(1, 3).forEach(this::crashServer);
+        advance(RESTART_MICROS);
+        assertEquals(answers(engine.handle(new CallEvent.CallArrived(now, crashing(4)))), REFUSED);
+    }
+
+    private void crashServer(int id) {
+        advance(RESTART_MICROS);
+        engine.handle(new CallEvent.CallArrived(now, crashing(id)));
+        assertEquals(started(answer("s0", 0, 100)), List.of("s0"));
+        engine.handle(new CallEvent.AttemptEnded(
+                now, id, 1, new AttemptResult.Lost(AttemptResult.LostCause.CONNECTION_LOST)));
+        engine.handle(new CallEvent.LoadProbeCompleted(now, "s0", Optional.empty(), ProbeOutcome.FAILED));
+    }
+
+    private CallRequest crashing(long id) {
+        return request(id, FINGERPRINT, false);
+    }
+
+    private static List<Reason> answers(List<CallAction> actions) {
+        return actions.stream()
+                .filter(CallAction.AnswerCaller.class::isInstance)
+                .map(a -> ((CallAction.AnswerCaller) a).reason())
+                .toList();
+    }
+}
