A queued call is refused as soon as its request is known to crash servers

What callers saw: servers ended under a request that the host already knew. Cause: the verdict was asked when a call arrives and when it is retried, not for calls that wait in the queue; these were still sent. Class: a check at the door for what may change while one waits inside. Change: new suspicions, own or received, end the queued calls of convicted requests at once; 'not run' is true for those that were not sent. Evidence: CrashingRequestTest.queuedRequestIsSentAfterOtherHostsHaveConvictedIt failed before (no answer, then sent), passes now.

--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -11,6 +11,7 @@
 import org.hyssophitch.core.configuration.Configuration;
 import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.configuration.Service;
+import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.health.SuspectTracker.Verdict;
 import org.hyssophitch.core.load.LoadReport;
 import org.hyssophitch.core.routing.LoadPlacement;
@@ -72,7 +73,7 @@
             case CallEvent.FleetChanged e -> onFleetChanged(e.hostsByZone(), e.nowMicros());
             case CallEvent.FleetLimitsChanged e -> definitions.applyLimits(e.limits(), e.nowMicros());
             case CallEvent.LeavingChanged e -> onLeavingChanged(e.servers(), e.source(), e.nowMicros());
-            case CallEvent.SuspicionsReceived e -> state.crashDetector().onReceived(e.suspicions(), e.nowMicros());
+            case CallEvent.SuspicionsReceived e -> onSuspicions(e.suspicions(), e.nowMicros());
             case CallEvent.TicketIssuersChanged e -> state.setIssuers(e.issuers());
             case CallEvent.TimePassed e -> onTime(e.nowMicros());
         }
@@ -208,8 +209,23 @@
         }
     }
 
+    private void onSuspicions(List<Suspicion> received, long nowMicros) {
+        state.crashDetector().onReceived(received, nowMicros);
+        refuseConvicted(nowMicros);
+    }
+
+    /** Refuses the queued calls whose requests have just been convicted. */
+    private void refuseConvicted(long nowMicros) {
+        state.calls().values().stream()
+                .filter(c -> c.attempts().isEmpty() && starter.verdict(c, nowMicros) == Verdict.CONVICTED)
+                .toList()
+                .forEach(c -> finisher.answer(c, AttemptStarter.notRunReason(c, Reason.REQUEST_CONVICTED), nowMicros));
+    }
+
     private void onLoadProbeCompleted(CallEvent.LoadProbeCompleted e) {
-        state.crashDetector().onProbeCompleted(e.server(), e.outcome(), e.nowMicros());
+        if (state.crashDetector().onProbeCompleted(e.server(), e.outcome(), e.nowMicros())) {
+            refuseConvicted(e.nowMicros());
+        }
         ServerState server = state.servers().get(e.server());
         if (server != null) {
             server.onLoadProbeCompleted(e.outcome() == CallEvent.ProbeOutcome.ACCEPTING, e.nowMicros());
--- a/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
@@ -42,12 +42,14 @@
         }
     }
 
-    /** Handles the result of a load probe. */
-    void onProbeCompleted(String server, ProbeOutcome outcome, long nowMicros) {
+    /** Handles the result of a load probe; returns whether it shows that the server crashed. */
+    boolean onProbeCompleted(String server, ProbeOutcome outcome, long nowMicros) {
         Set<String> inFlight = inFlightAtLoss.remove(server);
-        if (inFlight != null && outcome == ProbeOutcome.FAILED) {
+        boolean isCrash = inFlight != null && outcome == ProbeOutcome.FAILED;
+        if (isCrash) {
             reportCrash(server, inFlight, nowMicros);
         }
+        return isCrash;
     }
 
     /** Merges suspicions of other entry hosts. */
--- a/core/src/test/java/org/hyssophitch/core/call/CrashingRequestTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/CrashingRequestTest.java
@@ -5,9 +5,11 @@
 import java.util.stream.IntStream;
 
 import org.hyssophitch.core.call.CallEvent.ProbeOutcome;
+import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 /** A request that crashes the servers that run it must stop reaching servers. */
 public class CrashingRequestTest extends ProbingDispatcherFixture {
@@ -26,6 +28,18 @@
         assertEquals(answers(engine.handle(new CallEvent.CallArrived(now, crashing(4)))), REFUSED);
     }
 
+    @Test
+    public void queuedRequestIsSentAfterOtherHostsHaveConvictedIt() {
+        engine.handle(new CallEvent.CallArrived(now, crashing(1)));
+        answerAll(3);
+        List<Suspicion> received = IntStream.range(0, 3)
+                .mapToObj(i -> new Suspicion(FINGERPRINT, "other-" + i, now, 1))
+                .toList();
+        assertEquals(answers(engine.handle(new CallEvent.SuspicionsReceived(now, received))), REFUSED);
+        advance(40 * MILLI);
+        assertTrue(started(answerAll(0)).isEmpty(), "request was sent although it is convicted");
+    }
+
     private void crashServer(int id) {
         advance(RESTART_MICROS);
         engine.handle(new CallEvent.CallArrived(now, crashing(id)));
