--- a/core/src/main/java/org/hyssophitch/core/health/SuspectTracker.java
+++ b/core/src/main/java/org/hyssophitch/core/health/SuspectTracker.java
@@ -15,9 +15,9 @@
  *
  * <p>A crash adds a total score of 1, shared evenly by the fingerprints in flight at the crashed server. A suspect
  * request runs on one server at a time. The requests of a fingerprint are refused ({@link Verdict#CONVICTED}) when it
- * was in flight during enough crashes and its score reaches a threshold. A server that is up again and crashes once more
- * counts again. An answer whose status
- * isn't a server error clears a suspect. The number of fingerprints is bounded; the oldest is dropped.
+ * was in flight during enough crashes and its score reaches a threshold. A server that is up again and crashes once
+ * more counts again. An answer whose status isn't a server error clears a suspect. The number of fingerprints is
+ * bounded; the oldest is dropped.
  */
 public final class SuspectTracker {
 
