--- a/standin/src/main/java/org/hyssophitch/standin/RunHistory.java
+++ b/standin/src/main/java/org/hyssophitch/standin/RunHistory.java
@@ -8,7 +8,7 @@
 import java.util.stream.Collectors;
 
 /** Records which backend server started each request, and counts load probes. Thread-safe. */
-public final class RunHistory {
+public class RunHistory {
 
     private final Map<String, List<String>> serversByRequest = new ConcurrentHashMap<>();
     private final Map<String, Long> lastStartMicros = new ConcurrentHashMap<>();
