--- a/bench/src/main/java/org/hyssophitch/bench/crash/CrashRun.java
+++ b/bench/src/main/java/org/hyssophitch/bench/crash/CrashRun.java
@@ -86,7 +86,7 @@
         switch (plan.faults()) {
             case RESTARTS -> scheduleRestart();
             case MASS_CRASHES -> time.after(FIRST_CRASHING_MICROS - 1, this::crashServers);
-            case NONE, LOSS -> {
+            default -> {
                 // Loss is a property of the datagrams.
             }
         }
