Observability: a host tells when it gets no answer from any backend server

Logs of the cut-off hosts showed connections that fail one by one and calls that end with 504, but not whether a host could know that it is cut off. Nothing else changes.

--- a/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
@@ -52,6 +52,7 @@
         if (a == null) {
             return;
         }
+        state.cutOffDetector().onAttemptEnded(a.server(), e.result(), e.nowMicros());
         if (e.result() instanceof AttemptResult.Lost l && l.cause() == LostCause.CONNECTION_LOST) {
             state.crashDetector().onLost(a.server(), call.service(), e.nowMicros());
         }
--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -198,6 +198,7 @@
     }
 
     private void onServerAnswered(CallEvent.ServerAnswered e) {
+        state.cutOffDetector().onAnswered(e.nowMicros());
         if (statements.onAnswer(e)) {
             startQueued(e.nowMicros());
         }
@@ -223,6 +224,7 @@
     }
 
     private void onLoadProbeCompleted(CallEvent.LoadProbeCompleted e) {
+        state.cutOffDetector().onProbeCompleted(e.server(), e.outcome(), e.nowMicros());
         if (state.crashDetector().onProbeCompleted(e.server(), e.outcome(), e.nowMicros())) {
             refuseConvicted(e.nowMicros());
         }
@@ -284,6 +286,7 @@
         while (nextTimerMicros() <= nowMicros) {
             fire(state.timers().poll(), nowMicros);
         }
+        state.cutOffDetector().update(nowMicros);
         startQueued(nowMicros);
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/EngineState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/EngineState.java
@@ -44,6 +44,7 @@
     private final TicketRegistry tickets;
     private final SuspectTracker suspects;
     private final CrashDetector crashDetector = new CrashDetector(this);
+    private final CutOffDetector cutOffDetector = new CutOffDetector(this);
     private final Map<String, ServiceState> services = new HashMap<>();
     private final Map<String, ServerState> servers = new HashMap<>();
     private final Map<Long, ActiveCall> calls = new HashMap<>();
@@ -161,6 +162,10 @@
         return crashDetector;
     }
 
+    CutOffDetector cutOffDetector() {
+        return cutOffDetector;
+    }
+
     SuspectTracker suspects() {
         return suspects;
     }
--- a/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
+++ b/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
@@ -70,6 +70,13 @@
      */
     record SuspicionReceived(String fingerprint, String server, int crashes) implements EventBody {}
 
+    /**
+     * This host found out that it gets no answer from any backend server, or got one again.
+     *
+     * @param unansweredServers number of servers that gave no answer since the last one
+     */
+    record CutOffChanged(boolean isCutOff, int unansweredServers) implements EventBody {}
+
     /** The process entered a life-cycle stage: started, stopping or stopped. */
     record ProcessStage(String stage) implements EventBody {}
 
