A host that is cut off from all servers passes its calls on, once, and callers are led away

What callers saw: hosts that reached no backend server, while callers, the store and the other hosts reached them, served 23 of 321, 15 of 323 and 13 of 333 first tries; the others all. They answered 504, 503 and 502 for as long as the cut lasted, and stayed in every directory.

Cause: a host knew its servers one by one and not its own links, so it took its being cut off for the failure of all servers, and had no way to be of use without them. Class: a fault of one's own taken for a fault of all others.

Ruled out: that callers' return is the cause (first tries fail); that the hosts can't know: with observability alone they did after 0.36 to 1.23 s.

Only what was never sent is passed on, or what is idempotent and within the budget. A host that is cut off as well says so (421) and another is tried; a lost one may have run it: 502, no second try. The refusals of the other host are relayed with their Retry-After. Without any host in reach no connection is tried blindly: 503 servers-unreachable. Any answer of any server ends it. Once it has lasted 0.3 s, the others are told and directories leave the host out, unless all hosts are cut off.

--- a/bench/src/main/java/org/hyssophitch/bench/day/DayCallers.java
+++ b/bench/src/main/java/org/hyssophitch/bench/day/DayCallers.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
@@ -163,8 +164,8 @@
         String id = fleet.nextRequestId(c.kind);
         Route route = c.kind.route();
         long now = time.nowMicros();
-        CallRequest request =
-                host.router().createCall(route, fleet.latestRequest(), id, remainingMillis, true, id, now);
+        CallRequest request = host.router()
+                .createCall(route, fleet.latestRequest(), id, remainingMillis, true, id, now, OptionalInt.empty());
         c.latestRequest = request;
         c.latestHost = host;
         host.host().call(request, a -> time.after(NETWORK_DELAY_MICROS, () -> onAnswer(c, request, a)));
--- a/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
@@ -45,6 +45,7 @@
     private int fallbackAttempt;
     private int fallbackStatus;
     private boolean mayHaveRun;
+    private boolean isForwardLost;
     private boolean isCallerGone;
     private boolean isSuspectRunning;
     private boolean isWaiting;
@@ -166,6 +167,11 @@
         lastLoss = reason;
     }
 
+    /** Records that another entry host got the call and didn't answer; it may have used all attempts. */
+    void onForwardLost() {
+        isForwardLost = true;
+    }
+
     Reason lastLoss() {
         return lastLoss;
     }
@@ -213,11 +219,26 @@
         return isSafe && request.mayRetry() && request.replayable() && hasAttemptsLeft();
     }
 
+    /** Returns whether the call may start an attempt now: its first one, a retry or a hedge. */
+    boolean mayStart() {
+        return attemptsStarted == 0 || mayTryAgain();
+    }
+
+    /** Returns whether the only attempt so far is in flight without a response. */
+    boolean isOnFirstAttempt() {
+        return attemptsStarted == 1 && attempts.size() == 1 && !isRelaying();
+    }
+
     /** Returns whether the attempt limit allows another attempt. */
     boolean hasAttemptsLeft() {
+        return attemptsLeft() > 0 && !isRelaying();
+    }
+
+    /** Returns the number of further attempts that the attempt limit allows. */
+    int attemptsLeft() {
         int routeLimit = request.policy().maxAttempts();
         int limit = routeLimit > 0 ? routeLimit : service.service().retry().maxAttempts();
         int uncounted = Math.min(unsentAttempts, MAX_UNCOUNTED_ATTEMPTS);
-        return attemptsStarted - uncounted < Math.min(KEYS_PER_CALL - 1, limit) && !isRelaying();
+        return isForwardLost ? 0 : Math.min(KEYS_PER_CALL - 1, limit) - attemptsStarted + uncounted;
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
@@ -33,9 +33,11 @@
             return;
         }
         boolean isServerError = e.status() >= MIN_SERVER_ERROR_STATUS;
-        onAnswer(call, a, isServerError, e.nowMicros());
-        if (isServerError && retryAfterServerError(call, a, e.status(), e.nowMicros())) {
-            return;
+        if (!a.server().isEntryHost()) {
+            onAnswer(call, a, isServerError, e.nowMicros());
+            if (isServerError && retryAfterServerError(call, a, e.status(), e.nowMicros())) {
+                return;
+            }
         }
         call.setRelayingAttempt(a.number());
         call.service().queue().remove(call.queueEntry());
@@ -52,9 +54,8 @@
         if (a == null) {
             return;
         }
-        state.cutOffDetector().onAttemptEnded(a.server(), e.result(), e.nowMicros());
-        if (e.result() instanceof AttemptResult.Lost l && l.cause() == LostCause.CONNECTION_LOST) {
-            state.crashDetector().onLost(a.server(), call.service(), e.nowMicros());
+        if (!a.server().isEntryHost()) {
+            observeServer(call, a.server(), e);
         }
         long elapsed = finisher.release(call, a, e.nowMicros());
         state.record(
@@ -70,6 +71,13 @@
         starter.onAttemptReleased(call.service(), e.nowMicros());
     }
 
+    private void observeServer(ActiveCall call, ServerState server, CallEvent.AttemptEnded e) {
+        state.cutOffDetector().onAttemptEnded(server, e.result(), e.nowMicros());
+        if (e.result() instanceof AttemptResult.Lost l && l.cause() == LostCause.CONNECTION_LOST) {
+            state.crashDetector().onLost(server, call.service(), e.nowMicros());
+        }
+    }
+
     private void onAnswer(ActiveCall call, ActiveCall.Attempt a, boolean isServerError, long nowMicros) {
         ServerState server = a.server();
         double elapsed = nowMicros - a.startedMicros();
@@ -126,7 +134,8 @@
             default -> throw new UnknownCaseException(result.cause());
         }
         Reason failureReason = call.mayHaveRun() ? call.lastLoss() : Reason.ATTEMPTS_REFUSED;
-        boolean isUnsent = result.cause() == NotRunCause.CONNECT_FAILED;
+        boolean isUnsent =
+                result.cause() == NotRunCause.CONNECT_FAILED || a.server().isEntryHost();
         if (isUnsent) {
             call.onUnsent();
         }
@@ -136,6 +145,9 @@
     private void onLost(ActiveCall call, ActiveCall.Attempt a, AttemptResult.Lost result, long nowMicros) {
         Reason reason = result.cause() == LostCause.ANSWER_BROKEN ? Reason.ANSWER_BROKEN : Reason.CONNECTION_LOST;
         call.onLoss(reason);
+        if (a.server().isEntryHost()) {
+            call.onForwardLost();
+        }
         boolean isServerSilent = a.server().lastAnswerMicros() < a.startedMicros();
         if (result.cause() != LostCause.STALLED || isServerSilent) {
             recordFailure(call, a.server(), nowMicros);
@@ -194,6 +206,10 @@
 
     private void recordShed(ServerState server, long nowMicros) {
         server.health().onCancelled();
+        if (server.isEntryHost()) {
+            server.setRefusing(nowMicros);
+            return;
+        }
         if (state.isOn(EngineFeature.ADAPTIVE_LIMIT)) {
             server.limit().onShed(server.inFlight() + 1, nowMicros);
         }
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptStarter.java
@@ -20,7 +20,9 @@
     enum Cause {
         FIRST,
         RETRY,
-        HEDGE
+        HEDGE,
+        /** Passed on to another entry host. */
+        FORWARD
     }
 
     private static final long MICROS_PER_MILLI = 1_000;
@@ -71,6 +73,28 @@
         return dispatcher;
     }
 
+    /** Passes a call on to another entry host if this one is cut off and a host can take it; returns whether it did. */
+    boolean tryForward(ActiveCall call, long nowMicros) {
+        Optional<ServerState> host = state.forwarder().choose(call, nowMicros);
+        if (host.isEmpty() || !acquireSuspectRun(call, nowMicros)) {
+            return false;
+        }
+        int attempts = call.attemptsLeft();
+        ActiveCall.Attempt a = startAttempt(call, Cause.FORWARD, new Choice(host.get(), List.of()), 0, nowMicros);
+        emitStart(call, a, attempts);
+        return true;
+    }
+
+    /** Passes a call on as {@link #tryForward} does, in addition to its running attempt and if the budget allows it. */
+    void tryForwardHedge(ActiveCall call, long nowMicros) {
+        boolean isToServer = call.attempts().stream().noneMatch(a -> a.server().isEntryHost());
+        boolean isPossible =
+                isToServer && state.forwarder().choose(call, nowMicros).isPresent();
+        if (isPossible && call.service().hedgeBudget().tryWithdraw(nowMicros)) {
+            tryForward(call, nowMicros);
+        }
+    }
+
     /** Starts an attempt, queues the call, or rejects it immediately. */
     void startOrQueue(ActiveCall call, Cause cause, long nowMicros) {
         ServiceState service = call.service();
@@ -182,7 +206,19 @@
         int serverInFlight = server.inFlight() + Math.max(0, server.othersAtReport());
         int slots = Math.max(1, server.server().slots());
         double queueFactor = Math.max(0.0, serverInFlight + 1 - slots) / slots;
-        ActiveCall.Attempt a = call.start(server, nowMicros, queueFactor);
+        ActiveCall.Attempt a = startAttempt(call, cause, choice, queueFactor, nowMicros);
+        server.conditions()
+                .limit()
+                .current()
+                .ifPresent(l -> state.record(
+                        nowMicros, call, new EventBody.LimitedServerUsed(server.name(), l.perSecond(), cause.name())));
+        emitStart(call, a, 0);
+        scheduleHedge(call, a, nowMicros);
+    }
+
+    private ActiveCall.Attempt startAttempt(
+            ActiveCall call, Cause cause, Choice choice, double queueFactor, long nowMicros) {
+        ActiveCall.Attempt a = call.start(choice.server(), nowMicros, queueFactor);
         if (call.isBulk()) {
             state.addBulkInFlight(1);
         }
@@ -190,17 +226,15 @@
                 nowMicros,
                 call,
                 new EventBody.ServerChosen(
-                        call.request().service(), a.number(), cause.name(), server.name(), choice.candidates()));
-        server.conditions()
-                .limit()
-                .current()
-                .ifPresent(l -> state.record(
-                        nowMicros, call, new EventBody.LimitedServerUsed(server.name(), l.perSecond(), cause.name())));
-        emitStart(call, a);
-        scheduleHedge(call, a, nowMicros);
+                        call.request().service(),
+                        a.number(),
+                        cause.name(),
+                        choice.server().name(),
+                        choice.candidates()));
+        return a;
     }
 
-    private void emitStart(ActiveCall call, ActiveCall.Attempt a) {
+    private void emitStart(ActiveCall call, ActiveCall.Attempt a, int forwardedAttempts) {
         boolean mayRetryDownstream =
                 !state.isOn(EngineFeature.RETRY_BUDGET) || call.request().mayRetry() && a.number() == 1;
         state.emit(new CallAction.StartAttempt(
@@ -209,7 +243,8 @@
                 a.server().server(),
                 call.request().deadlineMicros(),
                 call.service().service().queue().stallMillis(),
-                mayRetryDownstream));
+                mayRetryDownstream,
+                forwardedAttempts));
     }
 
     private void scheduleHedge(ActiveCall call, ActiveCall.Attempt a, long nowMicros) {
--- a/core/src/main/java/org/hyssophitch/core/call/CallAction.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallAction.java
@@ -10,14 +10,15 @@
 public sealed interface CallAction {
 
     /**
-     * Send the request to a backend server.
+     * Send the request to a backend server, or pass it on to another entry host.
      *
      * @param callId the call
      * @param attempt number of the attempt, from 1
-     * @param server backend server to send it to
+     * @param server backend server or entry host to send it to
      * @param deadlineMicros time in microseconds by which the response has to begin
      * @param stallMillis time in milliseconds without progress after which the connection counts as stalled
      * @param mayRetryDownstream whether calls that the backend server makes for this one may be retried
+     * @param forwardedAttempts number of attempts that an entry host may make; 0 when sent to a backend server
      */
     record StartAttempt(
             long callId,
@@ -25,8 +26,15 @@
             BackendServer server,
             long deadlineMicros,
             int stallMillis,
-            boolean mayRetryDownstream)
-            implements CallAction {}
+            boolean mayRetryDownstream,
+            int forwardedAttempts)
+            implements CallAction {
+
+        /** Returns whether the request is passed on to another entry host. */
+        public boolean isForward() {
+            return forwardedAttempts > 0;
+        }
+    }
 
     /** Relay the attempt's response to the caller. */
     record RelayAnswer(long callId, int attempt) implements CallAction {}
@@ -64,6 +72,9 @@
      */
     record ShareLimit(LimitNews news, boolean isUrgent) implements CallAction {}
 
+    /** Tell the other entry hosts whether this one is cut off from all backend servers. */
+    record ShareCutOff(boolean isCutOff) implements CallAction {}
+
     /** Share crash suspicions with the other entry hosts. */
     record ShareSuspicions(List<Suspicion> suspicions) implements CallAction {}
 }
--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -8,6 +8,7 @@
 import org.hyssophitch.core.UnknownCaseException;
 import org.hyssophitch.core.atmostonce.Ticket;
 import org.hyssophitch.core.atmostonce.TicketDecision;
+import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.configuration.Configuration;
 import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.configuration.Service;
@@ -71,6 +72,7 @@
             case CallEvent.LoadProbeCompleted e -> onLoadProbeCompleted(e);
             case CallEvent.ServersRegistered e -> onRegistered(e.servers(), e.nowMicros());
             case CallEvent.FleetChanged e -> onFleetChanged(e.hostsByZone(), e.nowMicros());
+            case CallEvent.ForwardingHostsChanged e -> onForwardingHosts(e.hosts(), e.nowMicros());
             case CallEvent.FleetLimitsChanged e -> definitions.applyLimits(e.limits(), e.nowMicros());
             case CallEvent.LeavingChanged e -> onLeavingChanged(e.servers(), e.source(), e.nowMicros());
             case CallEvent.SuspicionsReceived e -> onSuspicions(e.suspicions(), e.nowMicros());
@@ -210,6 +212,11 @@
         }
     }
 
+    private void onForwardingHosts(List<BackendServer> hosts, long nowMicros) {
+        state.forwarder().setHosts(hosts);
+        startQueued(nowMicros);
+    }
+
     private void onSuspicions(List<Suspicion> received, long nowMicros) {
         state.crashDetector().onReceived(received, nowMicros);
         refuseConvicted(nowMicros);
--- a/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import org.hyssophitch.core.atmostonce.IssuerView;
+import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.configuration.Configuration;
 import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
@@ -100,6 +101,13 @@
      */
     record FleetChanged(long nowMicros, Map<String, Integer> hostsByZone) implements CallEvent {}
 
+    /**
+     * The set of other entry hosts that reach backend servers and accept requests changed.
+     *
+     * @param hosts all of them; they take the place of servers while this host is cut off
+     */
+    record ForwardingHostsChanged(long nowMicros, List<BackendServer> hosts) implements CallEvent {}
+
     /** The operator changed the fleet-wide limits. */
     record FleetLimitsChanged(long nowMicros, FleetLimits limits) implements CallEvent {}
 
--- a/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
@@ -85,8 +85,13 @@
             case QUEUE_FULL, DEADLINE_TOO_SHORT, DEADLINE_PASSED_WAITING, ATTEMPTS_REFUSED ->
                 Math.max(MIN_RETRY_AFTER_MILLIS, service.estimatedWaitMicros() / MICROS_PER_MILLI);
             case NO_ROOM -> NO_ROOM_RETRY_AFTER_MILLIS;
-            case NO_SERVER, NO_CONFIGURATION, DEADLINE_PASSED, CONNECTION_LOST, ANSWER_BROKEN, TICKET_RUNNING ->
-                DEFAULT_RETRY_AFTER_MILLIS;
+            case NO_SERVER,
+                    SERVERS_UNREACHABLE,
+                    NO_CONFIGURATION,
+                    DEADLINE_PASSED,
+                    CONNECTION_LOST,
+                    ANSWER_BROKEN,
+                    TICKET_RUNNING -> DEFAULT_RETRY_AFTER_MILLIS;
             default -> 0;
         };
     }
--- a/core/src/main/java/org/hyssophitch/core/call/CallRequest.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallRequest.java
@@ -19,6 +19,7 @@
  * @param replayable whether the request's body can be sent more than once
  * @param fingerprint fingerprint of the request's content, the same for repetitions of a request
  * @param policy policy of the matching route
+ * @param isForwarded whether another entry host passed the request on to this one
  */
 public record CallRequest(
         long callId,
@@ -31,11 +32,40 @@
         boolean mayRetry,
         boolean replayable,
         String fingerprint,
-        CallPolicy policy) {
+        CallPolicy policy,
+        boolean isForwarded) {
 
     /** Value of {@link #deadlineMicros()} when the caller specified no deadline. */
     public static final long NO_DEADLINE = Long.MAX_VALUE;
 
+    /** Creates a request that came from its caller. */
+    public CallRequest(
+            long callId,
+            String requestId,
+            String service,
+            boolean idempotent,
+            Optional<Ticket> ticket,
+            long deadlineMicros,
+            int depth,
+            boolean mayRetry,
+            boolean replayable,
+            String fingerprint,
+            CallPolicy policy) {
+        this(
+                callId,
+                requestId,
+                service,
+                idempotent,
+                ticket,
+                deadlineMicros,
+                depth,
+                mayRetry,
+                replayable,
+                fingerprint,
+                policy,
+                false);
+    }
+
     /** Creates a request that specifies its service itself, so that no route applies. */
     public CallRequest(
             long callId,
@@ -75,7 +105,8 @@
                 newMayRetry,
                 replayable,
                 fingerprint,
-                policy);
+                policy,
+                isForwarded);
     }
 
     /** Returns this request with the given deadline, or this instance when nothing changes. */
@@ -93,6 +124,7 @@
                         mayRetry,
                         replayable,
                         fingerprint,
-                        policy);
+                        policy,
+                        isForwarded);
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/call/CutOffDetector.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CutOffDetector.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Random;
 
+import org.hyssophitch.core.UnknownCaseException;
 import org.hyssophitch.core.call.AttemptResult.NotRunCause;
 import org.hyssophitch.core.call.CallEvent.ProbeOutcome;
 import org.hyssophitch.core.configuration.BackendServer;
@@ -72,6 +73,7 @@
         isCutOff = reachability.isCutOff(nowMicros);
         if (isCutOff != wasCutOff) {
             state.recorder().record(nowMicros, "", new EventBody.CutOffChanged(isCutOff, reachability.unanswered()));
+            state.emit(new CallAction.ShareCutOff(isCutOff));
         }
         if (reachability.isSuspected() && nowMicros >= nextProbeMicros) {
             nextProbeMicros = nowMicros + PROBE_INTERVAL_MICROS;
@@ -87,6 +89,7 @@
             case CANCELLED -> {
                 // Says nothing about the server.
             }
+            default -> throw new UnknownCaseException(result.cause());
         }
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/EngineState.java
+++ b/core/src/main/java/org/hyssophitch/core/call/EngineState.java
@@ -45,6 +45,7 @@
     private final SuspectTracker suspects;
     private final CrashDetector crashDetector = new CrashDetector(this);
     private final CutOffDetector cutOffDetector = new CutOffDetector(this);
+    private final CallForwarder forwarder = new CallForwarder(this);
     private final Map<String, ServiceState> services = new HashMap<>();
     private final Map<String, ServerState> servers = new HashMap<>();
     private final Map<Long, ActiveCall> calls = new HashMap<>();
@@ -162,6 +163,10 @@
         return crashDetector;
     }
 
+    CallForwarder forwarder() {
+        return forwarder;
+    }
+
     CutOffDetector cutOffDetector() {
         return cutOffDetector;
     }
--- a/core/src/main/java/org/hyssophitch/core/call/FleetNews.java
+++ b/core/src/main/java/org/hyssophitch/core/call/FleetNews.java
@@ -21,6 +21,11 @@
         }
     };
 
+    /** Shares whether this host is cut off from all backend servers. */
+    default void shareCutOff(boolean isCutOff) {
+        // Hosts that don't forward requests to each other need not know.
+    }
+
     /** Shares suspicions of requests that crash servers. */
     void shareSuspicions(List<Suspicion> suspicions);
 
--- a/core/src/main/java/org/hyssophitch/core/call/ProbingDispatcher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ProbingDispatcher.java
@@ -62,6 +62,14 @@
             return;
         }
         call.setWaitUntilMicros(TargetRules.waitUntil(call, nowMicros));
+        if (starter.tryForward(call, nowMicros)) {
+            service.queue().remove(call.queueEntry());
+            return;
+        }
+        if (call.request().isForwarded() && state.cutOffDetector().isCutOff()) {
+            rejectUnlessHedge(isHedge, call, Reason.FORWARDED_IN_VAIN, nowMicros);
+            return;
+        }
         if (service.acceptsFromMicros(nowMicros) > call.waitUntilMicros()) {
             rejectUnlessHedge(isHedge, call, Reason.SERVERS_LIMITED, nowMicros);
             return;
@@ -84,6 +92,10 @@
     /** Ends a round that is over, rejects calls that have waited too long, and starts a round for the queued calls. */
     void advance(ServiceState service, long nowMicros) {
         ProbeRound round = service.probeRound();
+        if (state.cutOffDetector().isCutOff()) {
+            forwardQueued(service, nowMicros);
+            hedgeSilentCalls(service, nowMicros);
+        }
         if (round.isOver(nowMicros)) {
             finishRound(service, nowMicros);
         }
@@ -108,6 +120,22 @@
         advance(service, nowMicros);
     }
 
+    private void forwardQueued(ServiceState service, long nowMicros) {
+        service.queue().waiting().stream()
+                .map(w -> state.calls().get(w.callId()))
+                .filter(c -> starter.tryForward(c, nowMicros))
+                .toList()
+                .forEach(c -> service.queue().remove(c.queueEntry()));
+    }
+
+    /** Passes on, as hedges, the idempotent calls whose servers have been silent since before the cut was noticed. */
+    private void hedgeSilentCalls(ServiceState service, long nowMicros) {
+        state.calls().values().stream()
+                .filter(c -> c.service() == service && c.request().idempotent() && c.isOnFirstAttempt())
+                .toList()
+                .forEach(c -> starter.tryForwardHedge(c, nowMicros));
+    }
+
     /** Handles the end of a probe; places queued calls if it was the last one that the round awaited. */
     void onProbeCompleted(ServiceState service, String server, long nowMicros) {
         service.probeRound().onProbeCompleted(server);
@@ -235,7 +263,9 @@
         List<ServerState> current =
                 untried.stream().filter(s -> hasCurrentReport(s, nowMicros)).toList();
         boolean mayProbeMore = maxCost < Double.MAX_VALUE;
-        Optional<ServerState> chosen = placement.choose(current.isEmpty() && !mayProbeMore ? untried : current);
+        boolean mayUseUnprobed =
+                current.isEmpty() && !mayProbeMore && !state.cutOffDetector().isCutOff();
+        Optional<ServerState> chosen = placement.choose(mayUseUnprobed ? untried : current);
         double acceptable =
                 isHedge ? ACCEPTABLE_COST : Math.min(maxCost, TargetRules.maxCostForTarget(call, nowMicros));
         if (chosen.isEmpty() || placement.cost(chosen.get()) > acceptable) {
@@ -313,10 +343,13 @@
         expired.forEach(c -> endWait(c, reason, nowMicros));
     }
 
-    private static Reason waitEndReason(ServiceState service, boolean isLimited) {
+    private Reason waitEndReason(ServiceState service, boolean isLimited) {
         if (!service.hasServer()) {
             return Reason.NO_SERVER;
         }
+        if (state.cutOffDetector().isCutOff()) {
+            return Reason.SERVERS_UNREACHABLE;
+        }
         return isLimited ? Reason.SERVERS_LIMITED : Reason.NO_ROOM;
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/Reason.java
+++ b/core/src/main/java/org/hyssophitch/core/call/Reason.java
@@ -20,6 +20,10 @@
     NO_ROOM(Outcome.NOT_RUN, 503),
     /** By what the servers state about themselves, none takes a request while the call could still wait. */
     SERVERS_LIMITED(Outcome.NOT_RUN, 503),
+    /** This host is cut off from all servers, and no other host could take the call. */
+    SERVERS_UNREACHABLE(Outcome.NOT_RUN, 503),
+    /** Another entry host passed the call on, but this host is cut off from all servers as well. */
+    FORWARDED_IN_VAIN(Outcome.NOT_RUN, 421),
     DEADLINE_TOO_SHORT(Outcome.NOT_RUN, 503),
     DEADLINE_PASSED_WAITING(Outcome.NOT_RUN, 503),
     NO_SERVER(Outcome.NOT_RUN, 503),
--- a/core/src/main/java/org/hyssophitch/core/entry/RequestRouter.java
+++ b/core/src/main/java/org/hyssophitch/core/entry/RequestRouter.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.random.RandomGenerator;
 
 import org.hyssophitch.core.call.CallPolicy;
@@ -70,6 +71,8 @@
      * @param deadlineMillis time in milliseconds from the arrival that the caller waits; 0 when unspecified
      * @param replayable whether the request can be sent again
      * @param fingerprint identifies requests with the same content
+     * @param forwardedAttempts attempts that another entry host has left for the request; empty if it came from its
+     *     caller
      */
     public CallRequest createCall(
             Route route,
@@ -78,7 +81,8 @@
             long deadlineMillis,
             boolean replayable,
             String fingerprint,
-            long arrivedMicros) {
+            long arrivedMicros,
+            OptionalInt forwardedAttempts) {
         long timeoutMillis =
                 deadlineMillis > 0 ? Math.min(deadlineMillis, route.timeoutMillis()) : route.timeoutMillis();
         long targetLatencyMicros = route.targetLatencyMillis() * MICROS_PER_MILLI;
@@ -95,7 +99,12 @@
                 true,
                 replayable,
                 fingerprint,
-                new CallPolicy(route.maxAttempts(), route.priority(), targetMicros, targetLatencyMicros));
+                new CallPolicy(
+                        Math.min(route.maxAttempts(), forwardedAttempts.orElse(route.maxAttempts())),
+                        route.priority(),
+                        targetMicros,
+                        targetLatencyMicros),
+                forwardedAttempts.isPresent());
     }
 
     /**
--- a/core/src/main/java/org/hyssophitch/core/health/ServerReachability.java
+++ b/core/src/main/java/org/hyssophitch/core/health/ServerReachability.java
@@ -16,7 +16,7 @@
     /** Servers without an answer from which the host comes under suspicion, if it knows that many. */
     private static final int SUSPICIOUS_SERVERS = 3;
     /** Time in microseconds that further servers have to answer before a suspected host counts as cut off. */
-    private static final long CONFIRMATION_MICROS = 30_000;
+    private static final long CONFIRMATION_MICROS = 60_000;
 
     private static final long NEVER = Long.MAX_VALUE;
 
--- a/core/src/main/java/org/hyssophitch/core/membership/Member.java
+++ b/core/src/main/java/org/hyssophitch/core/membership/Member.java
@@ -16,6 +16,7 @@
  * @param isAccepting whether callers may be directed to the proxy
  * @param callsInFlight calls in flight at the proxy
  * @param configurationVersion version of the configuration in force
+ * @param isCutOff whether the host gets no answer from any backend server
  */
 public record Member(
         String host,
@@ -28,7 +29,36 @@
         long proxyIncarnation,
         boolean isAccepting,
         int callsInFlight,
-        long configurationVersion) {
+        long configurationVersion,
+        boolean isCutOff) {
+
+    /** Creates the record of a host that reaches the backend servers. */
+    public Member(
+            String host,
+            long incarnation,
+            int revision,
+            MemberState state,
+            String zone,
+            String agentAddress,
+            String proxyAddress,
+            long proxyIncarnation,
+            boolean isAccepting,
+            int callsInFlight,
+            long configurationVersion) {
+        this(
+                host,
+                incarnation,
+                revision,
+                state,
+                zone,
+                agentAddress,
+                proxyAddress,
+                proxyIncarnation,
+                isAccepting,
+                callsInFlight,
+                configurationVersion,
+                false);
+    }
 
     /** Returns this record with another state. */
     public Member withState(MemberState value) {
@@ -45,7 +75,8 @@
                         proxyIncarnation,
                         isAccepting,
                         callsInFlight,
-                        configurationVersion);
+                        configurationVersion,
+                        isCutOff);
     }
 
     /** Returns this record with another incarnation, whose revisions start at 0. */
@@ -63,7 +94,8 @@
                         proxyIncarnation,
                         isAccepting,
                         callsInFlight,
-                        configurationVersion);
+                        configurationVersion,
+                        isCutOff);
     }
 
     /** Returns this record with another revision. */
@@ -81,7 +113,8 @@
                         proxyIncarnation,
                         isAccepting,
                         callsInFlight,
-                        configurationVersion);
+                        configurationVersion,
+                        isCutOff);
     }
 
     /** Returns this record with another status of its proxy. */
@@ -97,7 +130,8 @@
                 newProxyIncarnation,
                 newIsAccepting,
                 newCallsInFlight,
-                configurationVersion);
+                configurationVersion,
+                isCutOff);
     }
 
     /** Returns this record with another configuration version in force. */
@@ -115,6 +149,26 @@
                         proxyIncarnation,
                         isAccepting,
                         callsInFlight,
+                        value,
+                        isCutOff);
+    }
+
+    /** Returns this record with another state of the connection to the backend servers. */
+    public Member withCutOff(boolean value) {
+        return value == isCutOff
+                ? this
+                : new Member(
+                        host,
+                        incarnation,
+                        revision,
+                        state,
+                        zone,
+                        agentAddress,
+                        proxyAddress,
+                        proxyIncarnation,
+                        isAccepting,
+                        callsInFlight,
+                        configurationVersion,
                         value);
     }
 
--- a/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
@@ -30,6 +30,7 @@
     /** Weight of a new sample in the exponential moving average of the service time. */
     private static final double SERVICE_TIME_WEIGHT = 0.2;
 
+    private final boolean isEntryHost;
     private BackendServer server;
     private AdaptiveLimit limit;
     private int attemptLimit;
@@ -57,6 +58,11 @@
      * @param conditions what the server has stated in its answers
      */
     public ServerState(BackendServer server, int attemptLimit, ServerConditions conditions) {
+        this(server, attemptLimit, conditions, false);
+    }
+
+    private ServerState(BackendServer server, int attemptLimit, ServerConditions conditions, boolean isEntryHost) {
+        this.isEntryHost = isEntryHost;
         this.server = server;
         this.conditions = conditions;
         this.attemptLimit = attemptLimit;
@@ -68,6 +74,16 @@
         this(server, attemptLimit, new ServerConditions(server.name()));
     }
 
+    /** Creates the initial state of an entry host that takes requests in place of servers. */
+    public static ServerState ofEntryHost(BackendServer host, int attemptLimit) {
+        return new ServerState(host, attemptLimit, new ServerConditions(host.name()), true);
+    }
+
+    /** Returns whether this is another entry host, to which requests are passed on, and not a backend server. */
+    public boolean isEntryHost() {
+        return isEntryHost;
+    }
+
     /** Applies a changed definition of the same server; a changed attempt limit resets the adaptive limit. */
     public void redefine(BackendServer newServer, int newAttemptLimit) {
         server = newServer;
@@ -155,6 +171,11 @@
         refusingUntilMicros = isAccepting ? 0 : nowMicros + REFUSAL_BACKOFF_MICROS;
     }
 
+    /** Records that the server refused work just now. */
+    public void setRefusing(long nowMicros) {
+        refusingUntilMicros = nowMicros + REFUSAL_BACKOFF_MICROS;
+    }
+
     /** Returns whether the server recently refused work or failed to answer in a load probe. */
     public boolean isRefusing(long nowMicros) {
         return nowMicros < refusingUntilMicros;
--- a/entry/src/main/java/org/hyssophitch/entry/EntryHostDirectory.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryHostDirectory.java
@@ -6,7 +6,8 @@
 
 /**
  * Selects the entry host addresses returned to a caller: those in the caller's availability zone if at least
- * {@value #MIN_HOSTS_IN_ZONE} hosts there accept requests, otherwise those in all zones. Stateless.
+ * {@value #MIN_HOSTS_IN_ZONE} hosts there accept requests, otherwise those in all zones. Hosts that are cut off from
+ * all backend servers are left out unless all are. Stateless.
  */
 final class EntryHostDirectory {
 
@@ -19,9 +20,10 @@
 
     /** Returns the proxy addresses for a caller in the given zone. */
     static List<String> select(List<Member> accepting, String zone) {
-        List<Member> inZone =
-                accepting.stream().filter(m -> m.zone().equals(zone)).toList();
-        List<Member> selected = inZone.size() >= MIN_HOSTS_IN_ZONE ? inZone : accepting;
+        List<Member> reaching = accepting.stream().filter(m -> !m.isCutOff()).toList();
+        List<Member> usable = reaching.isEmpty() ? accepting : reaching;
+        List<Member> inZone = usable.stream().filter(m -> m.zone().equals(zone)).toList();
+        List<Member> selected = inZone.size() >= MIN_HOSTS_IN_ZONE ? inZone : usable;
         return selected.stream().map(Member::proxyAddress).limit(MAX_ADDRESSES).toList();
     }
 }
--- a/entry/src/main/java/org/hyssophitch/entry/EntryRules.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryRules.java
@@ -37,7 +37,8 @@
                                 headers.deadlineMillis(head.headers()).orElse(0),
                                 replayable,
                                 head.host() + ' ' + fingerprint,
-                                arrived)))
+                                arrived,
+                                headers.forwardedAttempts(head.headers()))))
                 .orElseGet(() -> new Verdict.Refused(Reason.NO_ROUTE, ""));
     }
 
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -1,5 +1,6 @@
 package org.hyssophitch.entry;
 
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,12 +17,14 @@
 import io.netty.channel.EventLoopGroup;
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.call.FleetNews;
+import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.control.AgedLimitNews;
 import org.hyssophitch.core.control.AgentMessage;
 import org.hyssophitch.core.control.GossipBuffer;
 import org.hyssophitch.core.control.SuspicionExchange;
 import org.hyssophitch.core.entry.EntryHost;
 import org.hyssophitch.core.entry.EntrySettings;
+import org.hyssophitch.core.health.SettledFlag;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.membership.Heartbeat;
 import org.hyssophitch.core.membership.Member;
@@ -58,6 +61,11 @@
     /** Time in microseconds for which a silent host keeps its shares of the limits that servers state. */
     private static final long DEAD_HOST_MEMORY_MICROS = 15_000_000;
 
+    /** Time in microseconds after which callers are led away from a host that is cut off. */
+    private static final long CUT_OFF_SETTLING_MICROS = 300_000;
+    /** Time in microseconds after which callers are led back to a host that reaches servers again. */
+    private static final long RETURN_SETTLING_MICROS = 1_000_000;
+
     private final EventLoop loop;
     private final HybridClock clock = new HybridClock();
     private final MembershipEngine membership;
@@ -76,6 +84,8 @@
     private Map<String, Integer> peakLiveByZone = Map.of();
     private final Map<String, Long> deadSinceMicros = new HashMap<>();
     private Map<String, String> zoneByHost = Map.of();
+    private final SettledFlag cutOff = new SettledFlag(CUT_OFF_SETTLING_MICROS, RETURN_SETTLING_MICROS);
+    private List<BackendServer> forwardingHosts = List.of();
 
     Peers(
             EntrySettings settings,
@@ -166,6 +176,12 @@
         sendUrgentGossip();
     }
 
+    @Override
+    public void shareCutOff(boolean isCutOff) {
+        cutOff.set(isCutOff, WallClock.nowMicros());
+        updateForwardingHosts();
+    }
+
     @Override
     public void shareLimit(LimitNews news, boolean isUrgent) {
         limitGossip.add(news.server(), news);
@@ -234,6 +250,8 @@
                 membership.self().withConfigurationVersion(configurationVersion.getAsLong()));
         membership.onTime(WallClock.nowMicros()).forEach(h -> send(h.to(), Optional.of(h)));
         updateFleetSize();
+        announceCutOff();
+        updateForwardingHosts();
         detectStaleConfiguration();
     }
 
@@ -274,6 +292,37 @@
         }
     }
 
+    /** Tells the other hosts whether this one is cut off from all backend servers, once that has lasted. */
+    private void announceCutOff() {
+        boolean isCutOff = cutOff.settled(WallClock.nowMicros());
+        if (isCutOff != membership.self().isCutOff()) {
+            membership.updateSelf(membership.self().withCutOff(isCutOff));
+            sendUrgentGossip();
+        }
+    }
+
+    /** While this host is cut off, reports the hosts that reach backend servers and accept requests. */
+    private void updateForwardingHosts() {
+        if (!cutOff.current()) {
+            return;
+        }
+        List<BackendServer> hosts = membership.live().stream()
+                .filter(m -> m.state() == MemberState.ALIVE && m.isAccepting() && !m.isCutOff())
+                .filter(m -> !m.host().equals(membership.self().host()))
+                .map(Peers::forwardingHost)
+                .toList();
+        if (!hosts.equals(forwardingHosts)) {
+            forwardingHosts = hosts;
+            onEvent.accept(new CallEvent.ForwardingHostsChanged(WallClock.nowMicros(), hosts));
+        }
+    }
+
+    private static BackendServer forwardingHost(Member m) {
+        InetSocketAddress front = Addresses.parse(m.proxyAddress());
+        return new BackendServer(
+                "entry-host/" + m.host(), front.getHostString(), front.getPort(), m.zone(), 1, 0, false);
+    }
+
     /** Returns whether a host became silent so recently that it may still send requests, or soon start again. */
     private boolean isRecentlyDead(Member m, long nowMicros) {
         return m.state() == MemberState.DEAD
--- a/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
@@ -100,7 +100,9 @@
 
     @Override
     public boolean isExpectedResponse(HttpResponse candidate) {
-        return dispatcher.headerConventions().isResponseTo(candidate.headers(), exchange.requestId());
+        return action.isForward()
+                ? dispatcher.headerConventions().isForwardResponseTo(candidate.headers(), exchange.requestId())
+                : dispatcher.headerConventions().isResponseTo(candidate.headers(), exchange.requestId());
     }
 
     @Override
@@ -159,6 +161,21 @@
     public void onResponseHead(HttpResponse response) {
         stallDetector.onProgress();
         head = response;
+        if (action.isForward()) {
+            notRunCause = dispatcher
+                    .headerConventions()
+                    .forwardNotRunCause(response.status().code());
+        } else {
+            observeServer(response);
+        }
+        if (dispatcher.responseBufferBytes() == CallDispatcher.NO_RESPONSE_BUFFERING
+                && notRunCause.isEmpty()
+                && !isMisleadingStatus) {
+            startAnswer();
+        }
+    }
+
+    private void observeServer(HttpResponse response) {
         int status = response.status().code();
         long now = WallClock.nowMicros();
         dispatcher
@@ -171,11 +188,6 @@
         }
         isMisleadingStatus =
                 notRunCause.isEmpty() && dispatcher.headerConventions().impliesNotRun(status);
-        if (dispatcher.responseBufferBytes() == CallDispatcher.NO_RESPONSE_BUFFERING
-                && notRunCause.isEmpty()
-                && !isMisleadingStatus) {
-            startAnswer();
-        }
     }
 
     private void reportStatements(HttpResponse response, long now) {
@@ -297,7 +309,11 @@
                 .prepareRequest(
                         copy.headers(),
                         new OutgoingRequest(
-                                action.server(), exchange.requestId(), remainingMillis, action.mayRetryDownstream()));
+                                action.server(),
+                                exchange.requestId(),
+                                remainingMillis,
+                                action.mayRetryDownstream(),
+                                action.forwardedAttempts()));
         return copy;
     }
 }
--- a/http/src/main/java/org/hyssophitch/http/HeaderConventions.java
+++ b/http/src/main/java/org/hyssophitch/http/HeaderConventions.java
@@ -19,7 +19,10 @@
     /** Returns the id of a request; may be empty if the caller sent none. */
     String requestId(HttpHeaders request);
 
-    /** Adds headers to a request to a backend server; the caller's end-to-end headers are already present. */
+    /**
+     * Adds headers to a request to a backend server or another entry host; the caller's end-to-end headers are already
+     * present.
+     */
     void prepareRequest(HttpHeaders headers, OutgoingRequest request);
 
     /**
@@ -35,12 +38,25 @@
     /** Returns whether a response belongs to the request with the given id. */
     boolean isResponseTo(HttpHeaders response, String requestId);
 
+    /**
+     * Returns whether a response of another entry host belongs to the request with the given id; its own refusals carry
+     * none.
+     */
+    default boolean isForwardResponseTo(HttpHeaders response, String requestId) {
+        return !hasRequestId(response) || isResponseTo(response, requestId);
+    }
+
     /** Returns whether a response carries a request id. */
     boolean hasRequestId(HttpHeaders response);
 
     /** Returns why the request was not run if the response proves that it was not; otherwise empty. */
     Optional<NotRunCause> notRunCause(int status, HttpHeaders response);
 
+    /** Returns why another host may be tried, if the entry host that a request was passed on to couldn't handle it. */
+    default Optional<NotRunCause> forwardNotRunCause(int status) {
+        return status == Reason.FORWARDED_IN_VAIN.status() ? Optional.of(NotRunCause.SHED) : Optional.empty();
+    }
+
     /** Returns whether the status alone tells the caller that its request was not run. */
     boolean impliesNotRun(int status);
 
--- a/proxy/src/main/java/org/hyssophitch/proxy/CallRules.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/CallRules.java
@@ -1,5 +1,7 @@
 package org.hyssophitch.proxy;
 
+import java.util.OptionalInt;
+
 import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.configuration.CallerLimits;
@@ -79,7 +81,8 @@
                         Math.max(0, options.timeoutMillis()),
                         replayable,
                         Fingerprint.of(head.host() + ' ' + fingerprint),
-                        arrived)
+                        arrived,
+                        OptionalInt.empty())
                 .withCaller(options.idempotent(), options.ticket(), options.depth(), options.mayRetry());
         return accept(options, head.target(), callFactory);
     }
--- a/wire/src/main/java/org/hyssophitch/wire/codec/MemberCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/MemberCodec.java
@@ -41,6 +41,7 @@
                 .setAccepting(m.isAccepting())
                 .setCallsInFlight(m.callsInFlight())
                 .setConfigurationVersion(m.configurationVersion())
+                .setCutOff(m.isCutOff())
                 .build();
     }
 
@@ -56,7 +57,8 @@
                 m.getProxyIncarnation(),
                 m.getAccepting(),
                 m.getCallsInFlight(),
-                m.getConfigurationVersion());
+                m.getConfigurationVersion(),
+                m.getCutOff());
     }
 
     static List<Wire.Member> encodeMembers(List<Member> list) {
