A host that loses several servers at once suspects no request of it

Cause: a host whose links to all servers are reset saw one crash for each server on which it had a request in flight, and reported all these requests to the fleet, which now hears it: harmless requests come under suspicion, and those that are repeated could be refused everywhere. Class: a fault of one's own taken for a fault of others. Change: while three servers or more in a row gave no answer, a failed probe makes no request suspect. Evidence: CrashingRequestTest.hostThatIsCutOffSuspectsTheRequestsInFlight failed before (three reports), passes now.

--- a/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
@@ -17,7 +17,8 @@
  * thread-safe; owned by the call engine.
  *
  * <p>With fleet-wide limits, where servers answer load probes, a lost connection alone makes no request suspect: the
- * server is probed, and counts as crashed only if the probe fails.
+ * server is probed, and counts as crashed only if the probe fails. While this host has lost several servers at once, a
+ * failed probe says nothing about one of them.
  */
 final class CrashDetector {
 
@@ -45,7 +46,9 @@
     /** Handles the result of a load probe; returns whether it shows that the server crashed. */
     boolean onProbeCompleted(String server, ProbeOutcome outcome, long nowMicros) {
         Set<String> inFlight = inFlightAtLoss.remove(server);
-        boolean isCrash = inFlight != null && outcome == ProbeOutcome.FAILED;
+        boolean isCrash = inFlight != null
+                && outcome == ProbeOutcome.FAILED
+                && !state.cutOffDetector().hasLostSeveralServers();
         if (isCrash) {
             reportCrash(server, inFlight, nowMicros);
         }
--- a/core/src/main/java/org/hyssophitch/core/call/CutOffDetector.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CutOffDetector.java
@@ -37,9 +37,9 @@
         return isCutOff;
     }
 
-    /** Returns whether the host may be cut off. */
-    boolean isSuspected() {
-        return reachability.isSuspected();
+    /** Returns whether several servers in a row gave no answer, so that the host's own links may have failed. */
+    boolean hasLostSeveralServers() {
+        return reachability.hasLostSeveralServers();
     }
 
     /** Handles the result of a load probe. */
--- a/core/src/main/java/org/hyssophitch/core/health/ServerReachability.java
+++ b/core/src/main/java/org/hyssophitch/core/health/ServerReachability.java
@@ -43,6 +43,11 @@
         }
     }
 
+    /** Returns whether several servers gave no answer since the last answer. */
+    public boolean hasLostSeveralServers() {
+        return unanswered.size() >= SUSPICIOUS_SERVERS;
+    }
+
     /** Returns whether the host may be cut off, so that further servers should be probed. */
     public boolean isSuspected() {
         return cutOffFromMicros != NEVER;
--- a/core/src/test/java/org/hyssophitch/core/call/CrashingRequestTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/CrashingRequestTest.java
@@ -1,5 +1,6 @@
 package org.hyssophitch.core.call;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.IntStream;
@@ -40,6 +41,38 @@
         assertTrue(started(answerAll(0)).isEmpty(), "request was sent although it is convicted");
     }
 
+    /** All connections of the host break at once; no server has crashed. */
+    @Test
+    public void hostThatIsCutOffSuspectsTheRequestsInFlight() {
+        List<String> servers = IntStream.rangeClosed(1, 3)
+                .mapToObj(i -> place(i, "f" + i))
+                .flatMap(List::stream)
+                .toList();
+        assertEquals(servers.stream().sorted().toList(), List.of("s0", "s1", "s2"));
+        IntStream.rangeClosed(1, 3).forEach(this::loseConnection);
+        List<CallAction> actions = servers.stream()
+                .flatMap(
+                        s -> engine
+                                .handle(new CallEvent.LoadProbeCompleted(now, s, Optional.empty(), ProbeOutcome.FAILED))
+                                .stream())
+                .toList();
+        assertTrue(actions.stream().noneMatch(CallAction.ShareSuspicions.class::isInstance), actions.toString());
+    }
+
+    /** Starts a call on the server that has no other one. */
+    private List<String> place(int id, String fingerprint) {
+        List<CallAction> actions =
+                new ArrayList<>(engine.handle(new CallEvent.CallArrived(now, request(id, fingerprint, false))));
+        IntStream.range(0, 3).forEach(i -> actions.addAll(answer("s" + i, i == id % 3 ? 0 : 3, 100)));
+        advance(40 * MILLI);
+        return started(actions);
+    }
+
+    private void loseConnection(int id) {
+        engine.handle(new CallEvent.AttemptEnded(
+                now, id, 1, new AttemptResult.Lost(AttemptResult.LostCause.CONNECTION_LOST)));
+    }
+
     private void crashServer(int id) {
         advance(RESTART_MICROS);
         engine.handle(new CallEvent.CallArrived(now, crashing(id)));
