--- a/entry/src/test/java/org/hyssophitch/entry/CutOffHostTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/CutOffHostTest.java
@@ -4,7 +4,9 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.hyssophitch.core.entry.EntrySettings;
 import org.hyssophitch.wire.net.FreePorts;
@@ -14,6 +16,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /** A host that reaches no backend server, while its callers and the other hosts reach it. */
@@ -30,6 +33,9 @@
     /** Time in milliseconds after which a host must have found out that it is cut off. */
     private static final long STABILITY_WINDOW_MILLIS = 3_000;
 
+    /** Target latency in milliseconds of the route that the fixture configures. */
+    private static final long TARGET_MILLIS = 600;
+
     private FakeStore otherStore;
     private ServerSocket silent;
     private EntrySettings cutOff;
@@ -70,17 +76,48 @@
         long served = answers.stream().filter(a -> a.startsWith("HTTP/1.1 200")).count();
         assertEquals(served, REQUESTS, answers.toString());
         assertTrue(answers.getFirst().endsWith("first"), answers.getFirst());
+        first.requests()
+                .forEach(r -> assertFalse(r.headers().containsKey("hyssophitch-forwarded-attempts"), r.toString()));
+    }
+
+    /** No host can help; each caller hears so in time and with a time to come back, and never of 421. */
+    @Test(dataProvider = "cuts")
+    public void callersOfAFleetThatIsCutOffAreTurnedAwayInTime(Cut cut) throws Exception {
+        startBoth(cut);
+        FakeStore ownStore = store;
+        store = otherStore;
+        registerServers(deadPort(cut), 2);
+        store = ownStore;
+        Thread.sleep(APPLY_DEADLINE_MILLIS);
+        List.of(cutOff, other).forEach(s -> request(s, "/s/x"));
+        Thread.sleep(STABILITY_WINDOW_MILLIS);
+
+        long startNanos = System.nanoTime();
+        List<String> answers = Stream.of(cutOff, other, cutOff, other)
+                .map(s -> request(s, "/s/x"))
+                .toList();
+        answers.forEach(a -> assertTrue(a.startsWith("HTTP/1.1 503") && a.contains("retry-after: 1"), a));
+        long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertTrue(elapsed < answers.size() * TARGET_MILLIS, elapsed + " ms");
+    }
+
+    @Test
+    public void hostServesByItselfOnceItReachesServersAgain() throws Exception {
+        startBoth(Cut.SILENT);
+        request(cutOff, "/s/x");
+        await(() -> request(cutOff, "/s/x").endsWith("first"));
+        registerServers(second.port(), 2);
+        await(() -> request(cutOff, "/s/x").endsWith("second"));
     }
 
     private void startBoth(Cut cut) throws InterruptedException {
-        int deadPort = cut == Cut.SILENT ? silent.getLocalPort() : FreePorts.one();
         store.put(ENTRY_HOSTS_KIND, other.host(), entryHost(other));
         FakeStore ownStore = store;
         configure(1, "svc");
-        registerServers(deadPort);
+        registerServers(deadPort(cut), 1);
         store = otherStore;
         configure(1, "svc");
-        registerServers(first.port());
+        registerServers(first.port(), 1);
         store = ownStore;
         start(other);
         start(cutOff);
@@ -88,16 +125,20 @@
         await(() -> directory(cutOff).contains(other.addresses().front()));
     }
 
-    private void registerServers(int port) {
+    private int deadPort(Cut cut) {
+        return cut == Cut.SILENT ? silent.getLocalPort() : FreePorts.one();
+    }
+
+    private void registerServers(int port, int sequence) {
         IntStream.range(0, SERVERS)
                 .forEach(i -> store.put(
                         "servers",
                         "i-" + i,
                         """
                         {"address":"127.0.0.1:%d","born":1,"information":{"service":"svc","zone":"z1","slots":3},
-                         "status":{"state":"ready","sequence":1,"cold_remaining_ms":0}}
+                         "status":{"state":"ready","sequence":%d,"cold_remaining_ms":0}}
                         """
-                                .formatted(port)));
+                                .formatted(port, sequence)));
     }
 
     private static String entryHost(EntrySettings s) {
