What the membership means for the engine is decided in core, apart from datagrams

The hosts that take calls are forgotten when a cut ends, so that the next one doesn't begin with old ones.

--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/call/FleetView.java
@@ -0,0 +1,104 @@
+package org.hyssophitch.core.call;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.membership.Member;
+import org.hyssophitch.core.membership.MemberState;
+
+/**
+ * What the membership of the fleet means for the call engine: how many hosts share the fleet-wide limits, which hosts
+ * share those that servers state, and which may take calls in place of servers. Not thread-safe; owned by the thread
+ * that tracks the membership.
+ */
+public final class FleetView {
+
+    /** Time in microseconds for which a silent host keeps its shares of the limits that servers state. */
+    private static final long DEAD_HOST_MEMORY_MICROS = 15_000_000;
+
+    private final String self;
+    private final Function<Member, BackendServer> forwardingHost;
+    private final Map<String, Long> deadSinceMicros = new HashMap<>();
+    private Map<String, Integer> peakLiveByZone = Map.of();
+    private Map<String, String> zoneByHost = Map.of();
+    private List<BackendServer> forwardingHosts = List.of();
+
+    /**
+     * Creates the view of a host that knows nobody.
+     *
+     * @param self name of this host
+     * @param forwardingHost returns the address at which a host takes calls
+     */
+    public FleetView(String self, Function<Member, BackendServer> forwardingHost) {
+        this.self = self;
+        this.forwardingHost = forwardingHost;
+    }
+
+    /** Records that a member's record changed. */
+    public void onMemberChanged(Member m, long nowMicros) {
+        if (m.state() == MemberState.DEAD) {
+            deadSinceMicros.put(m.host(), nowMicros);
+        }
+    }
+
+    /**
+     * Returns what has changed for the engine since the last call: the peak number of live hosts per zone, and the
+     * hosts that live or died recently. The peak is used so that a host that sees only some of the others doesn't
+     * exceed its share of the fleet-wide limits.
+     */
+    public List<CallEvent> update(Collection<Member> members, long nowMicros) {
+        List<CallEvent> changes = new ArrayList<>();
+        Map<String, Integer> peak = new HashMap<>(peakLiveByZone);
+        members.stream()
+                .filter(Member::isLive)
+                .collect(Collectors.groupingBy(Member::zone, Collectors.summingInt(m -> 1)))
+                .forEach((zone, live) -> peak.merge(zone, live, Math::max));
+        if (!peak.equals(peakLiveByZone)) {
+            peakLiveByZone = peak;
+            changes.add(new CallEvent.FleetChanged(nowMicros, peak));
+        }
+        Map<String, String> known = members.stream()
+                .filter(m -> m.isLive() || isRecentlyDead(m, nowMicros))
+                .collect(Collectors.toMap(Member::host, Member::zone));
+        if (!known.equals(zoneByHost)) {
+            zoneByHost = known;
+            changes.add(new CallEvent.HostsChanged(nowMicros, known));
+        }
+        return changes;
+    }
+
+    /**
+     * Returns the change of the hosts that may take this host's calls: while it is cut off from all backend servers,
+     * the others that aren't and that accept requests; otherwise none.
+     */
+    public List<CallEvent> updateForwardingHosts(Collection<Member> members, boolean isCutOff, long nowMicros) {
+        List<BackendServer> hosts = members.stream()
+                .filter(m -> isCutOff && mayTakeCalls(m))
+                .map(forwardingHost)
+                .toList();
+        if (hosts.equals(forwardingHosts)) {
+            return List.of();
+        }
+        forwardingHosts = hosts;
+        return List.of(new CallEvent.ForwardingHostsChanged(nowMicros, hosts));
+    }
+
+    private boolean mayTakeCalls(Member m) {
+        return m.state() == MemberState.ALIVE
+                && m.isAccepting()
+                && !m.isCutOff()
+                && !m.host().equals(self);
+    }
+
+    /** Returns whether a host became silent so recently that it may still send requests, or soon start again. */
+    private boolean isRecentlyDead(Member m, long nowMicros) {
+        return m.state() == MemberState.DEAD
+                && nowMicros - deadSinceMicros.getOrDefault(m.host(), 0L) < DEAD_HOST_MEMORY_MICROS;
+    }
+}
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -1,7 +1,6 @@
 package org.hyssophitch.entry;
 
 import java.net.InetSocketAddress;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,13 +9,13 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.call.FleetNews;
+import org.hyssophitch.core.call.FleetView;
 import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.control.AgedLimitNews;
 import org.hyssophitch.core.control.AgentMessage;
@@ -58,9 +57,6 @@
     /** Maximum number of random members that urgent gossip is sent to immediately. */
     private static final int URGENT_GOSSIP_FANOUT = 3;
 
-    /** Time in microseconds for which a silent host keeps its shares of the limits that servers state. */
-    private static final long DEAD_HOST_MEMORY_MICROS = 15_000_000;
-
     /** Time in microseconds after which callers are led away from a host that is cut off. */
     private static final long CUT_OFF_SETTLING_MICROS = 300_000;
     /** Time in microseconds after which callers are led back to a host that reaches servers again. */
@@ -71,6 +67,7 @@
     private final MembershipEngine membership;
     private final GossipBuffer<Member> memberGossip = new GossipBuffer<>(GOSSIP_TRANSMISSIONS);
     private final SuspicionExchange suspicions;
+    private final FleetView fleetView;
     private final GossipBuffer<LimitNews> limitGossip = new GossipBuffer<>(GOSSIP_TRANSMISSIONS);
     private final EventRecorder recorder;
     private final RandomGenerator random;
@@ -81,11 +78,7 @@
     private DatagramEndpoint endpoint;
     private boolean isAccepting;
     private boolean wasBehind;
-    private Map<String, Integer> peakLiveByZone = Map.of();
-    private final Map<String, Long> deadSinceMicros = new HashMap<>();
-    private Map<String, String> zoneByHost = Map.of();
     private final SettledFlag cutOff = new SettledFlag(CUT_OFF_SETTLING_MICROS, RETURN_SETTLING_MICROS);
-    private List<BackendServer> forwardingHosts = List.of();
 
     Peers(
             EntrySettings settings,
@@ -100,6 +93,7 @@
         this.loop = loop;
         this.random = random;
         this.suspicions = new SuspicionExchange(random);
+        this.fleetView = new FleetView(settings.host(), Peers::forwardingHost);
         this.recorder = recorder;
         this.configurationVersion = configurationVersion;
         this.readiness = readiness;
@@ -228,9 +222,7 @@
 
     private void onMemberChanged(Member m) {
         memberGossip.add(m.host(), m);
-        if (m.state() == MemberState.DEAD) {
-            deadSinceMicros.put(m.host(), WallClock.nowMicros());
-        }
+        fleetView.onMemberChanged(m, WallClock.nowMicros());
         recorder.record(
                 WallClock.nowMicros(),
                 "",
@@ -268,28 +260,8 @@
         wasBehind = isBehind && !wasBehind;
     }
 
-    /**
-     * Reports the peak number of live hosts per zone, and the hosts that live or died recently. The peak is used so
-     * that a host that sees only some of the others doesn't exceed its share of the fleet-wide limits.
-     */
     private void updateFleetSize() {
-        Map<String, Integer> peak = new HashMap<>(peakLiveByZone);
-        membership.members().stream()
-                .filter(Member::isLive)
-                .collect(Collectors.groupingBy(Member::zone, Collectors.summingInt(m -> 1)))
-                .forEach((zone, live) -> peak.merge(zone, live, Math::max));
-        if (!peak.equals(peakLiveByZone)) {
-            peakLiveByZone = peak;
-            onEvent.accept(new CallEvent.FleetChanged(WallClock.nowMicros(), peak));
-        }
-        long now = WallClock.nowMicros();
-        Map<String, String> known = membership.members().stream()
-                .filter(m -> m.isLive() || isRecentlyDead(m, now))
-                .collect(Collectors.toMap(Member::host, Member::zone));
-        if (!known.equals(zoneByHost)) {
-            zoneByHost = known;
-            onEvent.accept(new CallEvent.HostsChanged(now, known));
-        }
+        fleetView.update(membership.members(), WallClock.nowMicros()).forEach(onEvent);
     }
 
     /** Tells the other hosts whether this one is cut off from all backend servers, once that has lasted. */
@@ -301,20 +273,10 @@
         }
     }
 
-    /** While this host is cut off, reports the hosts that reach backend servers and accept requests. */
     private void updateForwardingHosts() {
-        if (!cutOff.current()) {
-            return;
-        }
-        List<BackendServer> hosts = membership.live().stream()
-                .filter(m -> m.state() == MemberState.ALIVE && m.isAccepting() && !m.isCutOff())
-                .filter(m -> !m.host().equals(membership.self().host()))
-                .map(Peers::forwardingHost)
-                .toList();
-        if (!hosts.equals(forwardingHosts)) {
-            forwardingHosts = hosts;
-            onEvent.accept(new CallEvent.ForwardingHostsChanged(WallClock.nowMicros(), hosts));
-        }
+        fleetView
+                .updateForwardingHosts(membership.members(), cutOff.current(), WallClock.nowMicros())
+                .forEach(onEvent);
     }
 
     private static BackendServer forwardingHost(Member m) {
@@ -323,12 +285,6 @@
                 "entry-host/" + m.host(), front.getHostString(), front.getPort(), m.zone(), 1, 0, false);
     }
 
-    /** Returns whether a host became silent so recently that it may still send requests, or soon start again. */
-    private boolean isRecentlyDead(Member m, long nowMicros) {
-        return m.state() == MemberState.DEAD
-                && nowMicros - deadSinceMicros.getOrDefault(m.host(), 0L) < DEAD_HOST_MEMORY_MICROS;
-    }
-
     private void sendUrgentGossip() {
         List<Member> others = membership.live().stream()
                 .filter(m -> !m.host().equals(membership.self().host()))
