A call that was passed on adds to the fleet's budget of extra attempts once

What callers saw: nothing yet; found by reading the fix. Class: a sum over hosts that each keeps alone. Change: only the host that got the call from its caller credits it. Evidence: CallForwarderTest.callThatWasPassedOnAddsToTheBudgetTwice failed before for calls that were passed on, passes now.

--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -131,7 +131,10 @@
 
     private void admit(ActiveCall call, long nowMicros) {
         state.calls().put(call.callId(), call);
-        call.service().deposit(nowMicros);
+        if (!call.request().isForwarded()) {
+            // The host that got the call from its caller has credited it.
+            call.service().deposit(nowMicros);
+        }
         long deadline = call.request().deadlineMicros();
         state.timers().add(new EngineState.Timer(deadline, call.callId(), 0, EngineState.TimerKind.DEADLINE));
         starter.startOrQueue(call, AttemptStarter.Cause.FIRST, nowMicros);
--- a/core/src/test/java/org/hyssophitch/core/call/CallForwarderTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/CallForwarderTest.java
@@ -139,12 +139,27 @@
     }
 
     @DataProvider
-    public Object[][] idempotence() {
+    public Object[][] yesAndNo() {
         return new Object[][] {{true}, {false}};
     }
 
+    /** The fleet's extra attempts are a fraction of its calls, so a call that two hosts handle counts once. */
+    @Test(dataProvider = "yesAndNo")
+    public void callThatWasPassedOnAddsToTheBudgetTwice(boolean isForwarded) {
+        engine.handle(new CallEvent.FleetLimitsChanged(now, new FleetLimits(0.2, 0, BUDGET_WINDOW, 100_000, 1)));
+        knowHosts(HOSTS);
+        for (int id = 1; id <= 100; id++) {
+            engine.handle(new CallEvent.CallArrived(now, isForwarded ? forwarded(id) : request(id, "f" + id, true)));
+            engine.handle(new CallEvent.CallerGone(now, id));
+        }
+        List<CallAction> actions = new ArrayList<>(arrive(101));
+        actions.addAll(answerAll(0));
+        assertEquals(started(actions).size(), 1);
+        assertEquals(starts(cutOff()).isEmpty(), isForwarded);
+    }
+
     /** A request that a server may be running is repeated only if it is idempotent. */
-    @Test(dataProvider = "idempotence")
+    @Test(dataProvider = "yesAndNo")
     public void callOnASilentServerIsPassedOnOnlyIfIdempotent(boolean isIdempotent) {
         advance(BUDGET_WINDOW);
         knowHosts(HOSTS);
