A request that goes on crashing servers isn't forgotten during mass crashes

What callers saw: servers ended on under a known request when many others came under suspicion. Cause: of more than 1,000 suspects the one that was suspected first was dropped, which is just the one that crashes servers all the while. Change: the one with the oldest news is dropped. Evidence: SuspectTrackerTest.crashingRequestIsForgottenDuringMassCrashes failed before (only suspected after three crashes), passes now.

--- a/core/src/main/java/org/hyssophitch/core/health/SuspectTracker.java
+++ b/core/src/main/java/org/hyssophitch/core/health/SuspectTracker.java
@@ -17,7 +17,7 @@
  * request runs on one server at a time. The requests of a fingerprint are refused ({@link Verdict#CONVICTED}) when it
  * was in flight during enough crashes and its score reaches a threshold. A server that is up again and crashes once
  * more counts again. An answer whose status isn't a server error clears a suspect. The number of fingerprints is
- * bounded; the oldest is dropped.
+ * bounded; the one with the oldest news is dropped.
  */
 public final class SuspectTracker {
 
@@ -186,7 +186,10 @@
      * @return whether this crash wasn't yet known
      */
     public boolean merge(Suspicion s) {
-        return suspects.computeIfAbsent(s.fingerprint(), f -> new Suspect()).add(s);
+        Suspect known = suspects.remove(s.fingerprint());
+        Suspect suspect = known == null ? new Suspect() : known;
+        suspects.put(s.fingerprint(), suspect);
+        return suspect.add(s);
     }
 
     /** Returns the number of crashes during which requests with the given fingerprint were in flight. */
