--- a/core/src/main/java/org/hyssophitch/core/call/CallAction.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallAction.java
@@ -10,7 +10,7 @@
 public sealed interface CallAction {
 
     /**
-     * Send the request to a backend server, or pass it on to another entry host.
+     * Send the request to a backend server, or forward it to another entry host.
      *
      * @param callId the call
      * @param attempt number of the attempt, from 1
@@ -30,7 +30,7 @@
             int forwardedAttempts)
             implements CallAction {
 
-        /** Returns whether the request is passed on to another entry host. */
+        /** Returns whether the request is forwarded to another entry host. */
         public boolean isForward() {
             return forwardedAttempts > 0;
         }
--- a/core/src/main/java/org/hyssophitch/core/call/CallForwarder.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallForwarder.java
@@ -10,10 +10,10 @@
 import org.hyssophitch.core.routing.ServerState;
 
 /**
- * Chooses the entry host that a call is passed on to while this host is cut off from all backend servers. Not
+ * Chooses the entry host that a call is forwarded to while this host is cut off from all backend servers. Not
  * thread-safe; owned by the call engine.
  *
- * <p>A call is passed on once at most. Of two random hosts that reach servers, the one with fewer calls of this host
+ * <p>A call is forwarded once at most. Of two random hosts that reach servers, the one with fewer calls of this host
  * takes it, so that the calls spread over all of them; the calls in flight at each are limited.
  */
 final class CallForwarder {
@@ -28,7 +28,7 @@
         this.state = state;
     }
 
-    /** Replaces the hosts that calls may be passed on to. */
+    /** Replaces the hosts that calls may be forwarded to. */
     void setHosts(List<BackendServer> newHosts) {
         hosts = newHosts.stream().map(this::state).collect(Collectors.toMap(ServerState::name, Function.identity()));
     }
--- a/core/src/main/java/org/hyssophitch/core/call/CallRequest.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallRequest.java
@@ -19,7 +19,7 @@
  * @param replayable whether the request's body can be sent more than once
  * @param fingerprint fingerprint of the request's content, the same for repetitions of a request
  * @param policy policy of the matching route
- * @param isForwarded whether another entry host passed the request on to this one
+ * @param isForwarded whether another entry host forwarded the request to this one
  */
 public record CallRequest(
         long callId,
--- a/core/src/main/java/org/hyssophitch/core/call/ProbingDispatcher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ProbingDispatcher.java
@@ -67,7 +67,7 @@
             return;
         }
         if (call.request().isForwarded() && state.cutOffDetector().isCutOff()) {
-            rejectUnlessHedge(isHedge, call, Reason.FORWARDED_IN_VAIN, nowMicros);
+            rejectUnlessHedge(isHedge, call, Reason.FORWARD_REFUSED, nowMicros);
             return;
         }
         if (service.acceptsFromMicros(nowMicros) > call.waitUntilMicros()) {
@@ -128,7 +128,7 @@
                 .forEach(c -> service.queue().remove(c.queueEntry()));
     }
 
-    /** Passes on, as hedges, the idempotent calls whose servers have been silent since before the cut was noticed. */
+    /** Forwards, as hedges, the idempotent calls whose servers have been silent since before the cut was noticed. */
     private void hedgeSilentCalls(ServiceState service, long nowMicros) {
         state.calls().values().stream()
                 .filter(c -> c.service() == service && c.request().idempotent() && c.isOnFirstAttempt())
--- a/core/src/main/java/org/hyssophitch/core/call/Reason.java
+++ b/core/src/main/java/org/hyssophitch/core/call/Reason.java
@@ -22,8 +22,8 @@
     SERVERS_LIMITED(Outcome.NOT_RUN, 503),
     /** This host is cut off from all servers, and no other host could take the call. */
     SERVERS_UNREACHABLE(Outcome.NOT_RUN, 503),
-    /** Another entry host passed the call on, but this host is cut off from all servers as well. */
-    FORWARDED_IN_VAIN(Outcome.NOT_RUN, 421),
+    /** Another entry host forwarded the call, but this host is cut off from all servers as well. */
+    FORWARD_REFUSED(Outcome.NOT_RUN, 421),
     DEADLINE_TOO_SHORT(Outcome.NOT_RUN, 503),
     DEADLINE_PASSED_WAITING(Outcome.NOT_RUN, 503),
     NO_SERVER(Outcome.NOT_RUN, 503),
--- a/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
+++ b/core/src/main/java/org/hyssophitch/core/routing/ServerState.java
@@ -79,7 +79,7 @@
         return new ServerState(host, attemptLimit, new ServerConditions(host.name()), true);
     }
 
-    /** Returns whether this is another entry host, to which requests are passed on, and not a backend server. */
+    /** Returns whether this is another entry host, to which requests are forwarded, and not a backend server. */
     public boolean isEntryHost() {
         return isEntryHost;
     }
--- a/core/src/test/java/org/hyssophitch/core/call/CallForwarderTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/CallForwarderTest.java
@@ -26,7 +26,7 @@
     private static final long BUDGET_WINDOW = 10_000 * MILLI;
 
     @Test
-    public void callIsPassedOnOnceTheHostIsCutOff() {
+    public void callIsForwardedOnceTheHostIsCutOff() {
         cutOff();
         knowHosts(HOSTS);
         List<CallAction.StartAttempt> starts = starts(arrive(1));
@@ -37,7 +37,7 @@
     }
 
     @Test
-    public void queuedCallsArePassedOnAsSoonAsHostsAreKnown() {
+    public void queuedCallsAreForwardedAsSoonAsHostsAreKnown() {
         arrive(1);
         arrive(2);
         cutOff();
@@ -77,11 +77,11 @@
 
     /** A second hop could lead in circles. */
     @Test
-    public void callThatWasPassedOnIsRefusedAtOnce() {
+    public void forwardedCallIsRefusedAtOnce() {
         cutOff();
         knowHosts(HOSTS);
         List<CallAction> actions = engine.handle(new CallEvent.CallArrived(now, forwarded(1)));
-        assertEquals(answers(actions), List.of(Reason.FORWARDED_IN_VAIN));
+        assertEquals(answers(actions), List.of(Reason.FORWARD_REFUSED));
     }
 
     /** The whole fleet is cut off: no host can help, and connections to servers would only hang. */
@@ -126,16 +126,16 @@
         assertTrue(actions.stream().noneMatch(CallAction.ProbeLoad.class::isInstance), "entry host was probed");
     }
 
-    /** What one host passes on may neither flood another nor fill its own memory. */
+    /** What one host forwards may neither flood another nor fill its own memory. */
     @Test
     public void callsInFlightAtEachHostAreLimited() {
         cutOff();
         knowHosts(1);
-        long passedOn = IntStream.rangeClosed(1, 200)
+        long forwarded = IntStream.rangeClosed(1, 200)
                 .mapToObj(this::arrive)
                 .flatMap(a -> starts(a).stream())
                 .count();
-        assertEquals(passedOn, 32);
+        assertEquals(forwarded, 32);
     }
 
     @DataProvider
@@ -145,7 +145,7 @@
 
     /** The fleet's extra attempts are a fraction of its calls, so a call that two hosts handle counts once. */
     @Test(dataProvider = "yesAndNo")
-    public void callThatWasPassedOnAddsToTheBudgetTwice(boolean isForwarded) {
+    public void forwardedCallAddsToTheBudgetTwice(boolean isForwarded) {
         engine.handle(new CallEvent.FleetLimitsChanged(now, new FleetLimits(0.2, 0, BUDGET_WINDOW, 100_000, 1)));
         knowHosts(HOSTS);
         for (int id = 1; id <= 100; id++) {
@@ -160,7 +160,7 @@
 
     /** A request that a server may be running is repeated only if it is idempotent. */
     @Test(dataProvider = "yesAndNo")
-    public void callOnASilentServerIsPassedOnOnlyIfIdempotent(boolean isIdempotent) {
+    public void callOnASilentServerIsForwardedOnlyIfIdempotent(boolean isIdempotent) {
         advance(BUDGET_WINDOW);
         knowHosts(HOSTS);
         List<CallAction> actions =
--- a/http/src/main/java/org/hyssophitch/http/HeaderConventions.java
+++ b/http/src/main/java/org/hyssophitch/http/HeaderConventions.java
@@ -52,9 +52,9 @@
     /** Returns why the request was not run if the response proves that it was not; otherwise empty. */
     Optional<NotRunCause> notRunCause(int status, HttpHeaders response);
 
-    /** Returns why another host may be tried, if the entry host that a request was passed on to couldn't handle it. */
+    /** Returns why another host may be tried, if the entry host that a request was forwarded to couldn't handle it. */
     default Optional<NotRunCause> forwardNotRunCause(int status) {
-        return status == Reason.FORWARDED_IN_VAIN.status() ? Optional.of(NotRunCause.SHED) : Optional.empty();
+        return status == Reason.FORWARD_REFUSED.status() ? Optional.of(NotRunCause.SHED) : Optional.empty();
     }
 
     /** Returns whether the status alone tells the caller that its request was not run. */
--- a/http/src/main/java/org/hyssophitch/http/OutgoingRequest.java
+++ b/http/src/main/java/org/hyssophitch/http/OutgoingRequest.java
@@ -19,7 +19,7 @@
         boolean mayRetryDownstream,
         int forwardedAttempts) {
 
-    /** Returns whether the request is passed on to another entry host. */
+    /** Returns whether the request is forwarded to another entry host. */
     public boolean isForward() {
         return forwardedAttempts > 0;
     }
