--- a/core/src/main/java/org/hyssophitch/core/call/CallForwarder.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallForwarder.java
@@ -14,11 +14,14 @@
  * thread-safe; owned by the call engine.
  *
  * <p>A call is forwarded once at most. Of two random hosts that reach servers, the one with fewer calls of this host
- * takes it, so that the calls spread over all of them; the calls in flight at each are limited.
+ * takes it, so that the calls spread over all of them; the calls in flight, at each and in total, are limited.
  */
 final class CallForwarder {
 
     private static final int MAX_CALLS_PER_HOST = 32;
+    /** Bounds the memory that forwarded calls take on this host. */
+    private static final int MAX_CALLS = 256;
+
     private static final int COMPARED_HOSTS = 2;
 
     private final EngineState state;
@@ -36,7 +39,8 @@
     /** Returns the host that takes a call; empty if this host isn't cut off, or no host can take the call. */
     Optional<ServerState> choose(ActiveCall call, long nowMicros) {
         boolean isAllowed = state.cutOffDetector().isCutOff() && !call.request().isForwarded() && call.mayStart();
-        if (!isAllowed) {
+        int inFlight = hosts.values().stream().mapToInt(ServerState::inFlight).sum();
+        if (!isAllowed || inFlight >= MAX_CALLS) {
             return Optional.empty();
         }
         List<ServerState> usable = hosts.values().stream()
--- a/core/src/test/java/org/hyssophitch/core/call/CallForwarderTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/CallForwarderTest.java
@@ -126,16 +126,21 @@
         assertTrue(actions.stream().noneMatch(CallAction.ProbeLoad.class::isInstance), "entry host was probed");
     }
 
+    @DataProvider
+    public Object[][] limits() {
+        return new Object[][] {{1, 32}, {2, 64}, {20, 256}};
+    }
+
     /** What one host forwards may neither flood another nor fill its own memory. */
-    @Test
-    public void callsInFlightAtEachHostAreLimited() {
+    @Test(dataProvider = "limits")
+    public void callsInFlightAtOtherHostsAreLimited(int hosts, int limit) {
         cutOff();
-        knowHosts(1);
-        long forwarded = IntStream.rangeClosed(1, 200)
+        knowHosts(hosts);
+        long forwarded = IntStream.rangeClosed(1, 1_000)
                 .mapToObj(this::arrive)
                 .flatMap(a -> starts(a).stream())
                 .count();
-        assertEquals(forwarded, 32);
+        assertEquals(forwarded, limit);
     }
 
     @DataProvider
