A forwarded call that may have run elsewhere isn't said not to have run

Cause: an idempotent call whose server is silent is forwarded as a hedge, and the other host's 503, which is true for that host alone, was relayed while the first attempt might still run. Class: a proof for a part taken for the whole. Ruled out: non-idempotent calls, which are never forwarded after a send. Change: such a 503 ends its attempt only; the call waits for the other attempt, or ends as one that may have run. Evidence: CallForwarderTest.callThatMayHaveRunIsSaidNotToHaveRun failed before (503 relayed), passes now. The core tests of calls pass.

--- a/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
@@ -14,6 +14,8 @@
 final class AttemptObserver {
 
     private static final int MIN_SERVER_ERROR_STATUS = 500;
+    /** Status by which an entry host says that it hasn't run a request; it never relays a server's own one. */
+    private static final int UNAVAILABLE = 503;
 
     private final EngineState state;
     private final CallFinisher finisher;
@@ -33,6 +35,10 @@
             return;
         }
         boolean isServerError = e.status() >= MIN_SERVER_ERROR_STATUS;
+        if (a.server().isEntryHost() && e.status() == UNAVAILABLE && mayRunElsewhere(call)) {
+            dropRefusal(call, a, e.nowMicros());
+            return;
+        }
         if (!a.server().isEntryHost()) {
             onAnswer(call, a, isServerError, e.nowMicros());
             if (isServerError && retryAfterServerError(call, a, e.status(), e.nowMicros())) {
@@ -71,6 +77,17 @@
         starter.onAttemptReleased(call.service(), e.nowMicros());
     }
 
+    private static boolean mayRunElsewhere(ActiveCall call) {
+        return call.mayHaveRun() || call.attempts().size() > 1;
+    }
+
+    /** Drops the refusal of another entry host: it can't tell the caller that no attempt has run the request. */
+    private void dropRefusal(ActiveCall call, ActiveCall.Attempt a, long nowMicros) {
+        finisher.release(call, a, nowMicros);
+        state.emit(new CallAction.CancelAttempt(call.callId(), a.number()));
+        retryOrAnswer(call, call.lastLoss(), false, nowMicros);
+    }
+
     private void observeServer(ActiveCall call, ServerState server, CallEvent.AttemptEnded e) {
         state.cutOffDetector().onAttemptEnded(server, e.result(), e.nowMicros());
         if (e.result() instanceof AttemptResult.Lost l && l.cause() == LostCause.CONNECTION_LOST) {
--- a/core/src/test/java/org/hyssophitch/core/call/CallForwarderTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/CallForwarderTest.java
@@ -148,6 +148,22 @@
         return new Object[][] {{true}, {false}};
     }
 
+    /** The other host didn't run the request, but the silent server may have. */
+    @Test
+    public void callThatMayHaveRunIsSaidNotToHaveRun() {
+        advance(BUDGET_WINDOW);
+        knowHosts(HOSTS);
+        List<CallAction> placed = new ArrayList<>(arrive(1));
+        placed.addAll(answerAll(0));
+        CallAction.StartAttempt toServer = starts(placed).getFirst();
+        CallAction.StartAttempt forwarded = starts(cutOff()).getFirst();
+        List<CallAction> refused =
+                engine.handle(new CallEvent.AnswerStarted(now, 1, forwarded.attempt(), Reason.NO_ROOM.status()));
+        assertTrue(refused.stream().noneMatch(CallAction.RelayAnswer.class::isInstance), refused.toString());
+        List<CallAction> lost = end(toServer, new AttemptResult.Lost(LostCause.CONNECTION_LOST));
+        assertEquals(answers(lost), List.of(Reason.CONNECTION_LOST));
+    }
+
     /** The fleet's extra attempts are a fraction of its calls, so a call that two hosts handle counts once. */
     @Test(dataProvider = "yesAndNo")
     public void forwardedCallAddsToTheBudgetTwice(boolean isForwarded) {
