Observability: crashes that aren't counted, and since when a host refuses a request

Ruled out: nothing. Change: CrashDismissed with its cause, RequestSuspected with CONVICTED at the moment of conviction; the conditions are the same as before. Measured: tests of core pass. Conclusion: hosts that don't know (no SuspicionReceived), that know and don't conclude (CrashDismissed, no CONVICTED) and that don't hold to it (CLEAR after CONVICTED) can be told apart by one log.

--- a/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.hyssophitch.core.call.CallEvent.ProbeOutcome;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
@@ -22,6 +23,13 @@
  */
 final class CrashDetector {
 
+    /** Why a lost connection isn't counted as a crash of its server. */
+    private enum DismissalCause {
+        SERVER_ANSWERS,
+        /** This host's own links may have failed. */
+        SEVERAL_SERVERS_SILENT
+    }
+
     private final EngineState state;
     private final Map<String, Set<String>> inFlightAtLoss = new HashMap<>();
 
@@ -46,34 +54,67 @@
     /** Handles the result of a load probe; returns whether it shows that the server crashed. */
     boolean onProbeCompleted(String server, ProbeOutcome outcome, long nowMicros) {
         Set<String> inFlight = inFlightAtLoss.remove(server);
-        boolean isCrash = inFlight != null
-                && outcome == ProbeOutcome.FAILED
-                && !state.cutOffDetector().hasLostSeveralServers();
-        if (isCrash) {
-            reportCrash(server, inFlight, nowMicros);
+        if (inFlight == null) {
+            return false;
+        }
+        if (outcome != ProbeOutcome.FAILED) {
+            dismiss(server, DismissalCause.SERVER_ANSWERS, inFlight, nowMicros);
+            return false;
         }
-        return isCrash;
+        if (state.cutOffDetector().hasLostSeveralServers()) {
+            dismiss(server, DismissalCause.SEVERAL_SERVERS_SILENT, inFlight, nowMicros);
+            return false;
+        }
+        reportCrash(server, inFlight, nowMicros);
+        return true;
     }
 
     /** Merges suspicions of other entry hosts. */
     void onReceived(List<Suspicion> received, long nowMicros) {
+        Set<String> convicted = convicted(fingerprints(received), nowMicros);
         received.stream().filter(state.suspects()::merge).forEach(s -> state.recorder()
                 .record(
                         nowMicros,
                         "",
                         new EventBody.SuspicionReceived(
                                 s.fingerprint(), s.server(), state.suspects().crashes(s.fingerprint()))));
+        recordNewlyConvicted(received, convicted, nowMicros);
     }
 
     private void reportCrash(String server, Set<String> inFlight, long nowMicros) {
+        Set<String> convicted = convicted(inFlight.stream(), nowMicros);
         List<Suspicion> found = state.suspects().onCrash(server, inFlight, nowMicros);
         if (!found.isEmpty()) {
             state.emit(new CallAction.ShareSuspicions(found));
         }
-        found.forEach(s -> state.recorder()
-                .record(
-                        nowMicros,
-                        "",
-                        new EventBody.RequestSuspected(s.fingerprint(), Verdict.SUSPECT.name(), s.score())));
+        found.forEach(s -> recordVerdict(s.fingerprint(), Verdict.SUSPECT, s.score(), nowMicros));
+        recordNewlyConvicted(found, convicted, nowMicros);
+    }
+
+    private void dismiss(String server, DismissalCause cause, Set<String> inFlight, long nowMicros) {
+        state.recorder().record(nowMicros, "", new EventBody.CrashDismissed(server, cause.name(), inFlight.size()));
+    }
+
+    private static Stream<String> fingerprints(List<Suspicion> suspicions) {
+        return suspicions.stream().map(Suspicion::fingerprint);
+    }
+
+    private Set<String> convicted(Stream<String> fingerprints, long nowMicros) {
+        return fingerprints
+                .filter(f -> state.suspects().verdict(f, nowMicros) == Verdict.CONVICTED)
+                .collect(Collectors.toSet());
+    }
+
+    /** Records the requests that are refused from now on. */
+    private void recordNewlyConvicted(List<Suspicion> suspicions, Set<String> convictedBefore, long nowMicros) {
+        convicted(fingerprints(suspicions), nowMicros).stream()
+                .filter(f -> !convictedBefore.contains(f))
+                .sorted()
+                .forEach(f ->
+                        recordVerdict(f, Verdict.CONVICTED, state.suspects().score(f), nowMicros));
+    }
+
+    private void recordVerdict(String fingerprint, Verdict verdict, double score, long nowMicros) {
+        state.recorder().record(nowMicros, "", new EventBody.RequestSuspected(fingerprint, verdict.name(), score));
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
+++ b/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
@@ -70,6 +70,14 @@
      */
     record SuspicionReceived(String fingerprint, String server, int crashes) implements EventBody {}
 
+    /**
+     * A backend server broke off, but this isn't counted as a crash.
+     *
+     * @param cause why it isn't counted
+     * @param requests number of different requests that were in flight at the server
+     */
+    record CrashDismissed(String server, String cause, int requests) implements EventBody {}
+
     /**
      * This host found out that it gets no answer from any backend server, or got one again.
      *
