--- a/core/src/test/java/org/hyssophitch/core/call/CrashingRequestTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/CrashingRequestTest.java
@@ -19,6 +19,9 @@
     /** Time in microseconds after which a crashed server is up again. */
     private static final long RESTART_MICROS = 6_000 * MILLI;
 
+    /** Time in microseconds after which a host knows whether it is cut off. */
+    private static final long CONFIRMATION_MICROS = 60 * MILLI;
+
     private static final List<Reason> REFUSED = List.of(Reason.REQUEST_CONVICTED);
 
     @Test
@@ -50,15 +53,39 @@
                 .toList();
         assertEquals(servers.stream().sorted().toList(), List.of("s0", "s1", "s2"));
         IntStream.rangeClosed(1, 3).forEach(this::loseConnection);
-        List<CallAction> actions = servers.stream()
-                .flatMap(
-                        s -> engine
-                                .handle(new CallEvent.LoadProbeCompleted(now, s, Optional.empty(), ProbeOutcome.FAILED))
-                                .stream())
-                .toList();
+        List<CallAction> actions = new ArrayList<>();
+        servers.forEach(s -> actions.addAll(endProbe(s, ProbeOutcome.FAILED)));
+        actions.addAll(advance(CONFIRMATION_MICROS));
+        actions.addAll(answer("s0", 0, 100));
+        actions.addAll(advance(CONFIRMATION_MICROS));
         assertTrue(actions.stream().noneMatch(CallAction.ShareSuspicions.class::isInstance), actions.toString());
     }
 
+    /** Three servers crash together; the fourth answers, so it isn't this host that is cut off. */
+    @Test
+    public void crashesAreForgottenWhileSeveralServersAreSilent() {
+        register(List.of("s0", "s1", "s2", "s3"), List.of("z1", "z1", "z2", "z2"));
+        List<String> servers = IntStream.rangeClosed(1, 3)
+                .mapToObj(i -> place(i, "f" + i))
+                .flatMap(List::stream)
+                .toList();
+        IntStream.rangeClosed(1, 3).forEach(this::loseConnection);
+        List<CallAction> actions = new ArrayList<>();
+        servers.forEach(s -> actions.addAll(endProbe(s, ProbeOutcome.FAILED)));
+        actions.addAll(answer("s3", 0, 100));
+        actions.addAll(advance(CONFIRMATION_MICROS));
+        assertEquals(crashedServers(actions), List.of("s0", "s1", "s2"));
+    }
+
+    /** The crashed server's address belongs to another one by the time of the probe. */
+    @Test
+    public void crashOfAServerWhoseAddressIsUsedAgainIsForgotten() {
+        engine.handle(new CallEvent.CallArrived(now, crashing(1)));
+        String server = started(answerAll(0)).getFirst();
+        loseConnection(1);
+        assertEquals(crashedServers(endProbe(server, ProbeOutcome.WRONG_INSTANCE)), List.of(server));
+    }
+
     /** Starts a call on the server that has no other one. */
     private List<String> place(int id, String fingerprint) {
         List<CallAction> actions =
@@ -79,7 +106,20 @@
         assertEquals(started(answer("s0", 0, 100)), List.of("s0"));
         engine.handle(new CallEvent.AttemptEnded(
                 now, id, 1, new AttemptResult.Lost(AttemptResult.LostCause.CONNECTION_LOST)));
-        engine.handle(new CallEvent.LoadProbeCompleted(now, "s0", Optional.empty(), ProbeOutcome.FAILED));
+        endProbe("s0", ProbeOutcome.FAILED);
+    }
+
+    private List<CallAction> endProbe(String server, ProbeOutcome outcome) {
+        return engine.handle(new CallEvent.LoadProbeCompleted(now, server, Optional.empty(), outcome));
+    }
+
+    private static List<String> crashedServers(List<CallAction> actions) {
+        return actions.stream()
+                .filter(CallAction.ShareSuspicions.class::isInstance)
+                .flatMap(a -> ((CallAction.ShareSuspicions) a).suspicions().stream())
+                .map(Suspicion::server)
+                .sorted()
+                .toList();
     }
 
     private CallRequest crashing(long id) {
--- a/entry/src/test/java/org/hyssophitch/entry/SuspicionSpreadTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/SuspicionSpreadTest.java
@@ -37,6 +37,8 @@
 
     private static final String FINGERPRINT = "h.example GET /x#0";
     private static final int CRASHES = 3;
+    /** Requests that crashed servers before. */
+    private static final int EARLIER_REQUESTS = 60;
 
     private final Map<String, SuspectTracker> trackers = new HashMap<>();
     private EventLoopGroup group;
@@ -89,10 +91,35 @@
         assertEquals(convictingHosts(), all.size(), "hosts that refuse the request");
     }
 
+    /** A host that starts after many other requests have crashed servers as well. */
+    @Test
+    public void hostThatStartsAfterManyCrashesSendsARequestThatCrashedThreeServers() throws InterruptedException {
+        List<Peers> fleet =
+                IntStream.range(0, 13).mapToObj(i -> peers("host-" + i)).toList();
+        start(fleet);
+        IntStream.range(0, CRASHES)
+                .forEach(i -> EventLoops.run(loop, () -> {
+                    IntStream.range(0, EARLIER_REQUESTS).forEach(r -> reportCrash(fleet, i, "earlier-" + r));
+                    reportCrash(fleet, i, FINGERPRINT);
+                }));
+        Thread.sleep(4 * STABILITY_WINDOW_MILLIS);
+        assertEquals(convictingHosts(), fleet.size(), "hosts that refuse the request before the last one starts");
+
+        List<Peers> later = List.of(peers("later-host"));
+        join(later, Stream.concat(fleet.stream(), later.stream()).toList());
+        Thread.sleep(STABILITY_WINDOW_MILLIS);
+
+        assertEquals(convictingHosts(), fleet.size() + 1, "hosts that refuse the request");
+    }
+
     private void reportCrash(List<Peers> fleet, int index) {
+        reportCrash(fleet, index, FINGERPRINT);
+    }
+
+    private void reportCrash(List<Peers> fleet, int index, String fingerprint) {
         String host = "host-" + index;
         List<Suspicion> found =
-                trackers.get(host).onCrash("server-" + index, Set.of(FINGERPRINT), WallClock.nowMicros());
+                trackers.get(host).onCrash("server-" + index, Set.of(fingerprint), WallClock.nowMicros());
         fleet.get(index).shareSuspicions(found);
     }
 
