Crashes while several servers are silent count once this host knows that it isn't cut off

What callers saw: a request that crashes servers could be sent on by a host that had several servers silent at the time, as in a service whose servers crash in pairs. Cause: a failed probe said nothing while three servers in a row were silent, and the crash was dropped for good, although the host knows 60 ms later whether it is cut off itself. Evidence: CrashingRequestTest.crashesAreForgottenWhileSeveralServersAreSilent failed before (no crash told, three expected) and passes now; its set-up was corrected: it registers the fourth server after the calls are placed, since one of them had waited for that server's probe. Ruled out: counting at once, as a host that is cut off would suspect all it has in flight. Why it works: such crashes are kept until an answer or the cut decides, at most 60 ms.

--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -297,6 +297,9 @@
             fire(state.timers().poll(), nowMicros);
         }
         state.cutOffDetector().update(nowMicros);
+        if (state.crashDetector().update(nowMicros)) {
+            refuseConvicted(nowMicros);
+        }
         startQueued(nowMicros);
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
@@ -1,5 +1,6 @@
 package org.hyssophitch.core.call;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,20 +19,24 @@
  * thread-safe; owned by the call engine.
  *
  * <p>With fleet-wide limits, where servers answer load probes, a lost connection alone makes no request suspect: the
- * server is probed, and counts as crashed only if the probe fails. While this host has lost several servers at once, a
- * failed probe says nothing about one of them.
+ * server is probed, and counts as crashed only if the probe fails. While several servers in a row are silent, that is
+ * decided once this host knows whether it is cut off from all of them.
  */
 final class CrashDetector {
 
     /** Why a lost connection isn't counted as a crash of its server. */
     private enum DismissalCause {
         SERVER_ANSWERS,
-        /** This host's own links may have failed. */
-        SEVERAL_SERVERS_SILENT
+        /** This host reaches no server, so the loss is that of its own links. */
+        CUT_OFF
     }
 
+    private record UnprovenCrash(String server, Set<String> inFlight, long crashMicros) {}
+
     private final EngineState state;
     private final Map<String, Set<String>> inFlightAtLoss = new HashMap<>();
+    /** Crashes that count unless this host turns out to be cut off. */
+    private final List<UnprovenCrash> unproven = new ArrayList<>();
 
     CrashDetector(EngineState state) {
         this.state = state;
@@ -51,7 +56,7 @@
         }
     }
 
-    /** Handles the result of a load probe; returns whether it shows that the server crashed. */
+    /** Handles the result of a load probe; returns whether crashes count now that didn't before. */
     boolean onProbeCompleted(String server, ProbeOutcome outcome, long nowMicros) {
         Set<String> inFlight = inFlightAtLoss.remove(server);
         if (inFlight == null) {
@@ -61,12 +66,29 @@
             dismiss(server, DismissalCause.SERVER_ANSWERS, inFlight, nowMicros);
             return false;
         }
-        if (state.cutOffDetector().hasLostSeveralServers()) {
-            dismiss(server, DismissalCause.SEVERAL_SERVERS_SILENT, inFlight, nowMicros);
+        unproven.add(new UnprovenCrash(server, inFlight, nowMicros));
+        return update(nowMicros);
+    }
+
+    /**
+     * Decides on the crashes that were found while this host may have been cut off itself.
+     *
+     * @return whether they count
+     */
+    boolean update(long nowMicros) {
+        boolean isCutOff = state.cutOffDetector().isCutOff();
+        boolean isUndecided = !isCutOff && state.cutOffDetector().hasLostSeveralServers();
+        if (unproven.isEmpty() || isUndecided) {
             return false;
         }
-        reportCrash(server, inFlight, nowMicros);
-        return true;
+        List<UnprovenCrash> decided = List.copyOf(unproven);
+        unproven.clear();
+        if (isCutOff) {
+            decided.forEach(c -> dismiss(c.server(), DismissalCause.CUT_OFF, c.inFlight(), nowMicros));
+        } else {
+            decided.forEach(c -> reportCrash(c.server(), c.inFlight(), c.crashMicros()));
+        }
+        return !isCutOff;
     }
 
     /** Merges suspicions of other entry hosts. */
--- a/core/src/test/java/org/hyssophitch/core/call/CrashingRequestTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/CrashingRequestTest.java
@@ -64,11 +64,12 @@
     /** Three servers crash together; the fourth answers, so it isn't this host that is cut off. */
     @Test
     public void crashesAreForgottenWhileSeveralServersAreSilent() {
-        register(List.of("s0", "s1", "s2", "s3"), List.of("z1", "z1", "z2", "z2"));
         List<String> servers = IntStream.rangeClosed(1, 3)
                 .mapToObj(i -> place(i, "f" + i))
                 .flatMap(List::stream)
                 .toList();
+        assertEquals(servers.stream().sorted().toList(), List.of("s0", "s1", "s2"));
+        register(List.of("s0", "s1", "s2", "s3"), List.of("z1", "z1", "z2", "z2"));
         IntStream.rangeClosed(1, 3).forEach(this::loseConnection);
         List<CallAction> actions = new ArrayList<>();
         servers.forEach(s -> actions.addAll(endProbe(s, ProbeOutcome.FAILED)));
