A crash counts also if another server has the address by the time of the probe

What callers saw: a request that ends servers was sent on while their addresses were in use again. Cause: the probe that follows a lost connection was answered, by another server, and any answer meant that nothing had crashed. Evidence: CrashingRequestTest.crashOfAServerWhoseAddressIsUsedAgainIsForgotten failed before (nothing told, one crash expected). Ruled out: counting it for a server that had announced that it leaves. Why it works: an answer of another instance shows that the one that ran the request is gone.

--- a/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -19,14 +20,16 @@
  * thread-safe; owned by the call engine.
  *
  * <p>With fleet-wide limits, where servers answer load probes, a lost connection alone makes no request suspect: the
- * server is probed, and counts as crashed only if the probe fails. While several servers in a row are silent, that is
- * decided once this host knows whether it is cut off from all of them.
+ * server is probed, and counts as crashed only if the probe fails or another server answers it. While several servers in
+ * a row are silent, that is decided once this host knows whether it is cut off from all of them.
  */
 final class CrashDetector {
 
     /** Why a lost connection isn't counted as a crash of its server. */
     private enum DismissalCause {
         SERVER_ANSWERS,
+        /** It had announced that it leaves, and its address is used by another server. */
+        SERVER_LEFT,
         /** This host reaches no server, so the loss is that of its own links. */
         CUT_OFF
     }
@@ -62,8 +65,9 @@
         if (inFlight == null) {
             return false;
         }
-        if (outcome != ProbeOutcome.FAILED) {
-            dismiss(server, DismissalCause.SERVER_ANSWERS, inFlight, nowMicros);
+        Optional<DismissalCause> dismissal = dismissal(server, outcome);
+        if (dismissal.isPresent()) {
+            dismiss(server, dismissal.get(), inFlight, nowMicros);
             return false;
         }
         unproven.add(new UnprovenCrash(server, inFlight, nowMicros));
@@ -113,6 +117,20 @@
         recordNewlyConvicted(found, convicted, nowMicros);
     }
 
+    /** Returns why the result of a probe doesn't show that the server crashed; empty if it may have. */
+    private Optional<DismissalCause> dismissal(String server, ProbeOutcome outcome) {
+        return switch (outcome) {
+            case ACCEPTING, REFUSING -> Optional.of(DismissalCause.SERVER_ANSWERS);
+            case WRONG_INSTANCE -> isLeaving(server) ? Optional.of(DismissalCause.SERVER_LEFT) : Optional.empty();
+            case FAILED -> Optional.empty();
+        };
+    }
+
+    private boolean isLeaving(String server) {
+        ServerState known = state.servers().get(server);
+        return known != null && known.isLeaving();
+    }
+
     private void dismiss(String server, DismissalCause cause, Set<String> inFlight, long nowMicros) {
         state.recorder().record(nowMicros, "", new EventBody.CrashDismissed(server, cause.name(), inFlight.size()));
     }
