A host that starts, or was cut off, is sent what it lacks about crashing requests

What callers saw: a request that had ended three servers was sent on by a host that started after many other requests had done so too. Cause: such a host heard two old suspicions a datagram, at random out of all; with 61 requests of three crashes each it didn't know the three that count 3 s after its start. Ruled out: more of them in every datagram, which costs bytes between zones all the time. Why it works: each datagram says how many suspicions its sender repeats; a host that knows three more and over sends them all, at most once in 5 s. Datagrams of earlier builds don't say it and get none. Messages have a builder.

--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelPeers.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelPeers.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
@@ -101,17 +102,22 @@
         }
 
         private void send(Peer to) {
-            List<Suspicion> taken = exchange.take(NEWS_PER_DATAGRAM, time.nowMicros());
+            OptionalInt repeated = OptionalInt.of(exchange.repeatedCount());
+            send(to, exchange.take(NEWS_PER_DATAGRAM, time.nowMicros()), repeated);
+        }
+
+        private void send(Peer to, List<Suspicion> suspicions, OptionalInt repeatedCount) {
             boolean isLost = random.nextDouble() < loss;
-            if (!taken.isEmpty() && !isLost && to != this) {
-                time.after(DATAGRAM_MICROS, () -> to.receive(taken));
+            if (!isLost && to != this) {
+                time.after(DATAGRAM_MICROS, () -> to.receive(this, suspicions, repeatedCount));
             }
         }
 
-        private void receive(List<Suspicion> received) {
+        private void receive(Peer from, List<Suspicion> received, OptionalInt repeatedByOther) {
             if (host == null || host.isDead()) {
                 return;
             }
+            exchange.missing(repeatedByOther, time.nowMicros()).forEach(page -> send(from, page, OptionalInt.empty()));
             List<Suspicion> fresh = exchange.add(received);
             host.handle(new CallEvent.SuspicionsReceived(time.nowMicros(), fresh));
             if (fresh.stream().anyMatch(exchange::isUrgent)) {
--- a/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
@@ -180,6 +180,9 @@
         m.loads().forEach(l -> addReport(l.toLoadReport(nowMicros)));
         m.leaving().forEach(this::addLeaving);
         addSuspicions(m.suspicions()).forEach(proxyUpdate::add);
+        messageBuilder
+                .buildMissing(membership.self(), m, nowMicros)
+                .forEach(a -> actions.add(new AgentAction.Send(m.sender().agentAddress(), a)));
         m.registrations().forEach(this::addRegistration);
         m.heartbeat().ifPresent(h -> membership
                 .onHeartbeat(h, m.sender().agentAddress(), nowMicros)
--- a/core/src/main/java/org/hyssophitch/core/control/AgentMessage.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.membership.Heartbeat;
@@ -18,6 +19,7 @@
  * @param suspicions requests suspected of crashing backend servers
  * @param registrations notices about backend servers that register themselves
  * @param limits rate limits that backend servers state
+ * @param repeatedSuspicions number of suspicions that the sender repeats; empty from an earlier release
  */
 public record AgentMessage(
         Member sender,
@@ -27,4 +29,74 @@
         List<LeavingNotice> leaving,
         List<Suspicion> suspicions,
         List<RegistrationNotice> registrations,
-        List<AgedLimitNews> limits) {}
+        List<AgedLimitNews> limits,
+        OptionalInt repeatedSuspicions) {
+
+    /** Returns a builder of a message that tells only about its sender. */
+    public static Builder builder(Member sender) {
+        return new Builder(sender);
+    }
+
+    /** Builder of a message. Not thread-safe. */
+    public static final class Builder {
+
+        private final Member sender;
+        private Optional<Heartbeat> heartbeat = Optional.empty();
+        private List<Member> members = List.of();
+        private List<AgedLoadReport> loads = List.of();
+        private List<LeavingNotice> leaving = List.of();
+        private List<Suspicion> suspicions = List.of();
+        private List<RegistrationNotice> registrations = List.of();
+        private List<AgedLimitNews> limits = List.of();
+        private OptionalInt repeatedSuspicions = OptionalInt.empty();
+
+        private Builder(Member sender) {
+            this.sender = sender;
+        }
+
+        public Builder heartbeat(Optional<Heartbeat> value) {
+            heartbeat = value;
+            return this;
+        }
+
+        public Builder members(List<Member> value) {
+            members = value;
+            return this;
+        }
+
+        public Builder loads(List<AgedLoadReport> value) {
+            loads = value;
+            return this;
+        }
+
+        public Builder leaving(List<LeavingNotice> value) {
+            leaving = value;
+            return this;
+        }
+
+        public Builder suspicions(List<Suspicion> value) {
+            suspicions = value;
+            return this;
+        }
+
+        public Builder registrations(List<RegistrationNotice> value) {
+            registrations = value;
+            return this;
+        }
+
+        public Builder limits(List<AgedLimitNews> value) {
+            limits = value;
+            return this;
+        }
+
+        public Builder repeatedSuspicions(OptionalInt value) {
+            repeatedSuspicions = value;
+            return this;
+        }
+
+        public AgentMessage build() {
+            return new AgentMessage(
+                    sender, heartbeat, members, loads, leaving, suspicions, registrations, limits, repeatedSuspicions);
+        }
+    }
+}
--- a/core/src/main/java/org/hyssophitch/core/control/AgentMessageBuilder.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentMessageBuilder.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.random.RandomGenerator;
 
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
@@ -66,15 +67,22 @@
             List<AgedLoadReport> loads,
             KnownState known,
             long nowMicros) {
-        return new AgentMessage(
-                sender,
-                heartbeat,
-                withRandomKnown(members.take(MEMBERS_PER_MESSAGE), known.members()),
-                loads,
-                withRandomKnown(leaving.take(NOTICES_PER_MESSAGE), known.leaving()),
-                suspicions.take(NOTICES_PER_MESSAGE, nowMicros),
-                withRandomKnown(registrations.take(REGISTRATIONS_PER_MESSAGE), known.registrations()),
-                List.of());
+        return AgentMessage.builder(sender)
+                .heartbeat(heartbeat)
+                .members(withRandomKnown(members.take(MEMBERS_PER_MESSAGE), known.members()))
+                .loads(loads)
+                .leaving(withRandomKnown(leaving.take(NOTICES_PER_MESSAGE), known.leaving()))
+                .suspicions(suspicions.take(NOTICES_PER_MESSAGE, nowMicros))
+                .registrations(withRandomKnown(registrations.take(REGISTRATIONS_PER_MESSAGE), known.registrations()))
+                .repeatedSuspicions(OptionalInt.of(suspicions.repeatedCount()))
+                .build();
+    }
+
+    /** Builds the messages with the suspicions that the sender of a message lacks. */
+    List<AgentMessage> buildMissing(Member self, AgentMessage received, long nowMicros) {
+        return suspicions.missing(received.repeatedSuspicions(), nowMicros).stream()
+                .map(page -> AgentMessage.builder(self).suspicions(page).build())
+                .toList();
     }
 
     /**
--- a/core/src/main/java/org/hyssophitch/core/control/SuspicionExchange.java
+++ b/core/src/main/java/org/hyssophitch/core/control/SuspicionExchange.java
@@ -1,10 +1,14 @@
 package org.hyssophitch.core.control;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Random;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
 
 import org.hyssophitch.core.health.SuspectTracker;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
@@ -15,8 +19,9 @@
  *
  * <p>Made for a request that crashes servers and is repeated at random hosts of a large fleet: each crash is seen by
  * another host, so every host has to hear of all of them. A host passes on each suspicion that it hears for the first
- * time. The suspicions of requests that crashed several servers are also repeated in every datagram, a few at a time,
- * for hosts that started later or were cut off. The others, which a mass crash makes numerous, are not.
+ * time. The suspicions of requests that crashed several servers are also repeated in every datagram, a few at a time.
+ * The others, which a mass crash makes numerous, are not. Each datagram says how many the sender repeats, so that a host
+ * that started later or was cut off is sent what it lacks.
  */
 public final class SuspicionExchange {
 
@@ -27,10 +32,19 @@
     private static final int MIN_REPEATED_CRASHES = 2;
     private static final int REPEATED_PER_DATAGRAM = 2;
 
+    /** Missing suspicions from which a host is sent them all; it hears of fewer with the next datagrams. */
+    private static final int MIN_MISSING = 3;
+    /** Shortest time in microseconds between two times that all are sent. */
+    private static final long MISSING_INTERVAL_MICROS = 5_000_000;
+
+    private static final int MAX_MISSING = 256;
+    private static final int MISSING_PER_DATAGRAM = 8;
+
     private final RandomGenerator random;
     private final GossipBuffer<Suspicion> news = new GossipBuffer<>(TRANSMISSIONS);
     private final Map<String, Map<String, Suspicion>> knownByFingerprint = new LinkedHashMap<>();
     private final List<Suspicion> repeated = new ArrayList<>();
+    private long nextMissingMicros;
 
     /**
      * Creates an exchange that knows no suspicion.
@@ -65,6 +79,31 @@
         return taken;
     }
 
+    /** Returns the number of suspicions that are repeated in datagrams. */
+    public int repeatedCount() {
+        return repeated.size();
+    }
+
+    /**
+     * Returns the repeated suspicions for a host that repeats fewer, divided into datagrams; empty if it lacks hardly
+     * any, or if all were sent to some host a short time ago. Of very many, a random part is returned.
+     *
+     * @param repeatedByOther number that the other host repeats; empty if it doesn't say
+     */
+    public List<List<Suspicion>> missing(OptionalInt repeatedByOther, long nowMicros) {
+        boolean lacksMany = repeatedByOther.isPresent() && repeated.size() - repeatedByOther.getAsInt() >= MIN_MISSING;
+        if (!lacksMany || nowMicros < nextMissingMicros) {
+            return List.of();
+        }
+        nextMissingMicros = nowMicros + MISSING_INTERVAL_MICROS;
+        List<Suspicion> shuffled = new ArrayList<>(repeated);
+        Collections.shuffle(shuffled, Random.from(random));
+        List<Suspicion> sent = shuffled.stream().limit(MAX_MISSING).toList();
+        return IntStream.iterate(0, i -> i < sent.size(), i -> i + MISSING_PER_DATAGRAM)
+                .mapToObj(i -> sent.subList(i, Math.min(sent.size(), i + MISSING_PER_DATAGRAM)))
+                .toList();
+    }
+
     private boolean add(Suspicion s) {
         String crash = s.server() + '|' + s.crashMicros();
         Map<String, Suspicion> known = knownByFingerprint.remove(s.fingerprint());
--- a/core/src/test/java/org/hyssophitch/core/control/AgentEngineTest.java
+++ b/core/src/test/java/org/hyssophitch/core/control/AgentEngineTest.java
@@ -1,7 +1,6 @@
 package org.hyssophitch.core.control;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 
@@ -47,8 +46,7 @@
     }
 
     private static AgentMessage message(List<Suspicion> suspicions) {
-        return new AgentMessage(
-                member("h2"), Optional.empty(), List.of(), List.of(), List.of(), suspicions, List.of(), List.of());
+        return AgentMessage.builder(member("h2")).suspicions(suspicions).build();
     }
 
     private static Member member(String host) {
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -297,18 +298,22 @@
 
     private void send(String to, Optional<Heartbeat> heartbeat) {
         long now = WallClock.nowMicros();
-        AgentMessage message = new AgentMessage(
-                membership.self(),
-                heartbeat,
-                memberGossip.take(MAX_GOSSIP_PER_DATAGRAM),
-                List.of(),
-                List.of(),
-                suspicions.take(MAX_GOSSIP_PER_DATAGRAM, now),
-                List.of(),
-                limitGossip.take(MAX_GOSSIP_PER_DATAGRAM).stream()
-                        .map(n -> AgedLimitNews.of(n, now))
-                        .toList());
-        endpoint.send(to, AgentMessageCodec.encode(message, clock.tick(now)));
+        List<AgedLimitNews> limits = limitGossip.take(MAX_GOSSIP_PER_DATAGRAM).stream()
+                .map(n -> AgedLimitNews.of(n, now))
+                .toList();
+        send(
+                to,
+                AgentMessage.builder(membership.self())
+                        .heartbeat(heartbeat)
+                        .members(memberGossip.take(MAX_GOSSIP_PER_DATAGRAM))
+                        .suspicions(suspicions.take(MAX_GOSSIP_PER_DATAGRAM, now))
+                        .limits(limits)
+                        .repeatedSuspicions(OptionalInt.of(suspicions.repeatedCount()))
+                        .build());
+    }
+
+    private void send(String to, AgentMessage message) {
+        endpoint.send(to, AgentMessageCodec.encode(message, clock.tick(WallClock.nowMicros())));
     }
 
     private void onDatagram(Wire.AgentDatagram datagram) {
@@ -322,6 +327,7 @@
         membership.refreshSender(message.sender());
         message.members().forEach(m -> membership.merge(m, now));
         receiveSuspicions(message.suspicions(), now);
+        sendMissingSuspicions(message, now);
         if (!message.limits().isEmpty()) {
             List<LimitNews> news =
                     message.limits().stream().map(n -> n.toLimitNews(now)).toList();
@@ -332,6 +338,14 @@
                 .forEach(a -> send(a.to(), Optional.of(a))));
     }
 
+    private void sendMissingSuspicions(AgentMessage received, long now) {
+        suspicions
+                .missing(received.repeatedSuspicions(), now)
+                .forEach(page -> send(
+                        received.sender().agentAddress(),
+                        AgentMessage.builder(membership.self()).suspicions(page).build()));
+    }
+
     private void receiveSuspicions(List<Suspicion> received, long now) {
         List<Suspicion> fresh = suspicions.add(received);
         if (fresh.isEmpty()) {
--- a/wire/src/main/java/org/hyssophitch/wire/codec/AgentMessageCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/AgentMessageCodec.java
@@ -1,6 +1,7 @@
 package org.hyssophitch.wire.codec;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 
 import org.hyssophitch.core.control.AgedLimitNews;
 import org.hyssophitch.core.control.AgentMessage;
@@ -28,21 +29,27 @@
                 .addAllRegistrations(RegistrationCodec.encodeNotices(m.registrations()))
                 .addAllLimits(m.limits().stream().map(AgentMessageCodec::encode).toList());
         m.heartbeat().ifPresent(h -> b.setHeartbeat(encode(h)));
+        m.repeatedSuspicions().ifPresent(b::setRepeatedSuspicions);
         return b.build();
     }
 
     /** Decodes the message in a datagram; {@link #clock} returns its clock reading. */
     public static AgentMessage decode(Wire.AgentDatagram d) {
         Optional<Heartbeat> heartbeat = d.hasHeartbeat() ? Optional.of(decode(d.getHeartbeat())) : Optional.empty();
-        return new AgentMessage(
-                MemberCodec.decode(d.getSender()),
-                heartbeat,
-                MemberCodec.decodeMembers(d.getMembersList()),
-                MemberCodec.decodeLoads(d.getLoadsList()),
-                MemberCodec.decodeNotices(d.getLeavingList()),
-                MemberCodec.decodeSuspicions(d.getSuspicionsList()),
-                RegistrationCodec.decodeNotices(d.getRegistrationsList()),
-                d.getLimitsList().stream().map(AgentMessageCodec::decode).toList());
+        OptionalInt repeatedSuspicions =
+                d.hasRepeatedSuspicions() ? OptionalInt.of(d.getRepeatedSuspicions()) : OptionalInt.empty();
+        return AgentMessage.builder(MemberCodec.decode(d.getSender()))
+                .heartbeat(heartbeat)
+                .members(MemberCodec.decodeMembers(d.getMembersList()))
+                .loads(MemberCodec.decodeLoads(d.getLoadsList()))
+                .leaving(MemberCodec.decodeNotices(d.getLeavingList()))
+                .suspicions(MemberCodec.decodeSuspicions(d.getSuspicionsList()))
+                .registrations(RegistrationCodec.decodeNotices(d.getRegistrationsList()))
+                .limits(d.getLimitsList().stream()
+                        .map(AgentMessageCodec::decode)
+                        .toList())
+                .repeatedSuspicions(repeatedSuspicions)
+                .build();
     }
 
     /** Returns the sender's clock reading at the time of sending. */
--- a/wire/src/test/java/org/hyssophitch/wire/codec/RegistrationCodecTest.java
+++ b/wire/src/test/java/org/hyssophitch/wire/codec/RegistrationCodecTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 
 import org.hyssophitch.core.configuration.BackendServer;
@@ -30,19 +31,15 @@
 
     @Test
     public void datagramsPreserveRegistrationsAndLimits() {
-        AgentMessage message = new AgentMessage(
-                SENDER,
-                Optional.empty(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(),
-                List.of(
+        AgentMessage message = AgentMessage.builder(SENDER)
+                .registrations(List.of(
                         new RegistrationNotice("b1", Optional.of(SERVER), 77),
-                        new RegistrationNotice("b2", Optional.empty(), 78)),
-                List.of(
+                        new RegistrationNotice("b2", Optional.empty(), 78)))
+                .limits(List.of(
                         new AgedLimitNews("b1", Optional.of(new RateLimit(2.5)), 79),
-                        new AgedLimitNews("b2", Optional.empty(), 0)));
+                        new AgedLimitNews("b2", Optional.empty(), 0)))
+                .repeatedSuspicions(OptionalInt.of(0))
+                .build();
 
         assertEquals(AgentMessageCodec.decode(AgentMessageCodec.encode(message, CLOCK)), message);
     }
