An agent tells a proxy that starts again what it knows of requests that crash servers

What callers saw: on our own deployment a proxy that had started again sent on a request that had ended three servers. Cause: an agent passed each suspicion to its proxy once, when it heard of it. Evidence: AgentEngineTest.proxyThatStartsAgainForgetsWhichRequestsCrashServers failed before (none of three told) and passes now. Ruled out: keeping them in the proxy, which has no memory beyond its process. Why it works: when its proxy is lost, the agent puts all that hasn't expired into the next update.

--- a/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentEngine.java
@@ -213,6 +213,7 @@
     private void onProxyLost() {
         proxyVersion = -1;
         proxyUpdate.markRegistrationsChanged();
+        proxyUpdate.setSuspicions(messageBuilder.knownSuspicions(nowMicros));
         Member self = membership.self();
         membership.updateSelf(self.withProxy(0, false, 0));
     }
--- a/core/src/main/java/org/hyssophitch/core/control/AgentMessageBuilder.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentMessageBuilder.java
@@ -60,6 +60,11 @@
         return suspicions.add(found);
     }
 
+    /** Returns all suspicions that haven't expired. */
+    List<Suspicion> knownSuspicions(long nowMicros) {
+        return suspicions.known(nowMicros);
+    }
+
     /** Builds the next message; every update in it counts as sent once more. */
     AgentMessage build(
             Member sender,
--- a/core/src/main/java/org/hyssophitch/core/control/PendingProxyUpdate.java
+++ b/core/src/main/java/org/hyssophitch/core/control/PendingProxyUpdate.java
@@ -31,6 +31,12 @@
         hasChanges = true;
     }
 
+    /** Replaces the suspicions to send, for a newly connected proxy that knows none. */
+    void setSuspicions(List<Suspicion> known) {
+        suspicions.clear();
+        suspicions.addAll(known);
+    }
+
     /** Returns the update to send and resets this object; empty when nothing changed. */
     Optional<ProxyUpdate> take(
             List<Member> members,
--- a/core/src/main/java/org/hyssophitch/core/control/SuspicionExchange.java
+++ b/core/src/main/java/org/hyssophitch/core/control/SuspicionExchange.java
@@ -79,6 +79,14 @@
         return taken;
     }
 
+    /** Returns all suspicions that haven't expired. */
+    public List<Suspicion> known(long nowMicros) {
+        return knownByFingerprint.values().stream()
+                .flatMap(m -> m.values().stream())
+                .filter(s -> !SuspectTracker.isExpired(s, nowMicros))
+                .toList();
+    }
+
     /** Returns the number of suspicions that are repeated in datagrams. */
     public int repeatedCount() {
         return repeated.size();
