A record that an earlier build passed on no longer hides that a host is cut off

What callers saw: while builds are replaced, directories may go on to name a host that reaches no server, for up to a round of heartbeats. Evidence: EarlierBuildTest.hostOfAnEarlierBuildHidesThatAHostIsCutOff failed before in the order stripped, full, and passes in both orders. Ruled out: a new revision, which an earlier build strips as well. Why it works: a record has a format number, itself a field that earlier builds drop; at the same revision and state the later format wins, and is passed on once. Member has a builder in place of seven copies of all its components.

--- a/agent/src/main/java/org/hyssophitch/agent/Agent.java
+++ b/agent/src/main/java/org/hyssophitch/agent/Agent.java
@@ -127,17 +127,18 @@
 
     private Member initialMember() {
         return new Member(
-                settings.host(),
-                incarnation,
-                0,
-                MemberState.ALIVE,
-                settings.zone(),
-                settings.agent(),
-                settings.proxy(),
-                0,
-                false,
-                0,
-                0);
+                        settings.host(),
+                        incarnation,
+                        0,
+                        MemberState.ALIVE,
+                        settings.zone(),
+                        settings.agent(),
+                        settings.proxy(),
+                        0,
+                        false,
+                        0,
+                        0)
+                .withFormat(Member.FORMAT);
     }
 
     /** Publishes the parts of the engine's state that other threads read; runs on the engine's thread. */
--- a/core/src/main/java/org/hyssophitch/core/membership/Member.java
+++ b/core/src/main/java/org/hyssophitch/core/membership/Member.java
@@ -17,6 +17,8 @@
  * @param callsInFlight calls in flight at the proxy
  * @param configurationVersion version of the configuration in force
  * @param isCutOff whether the host gets no answer from any backend server
+ * @param format format of the record, {@link #FORMAT} as this release writes it; 0 for a record whose later fields are
+ *     unknown, such as one that an earlier release has passed on
  */
 public record Member(
         String host,
@@ -30,9 +32,13 @@
         boolean isAccepting,
         int callsInFlight,
         long configurationVersion,
-        boolean isCutOff) {
+        boolean isCutOff,
+        int format) {
 
-    /** Creates the record of a host that reaches the backend servers. */
+    /** Format of the records that this release writes; it grows with each field that is added. */
+    public static final int FORMAT = 1;
+
+    /** Creates a record of format 0. */
     public Member(
             String host,
             long incarnation,
@@ -57,122 +63,60 @@
                 isAccepting,
                 callsInFlight,
                 configurationVersion,
-                false);
+                false,
+                0);
+    }
+
+    /** Returns a builder that starts with the values of this record. */
+    public Builder toBuilder() {
+        return new Builder(this);
     }
 
     /** Returns this record with another state. */
     public Member withState(MemberState value) {
-        return value == state
-                ? this
-                : new Member(
-                        host,
-                        incarnation,
-                        revision,
-                        value,
-                        zone,
-                        agentAddress,
-                        proxyAddress,
-                        proxyIncarnation,
-                        isAccepting,
-                        callsInFlight,
-                        configurationVersion,
-                        isCutOff);
+        return toBuilder().state(value).build();
     }
 
     /** Returns this record with another incarnation, whose revisions start at 0. */
     public Member withIncarnation(long value) {
         return value == incarnation
                 ? this
-                : new Member(
-                        host,
-                        value,
-                        0,
-                        state,
-                        zone,
-                        agentAddress,
-                        proxyAddress,
-                        proxyIncarnation,
-                        isAccepting,
-                        callsInFlight,
-                        configurationVersion,
-                        isCutOff);
+                : toBuilder().incarnation(value).revision(0).build();
     }
 
     /** Returns this record with another revision. */
     public Member withRevision(int value) {
-        return value == revision
-                ? this
-                : new Member(
-                        host,
-                        incarnation,
-                        value,
-                        state,
-                        zone,
-                        agentAddress,
-                        proxyAddress,
-                        proxyIncarnation,
-                        isAccepting,
-                        callsInFlight,
-                        configurationVersion,
-                        isCutOff);
+        return toBuilder().revision(value).build();
     }
 
     /** Returns this record with another status of its proxy. */
     public Member withProxy(long newProxyIncarnation, boolean newIsAccepting, int newCallsInFlight) {
-        return new Member(
-                host,
-                incarnation,
-                revision,
-                state,
-                zone,
-                agentAddress,
-                proxyAddress,
-                newProxyIncarnation,
-                newIsAccepting,
-                newCallsInFlight,
-                configurationVersion,
-                isCutOff);
+        return toBuilder()
+                .proxyIncarnation(newProxyIncarnation)
+                .accepting(newIsAccepting)
+                .callsInFlight(newCallsInFlight)
+                .build();
     }
 
     /** Returns this record with another configuration version in force. */
     public Member withConfigurationVersion(long value) {
-        return value == configurationVersion
-                ? this
-                : new Member(
-                        host,
-                        incarnation,
-                        revision,
-                        state,
-                        zone,
-                        agentAddress,
-                        proxyAddress,
-                        proxyIncarnation,
-                        isAccepting,
-                        callsInFlight,
-                        value,
-                        isCutOff);
+        return toBuilder().configurationVersion(value).build();
     }
 
     /** Returns this record with another state of the connection to the backend servers. */
     public Member withCutOff(boolean value) {
-        return value == isCutOff
-                ? this
-                : new Member(
-                        host,
-                        incarnation,
-                        revision,
-                        state,
-                        zone,
-                        agentAddress,
-                        proxyAddress,
-                        proxyIncarnation,
-                        isAccepting,
-                        callsInFlight,
-                        configurationVersion,
-                        value);
+        return toBuilder().cutOff(value).build();
+    }
+
+    /** Returns this record with another format. */
+    public Member withFormat(int value) {
+        return toBuilder().format(value).build();
     }
 
-    /** Returns whether this record supersedes another record of the same host: by incarnation, revision, then state. */
+    /**
+     * Returns whether this record supersedes another record of the same host: by incarnation, revision, then state.
+     * Of two that are equal in these, the one of the later format has the fields that an earlier release drops.
+     */
     public boolean supersedes(Member other) {
         if (incarnation != other.incarnation) {
             return incarnation > other.incarnation;
@@ -180,11 +124,110 @@
         if (revision != other.revision) {
             return revision > other.revision;
         }
-        return state.compareTo(other.state) > 0;
+        if (state != other.state) {
+            return state.compareTo(other.state) > 0;
+        }
+        return format > other.format;
     }
 
     /** Returns whether the host counts as running; a suspected host does until its suspicion times out. */
     public boolean isLive() {
         return state == MemberState.ALIVE || state == MemberState.SUSPECT;
     }
+
+    /** Builder of a record. Not thread-safe. */
+    public static final class Builder {
+
+        private final String host;
+        private long incarnation;
+        private int revision;
+        private MemberState state;
+        private final String zone;
+        private final String agentAddress;
+        private final String proxyAddress;
+        private long proxyIncarnation;
+        private boolean isAccepting;
+        private int callsInFlight;
+        private long configurationVersion;
+        private boolean isCutOff;
+        private int format;
+
+        private Builder(Member m) {
+            host = m.host;
+            incarnation = m.incarnation;
+            revision = m.revision;
+            state = m.state;
+            zone = m.zone;
+            agentAddress = m.agentAddress;
+            proxyAddress = m.proxyAddress;
+            proxyIncarnation = m.proxyIncarnation;
+            isAccepting = m.isAccepting;
+            callsInFlight = m.callsInFlight;
+            configurationVersion = m.configurationVersion;
+            isCutOff = m.isCutOff;
+            format = m.format;
+        }
+
+        public Builder incarnation(long value) {
+            incarnation = value;
+            return this;
+        }
+
+        public Builder revision(int value) {
+            revision = value;
+            return this;
+        }
+
+        public Builder state(MemberState value) {
+            state = value;
+            return this;
+        }
+
+        public Builder proxyIncarnation(long value) {
+            proxyIncarnation = value;
+            return this;
+        }
+
+        public Builder accepting(boolean value) {
+            isAccepting = value;
+            return this;
+        }
+
+        public Builder callsInFlight(int value) {
+            callsInFlight = value;
+            return this;
+        }
+
+        public Builder configurationVersion(long value) {
+            configurationVersion = value;
+            return this;
+        }
+
+        public Builder cutOff(boolean value) {
+            isCutOff = value;
+            return this;
+        }
+
+        public Builder format(int value) {
+            format = value;
+            return this;
+        }
+
+        public Member build() {
+            return new Member(
+                    host,
+                    incarnation,
+                    revision,
+                    state,
+                    zone,
+                    agentAddress,
+                    proxyAddress,
+                    proxyIncarnation,
+                    isAccepting,
+                    callsInFlight,
+                    configurationVersion,
+                    isCutOff,
+                    format);
+        }
+    }
 }
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -102,11 +102,12 @@
         this.onEvent = onEvent;
         this.membership = new MembershipEngine(
                 member(new EntryHost(
-                        settings.host(),
-                        incarnation,
-                        settings.zone(),
-                        settings.addresses().peers(),
-                        settings.addresses().front())),
+                                settings.host(),
+                                incarnation,
+                                settings.zone(),
+                                settings.addresses().peers(),
+                                settings.addresses().front()))
+                        .withFormat(Member.FORMAT),
                 HEARTBEATS_PER_PERIOD,
                 random,
                 this::onMemberChanged);
--- a/wire/src/main/java/org/hyssophitch/wire/codec/MemberCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/MemberCodec.java
@@ -42,6 +42,7 @@
                 .setCallsInFlight(m.callsInFlight())
                 .setConfigurationVersion(m.configurationVersion())
                 .setCutOff(m.isCutOff())
+                .setFormat(m.format())
                 .build();
     }
 
@@ -58,7 +59,8 @@
                 m.getAccepting(),
                 m.getCallsInFlight(),
                 m.getConfigurationVersion(),
-                m.getCutOff());
+                m.getCutOff(),
+                m.getFormat());
     }
 
     static List<Wire.Member> encodeMembers(List<Member> list) {
--- a/wire/src/test/java/org/hyssophitch/wire/codec/EarlierBuildTest.java
+++ b/wire/src/test/java/org/hyssophitch/wire/codec/EarlierBuildTest.java
@@ -18,8 +18,9 @@
 /** Entry hosts of this build and of earlier ones tell each other what they know. */
 public class EarlierBuildTest {
 
-    private static final Member HOST =
-            new Member("cut-off", 7, 2, MemberState.ALIVE, "z1", "10.0.0.2:7001", "10.0.0.2:8080", 9, true, 1, 4);
+    private static final Member HOST = new Member(
+                    "cut-off", 7, 2, MemberState.ALIVE, "z1", "10.0.0.2:7001", "10.0.0.2:8080", 9, true, 1, 4)
+            .withFormat(Member.FORMAT);
     private static final Member CUT_OFF_HOST = HOST.withCutOff(true).withRevision(3);
 
     private final List<Member> passedOn = new ArrayList<>();
