--- a/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
@@ -20,8 +20,8 @@
  * thread-safe; owned by the call engine.
  *
  * <p>With fleet-wide limits, where servers answer load probes, a lost connection alone makes no request suspect: the
- * server is probed, and counts as crashed only if the probe fails or another server answers it. While several servers in
- * a row are silent, that is decided once this host knows whether it is cut off from all of them.
+ * server is probed, and counts as crashed only if the probe fails or another server answers it. While several servers
+ * in a row are silent, that is decided once this host knows whether it is cut off from all of them.
  */
 final class CrashDetector {
 
--- a/core/src/main/java/org/hyssophitch/core/control/SuspicionExchange.java
+++ b/core/src/main/java/org/hyssophitch/core/control/SuspicionExchange.java
@@ -20,8 +20,8 @@
  * <p>Made for a request that crashes servers and is repeated at random hosts of a large fleet: each crash is seen by
  * another host, so every host has to hear of all of them. A host passes on each suspicion that it hears for the first
  * time. The suspicions of requests that crashed several servers are also repeated in every datagram, a few at a time.
- * The others, which a mass crash makes numerous, are not. Each datagram says how many the sender repeats, so that a host
- * that started later or was cut off is sent what it lacks.
+ * The others, which a mass crash makes numerous, are not. Each datagram says how many the sender repeats, so that a
+ * host that started later or was cut off is sent what it lacks.
  */
 public final class SuspicionExchange {
 
--- a/core/src/main/java/org/hyssophitch/core/membership/Member.java
+++ b/core/src/main/java/org/hyssophitch/core/membership/Member.java
@@ -213,6 +213,7 @@
             return this;
         }
 
+        /** Returns the record. */
         public Member build() {
             return new Member(
                     host,
