A host that alone was cut off from the store drops at once the servers that left meanwhile

Cause: a server without a registration is kept for 2 s after the store is reachable again, as live servers may still renew registrations that expired in an outage; a host that had itself been cut off took its own cut for an outage of the store. Ruled out: a shorter time for all, which drops live servers after a real outage. Why it works: datagrams tell since when their sender has reached the store; the 2 s count from the earliest such time. After a restore they count in full. Datagrams of earlier builds don't tell and change nothing. What Peers asks of its own host is one interface.

--- a/core/src/main/java/org/hyssophitch/core/control/AgentMessage.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.membership.Heartbeat;
@@ -19,6 +20,8 @@
  * @param suspicions requests suspected of crashing backend servers
  * @param registrations notices about backend servers that register themselves
  * @param limits rate limits that backend servers state
+ * @param storeReachableMicros time in microseconds for which the sender has reached the platform's store without a
+ *     failure; empty while it doesn't, or from an earlier release
  * @param repeatedSuspicions number of suspicions that the sender repeats; empty from an earlier release
  */
 public record AgentMessage(
@@ -30,6 +33,7 @@
         List<Suspicion> suspicions,
         List<RegistrationNotice> registrations,
         List<AgedLimitNews> limits,
+        OptionalLong storeReachableMicros,
         OptionalInt repeatedSuspicions) {
 
     /** Returns a builder of a message that tells only about its sender. */
@@ -48,6 +52,7 @@
         private List<Suspicion> suspicions = List.of();
         private List<RegistrationNotice> registrations = List.of();
         private List<AgedLimitNews> limits = List.of();
+        private OptionalLong storeReachableMicros = OptionalLong.empty();
         private OptionalInt repeatedSuspicions = OptionalInt.empty();
 
         private Builder(Member sender) {
@@ -89,14 +94,29 @@
             return this;
         }
 
+        public Builder storeReachableMicros(OptionalLong value) {
+            storeReachableMicros = value;
+            return this;
+        }
+
         public Builder repeatedSuspicions(OptionalInt value) {
             repeatedSuspicions = value;
             return this;
         }
 
+        /** Returns the message. */
         public AgentMessage build() {
             return new AgentMessage(
-                    sender, heartbeat, members, loads, leaving, suspicions, registrations, limits, repeatedSuspicions);
+                    sender,
+                    heartbeat,
+                    members,
+                    loads,
+                    leaving,
+                    suspicions,
+                    registrations,
+                    limits,
+                    storeReachableMicros,
+                    repeatedSuspicions);
         }
     }
 }
--- a/core/src/main/java/org/hyssophitch/core/entry/ServerRegistry.java
+++ b/core/src/main/java/org/hyssophitch/core/entry/ServerRegistry.java
@@ -20,7 +20,8 @@
  * <p>A server is normally removed as soon as its registration is deleted. But registrations also expire while the store
  * is unavailable, and live servers renew them within about two seconds of its recovery. A server whose registration
  * disappears within that time, or together with many others, is therefore kept for a short grace period. A draining
- * server gets none.
+ * server gets none. Where only this host was cut off from the store, other hosts tell since when they have reached it,
+ * and the time counts from then.
  *
  * <p>A store that was restored from a copy lists earlier registrations until the servers write theirs again. The
  * sequence numbers of a server's statements tell which registration is the later one: an earlier one is ignored, and a
@@ -43,30 +44,71 @@
     /** Time in microseconds for which removed servers are remembered; copies of the store are some seconds old. */
     private static final long REMOVAL_MEMORY_MICROS = 60_000_000;
 
+    /**
+     * Time for which a server without a registration is kept, in microseconds.
+     *
+     * @param fixedEndMicros end that holds in any case
+     * @param renewalEndMicros end of the time in which live servers renew their registrations after an outage
+     */
+    private record Grace(long fixedEndMicros, long renewalEndMicros) {
+
+        private long endMicros() {
+            return Math.max(fixedEndMicros, renewalEndMicros);
+        }
+
+        private Grace withRenewalUntil(long micros) {
+            return new Grace(fixedEndMicros, Math.min(renewalEndMicros, micros));
+        }
+    }
+
     /** When a server was removed, and the sequence number of its last known statement. */
     private record Removal(long micros, long sequence) {}
 
     private final Map<String, RegisteredServer> servers = new TreeMap<>();
-    private final Map<String, Long> graceEnds = new HashMap<>();
+    private final Map<String, Grace> graces = new HashMap<>();
     /** Sequence numbers at which removed servers appeared in a restored store. */
     private final Map<String, Long> unprovenSequences = new HashMap<>();
 
     private final Map<String, Removal> removals = new HashMap<>();
 
     private long renewalEndMicros;
+    private long restoreRenewalEndMicros;
     private boolean isRestored;
+    private long seenSinceMicros;
+    private long seenAtMicros = Long.MIN_VALUE / 2;
 
     /** Records that the store is reachable again after an outage. */
     public void onStoreRecovered(long nowMicros) {
-        renewalEndMicros = nowMicros + RENEWAL_PERIOD_MICROS;
+        long end = nowMicros + RENEWAL_PERIOD_MICROS;
+        renewalEndMicros = isSeenRecently(nowMicros) ? Math.min(end, seenSinceMicros + RENEWAL_PERIOD_MICROS) : end;
+    }
+
+    /**
+     * Records that another entry host has reached the store without a failure since some time, until now. Live servers
+     * have had the time from then on to renew their registrations.
+     */
+    public void onStoreSeenSince(long sinceMicros, long nowMicros) {
+        if (isSeenRecently(nowMicros) && sinceMicros > seenSinceMicros) {
+            return;
+        }
+        seenSinceMicros = sinceMicros;
+        seenAtMicros = nowMicros;
+        long end = sinceMicros + RENEWAL_PERIOD_MICROS;
+        renewalEndMicros = Math.min(renewalEndMicros, end);
+        graces.replaceAll((n, g) -> g.withRenewalUntil(end));
     }
 
     /** Records that the store was restored from a copy; the next listing may be older than what is known. */
     public void onStoreRestored(long nowMicros) {
-        onStoreRecovered(nowMicros);
+        restoreRenewalEndMicros = nowMicros + RENEWAL_PERIOD_MICROS;
         isRestored = true;
     }
 
+    /** Returns whether another host reached the store so recently that no registration can have expired since. */
+    private boolean isSeenRecently(long nowMicros) {
+        return nowMicros - seenAtMicros <= RENEWAL_PERIOD_MICROS;
+    }
+
     /**
      * Returns whether the servers must be listed again after {@link #RENEWAL_PERIOD_MICROS}: a rising sequence number,
      * by which a server proves that it lives, is no change that a watch returns.
@@ -109,8 +151,8 @@
 
     /** Removes servers whose registrations were not renewed in time; returns whether there were any. */
     public boolean expire(long nowMicros) {
-        List<String> expired = graceEnds.entrySet().stream()
-                .filter(e -> nowMicros >= e.getValue())
+        List<String> expired = graces.entrySet().stream()
+                .filter(e -> nowMicros >= e.getValue().endMicros())
                 .map(Map.Entry::getKey)
                 .toList();
         expired.forEach(n -> drop(n, nowMicros));
@@ -119,7 +161,7 @@
 
     /** Returns the time in microseconds at which {@link #expire} is due, or {@link Long#MAX_VALUE}. */
     public long nextExpiryMicros() {
-        return graceEnds.values().stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
+        return graces.values().stream().mapToLong(Grace::endMicros).min().orElse(Long.MAX_VALUE);
     }
 
     /** Returns the servers by service name, including draining ones. */
@@ -138,7 +180,7 @@
         }
         unprovenSequences.remove(name);
         servers.put(name, server);
-        graceEnds.remove(name);
+        graces.remove(name);
     }
 
     /** Returns whether a registration is earlier than the known one of the same server process. */
@@ -176,7 +218,7 @@
 
     private void drop(String name, long nowMicros) {
         RegisteredServer dropped = servers.remove(name);
-        graceEnds.remove(name);
+        graces.remove(name);
         removals.values().removeIf(r -> nowMicros - r.micros() > REMOVAL_MEMORY_MICROS);
         removals.put(dropped.server().name(), new Removal(nowMicros, dropped.sequence()));
     }
@@ -188,18 +230,18 @@
             if (known == null) {
                 return;
             }
-            long until = graceEndMicros(expiredServices.contains(known.service()), nowMicros);
-            if (known.server().draining() || until <= nowMicros) {
+            Grace grace = grace(expiredServices.contains(known.service()), nowMicros);
+            if (known.server().draining() || grace.endMicros() <= nowMicros) {
                 drop(n, nowMicros);
             } else {
-                graceEnds.putIfAbsent(n, until);
+                graces.putIfAbsent(n, grace);
             }
         });
     }
 
-    private long graceEndMicros(boolean isMassExpiry, long nowMicros) {
+    private Grace grace(boolean isMassExpiry, long nowMicros) {
         long massExpiryEnd = isMassExpiry ? nowMicros + MASS_EXPIRY_GRACE_MICROS : 0;
-        return Math.max(massExpiryEnd, renewalEndMicros);
+        return new Grace(Math.max(massExpiryEnd, restoreRenewalEndMicros), renewalEndMicros);
     }
 
     /** Returns the services that lost so many servers at once that the registrations have probably expired. */
--- a/core/src/test/java/org/hyssophitch/core/entry/ServerRegistryTest.java
+++ b/core/src/test/java/org/hyssophitch/core/entry/ServerRegistryTest.java
@@ -14,6 +14,7 @@
 import org.hyssophitch.core.store.StoreChanges.Change;
 import org.hyssophitch.core.store.StoredObject;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -138,6 +139,49 @@
         assertEquals(names(), expected(0, 1));
     }
 
+    @DataProvider
+    public Object[][] momentsOfNews() {
+        return new Object[][] {{9.5}, {10.5}};
+    }
+
+    /** Another host has reached the store all the while, so no registration expired by an outage of the store. */
+    @Test(dataProvider = "momentsOfNews")
+    public void hostThatWasCutOffUsesServersThatLeftMeanwhile(double heardSeconds) {
+        registry.onListed(objects(8), 0);
+        long heard = (long) (heardSeconds * SECOND);
+        if (heard < 10 * SECOND) {
+            registry.onStoreSeenSince(SECOND, heard);
+        }
+        registry.onStoreRecovered(10 * SECOND);
+        registry.onListed(objects(6), 10 * SECOND);
+        if (heard > 10 * SECOND) {
+            registry.onStoreSeenSince(SECOND, heard);
+        }
+        registry.expire(Math.max(heard, 10 * SECOND));
+        assertEquals(names(), expected(0, 6));
+    }
+
+    /** What another host says doesn't shorten the time that an outage of the store itself, or a restore, gives. */
+    @Test
+    public void keepsServersWhileTheStoreHasJustReturnedForAllHosts() {
+        registry.onListed(objects(8), 0);
+        registry.onStoreSeenSince(SECOND, 2 * SECOND);
+        registry.onStoreRecovered(10 * SECOND);
+        registry.onListed(objects(6), 10 * SECOND);
+        registry.onStoreSeenSince(9 * SECOND, 10 * SECOND);
+        assertEquals(registry.nextExpiryMicros(), 11 * SECOND);
+        assertEquals(names(), expected(0, 8));
+    }
+
+    @Test
+    public void keepsServersMissingFromTheRestoredStoreWhateverOtherHostsSay() {
+        registry.onListed(objects(3), 0);
+        registry.onStoreRestored(10 * SECOND);
+        registry.onListed(objects(1), 10 * SECOND);
+        registry.onStoreSeenSince(SECOND, 10 * SECOND);
+        assertEquals(registry.nextExpiryMicros(), 12 * SECOND);
+    }
+
     private boolean isDraining(String name) {
         return registry.byService().get("s").stream()
                 .anyMatch(r -> r.server().name().equals(name) && r.server().draining());
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -1,6 +1,7 @@
 package org.hyssophitch.entry;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -97,16 +98,7 @@
         EngineSettings engineSettings =
                 new EngineSettings(settings.host(), settings.zone(), incarnation).withFleetLimits(fleetLimits());
         PlatformHeaders headers = new PlatformHeaders();
-        peers = new Peers(
-                settings,
-                incarnation,
-                loop,
-                random.split(),
-                log,
-                router::version,
-                this::isReady,
-                this::onStoreRecovered,
-                this::handle);
+        peers = new Peers(settings, incarnation, loop, random.split(), log, new LocalHostView());
         dispatcher = new CallDispatcher(
                 new CallEngine(engineSettings, random.split(), log),
                 loop,
@@ -290,10 +282,6 @@
         registration.onStoreRestored();
     }
 
-    private void handle(CallEvent event) {
-        dispatcher.handle(event);
-    }
-
     private FleetLimits fleetLimits() {
         EntrySettings.Bounds b = settings.bounds();
         return new FleetLimits(
@@ -315,4 +303,38 @@
     private static long elapsedMillis(long startNanos) {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
     }
+
+    /** What the other hosts are told of this one, and what they tell it. */
+    private final class LocalHostView implements LocalHost {
+
+        @Override
+        public long configurationVersion() {
+            return router.version();
+        }
+
+        @Override
+        public boolean isReady() {
+            return EntryProgram.this.isReady();
+        }
+
+        @Override
+        public OptionalLong storeReachableSinceMicros() {
+            return serverWatcher.reachableSinceMicros();
+        }
+
+        @Override
+        public void onStaleConfiguration() {
+            onStoreRecovered();
+        }
+
+        @Override
+        public void onStoreSeenSince(long sinceMicros) {
+            serverWatcher.onStoreSeenSince(sinceMicros);
+        }
+
+        @Override
+        public void onEvent(CallEvent event) {
+            dispatcher.handle(event);
+        }
+    }
 }
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -5,10 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
@@ -72,10 +70,7 @@
     private final GossipBuffer<LimitNews> limitGossip = new GossipBuffer<>(GOSSIP_TRANSMISSIONS);
     private final EventRecorder recorder;
     private final RandomGenerator random;
-    private final LongSupplier configurationVersion;
-    private final BooleanSupplier readiness;
-    private final Runnable onStaleConfiguration;
-    private final Consumer<CallEvent> onEvent;
+    private final LocalHost localHost;
     private DatagramEndpoint endpoint;
     private boolean isAccepting;
     private boolean wasBehind;
@@ -87,19 +82,13 @@
             EventLoop loop,
             RandomGenerator random,
             EventRecorder recorder,
-            LongSupplier configurationVersion,
-            BooleanSupplier readiness,
-            Runnable onStaleConfiguration,
-            Consumer<CallEvent> onEvent) {
+            LocalHost localHost) {
         this.loop = loop;
         this.random = random;
         this.suspicions = new SuspicionExchange(random);
         this.fleetView = new FleetView(settings.host(), Peers::forwardingHost);
         this.recorder = recorder;
-        this.configurationVersion = configurationVersion;
-        this.readiness = readiness;
-        this.onStaleConfiguration = onStaleConfiguration;
-        this.onEvent = onEvent;
+        this.localHost = localHost;
         this.membership = new MembershipEngine(
                 member(new EntryHost(
                                 settings.host(),
@@ -158,7 +147,7 @@
 
     /** Announces to the other hosts a change in whether this host accepts callers. */
     void refreshReadiness() {
-        boolean isReady = readiness.getAsBoolean();
+        boolean isReady = localHost.isReady();
         if (isReady != isAccepting) {
             isAccepting = isReady;
             updateSelf();
@@ -234,14 +223,14 @@
     private void updateSelf() {
         membership.updateSelf(membership
                 .self()
-                .withConfigurationVersion(configurationVersion.getAsLong())
+                .withConfigurationVersion(localHost.configurationVersion())
                 .withProxy(membership.self().proxyIncarnation(), isAccepting, 0));
     }
 
     private void tick() {
         refreshReadiness();
         membership.updateSelfWithoutGossip(
-                membership.self().withConfigurationVersion(configurationVersion.getAsLong()));
+                membership.self().withConfigurationVersion(localHost.configurationVersion()));
         membership.onTime(WallClock.nowMicros()).forEach(h -> send(h.to(), Optional.of(h)));
         updateFleetSize();
         announceCutOff();
@@ -254,16 +243,16 @@
      * no longer delivers changes although the store is available.
      */
     private void detectStaleConfiguration() {
-        long own = configurationVersion.getAsLong();
+        long own = localHost.configurationVersion();
         boolean isBehind = membership.live().stream().anyMatch(m -> m.configurationVersion() > own);
         if (isBehind && wasBehind) {
-            onStaleConfiguration.run();
+            localHost.onStaleConfiguration();
         }
         wasBehind = isBehind && !wasBehind;
     }
 
     private void updateFleetSize() {
-        fleetView.update(membership.members(), WallClock.nowMicros()).forEach(onEvent);
+        fleetView.update(membership.members(), WallClock.nowMicros()).forEach(localHost::onEvent);
     }
 
     /** Tells the other hosts whether this one is cut off from all backend servers, once that has lasted. */
@@ -278,7 +267,7 @@
     private void updateForwardingHosts() {
         fleetView
                 .updateForwardingHosts(membership.members(), cutOff.current(), WallClock.nowMicros())
-                .forEach(onEvent);
+                .forEach(localHost::onEvent);
     }
 
     private static BackendServer forwardingHost(Member m) {
@@ -309,10 +298,16 @@
                         .members(memberGossip.take(MAX_GOSSIP_PER_DATAGRAM))
                         .suspicions(suspicions.take(MAX_GOSSIP_PER_DATAGRAM, now))
                         .limits(limits)
+                        .storeReachableMicros(storeReachableMicros(now))
                         .repeatedSuspicions(OptionalInt.of(suspicions.repeatedCount()))
                         .build());
     }
 
+    private OptionalLong storeReachableMicros(long now) {
+        OptionalLong since = localHost.storeReachableSinceMicros();
+        return since.isPresent() ? OptionalLong.of(Math.max(0, now - since.getAsLong())) : since;
+    }
+
     private void send(String to, AgentMessage message) {
         endpoint.send(to, AgentMessageCodec.encode(message, clock.tick(WallClock.nowMicros())));
     }
@@ -327,12 +322,13 @@
         membership.merge(message.sender(), now);
         membership.refreshSender(message.sender());
         message.members().forEach(m -> membership.merge(m, now));
+        message.storeReachableMicros().ifPresent(t -> localHost.onStoreSeenSince(now - t));
         receiveSuspicions(message.suspicions(), now);
         sendMissingSuspicions(message, now);
         if (!message.limits().isEmpty()) {
             List<LimitNews> news =
                     message.limits().stream().map(n -> n.toLimitNews(now)).toList();
-            onEvent.accept(new CallEvent.LimitNewsReceived(now, news));
+            localHost.onEvent(new CallEvent.LimitNewsReceived(now, news));
         }
         message.heartbeat().ifPresent(h -> membership
                 .onHeartbeat(h, message.sender().agentAddress(), now)
@@ -352,7 +348,7 @@
         if (fresh.isEmpty()) {
             return;
         }
-        onEvent.accept(new CallEvent.SuspicionsReceived(now, fresh));
+        localHost.onEvent(new CallEvent.SuspicionsReceived(now, fresh));
         if (fresh.stream().anyMatch(suspicions::isUrgent)) {
             sendUrgentGossip();
         }
--- a/entry/src/main/java/org/hyssophitch/entry/RegisteredServerWatcher.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RegisteredServerWatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 
 import org.hyssophitch.core.call.CallEvent;
@@ -27,6 +28,7 @@
     private final Runnable onStoreRecovered;
     private final EventLog log;
     private volatile boolean isListed;
+    private OptionalLong reachableSinceMicros = OptionalLong.empty();
 
     RegisteredServerWatcher(
             String kind,
@@ -62,6 +64,21 @@
         watcher.onEpoch(epoch);
     }
 
+    /** Returns the time in microseconds since which the store has answered every call; empty while it doesn't. */
+    OptionalLong reachableSinceMicros() {
+        return reachableSinceMicros;
+    }
+
+    /** Handles that another entry host says that it has reached the store since a time in microseconds. */
+    void onStoreSeenSince(long sinceMicros) {
+        long before = registry.nextExpiryMicros();
+        registry.onStoreSeenSince(sinceMicros, timers.nowMicros());
+        if (registry.nextExpiryMicros() < before) {
+            expireRegistrations();
+            scheduleExpiry();
+        }
+    }
+
     /** Returns whether the servers have been listed since the process started. */
     boolean isListed() {
         return isListed;
@@ -70,6 +87,9 @@
     @Override
     public void onListed(Map<String, StoredObject<RegisteredServer>> objects, boolean hadOutage) {
         isListed = true;
+        if (reachableSinceMicros.isEmpty()) {
+            reachableSinceMicros = OptionalLong.of(timers.nowMicros());
+        }
         registry.onListed(objects, timers.nowMicros());
         if (registry.awaitsProof()) {
             timers.after(ServerRegistry.RENEWAL_PERIOD_MICROS, watcher::listAgain);
@@ -80,6 +100,7 @@
     @Override
     public void onRestored() {
         log.recordStoreRestored();
+        reachableSinceMicros = OptionalLong.of(timers.nowMicros());
         registry.onStoreRestored(timers.nowMicros());
     }
 
@@ -92,6 +113,7 @@
     @Override
     public void onReachabilityChanged(boolean isReachable, String detail) {
         log.recordStoreReachability(isReachable, detail);
+        reachableSinceMicros = isReachable ? OptionalLong.of(timers.nowMicros()) : OptionalLong.empty();
         if (isReachable) {
             onStoreRecovered.run();
         }
@@ -99,6 +121,10 @@
 
     private void publishServers() {
         dispatcher.handle(new CallEvent.ServersRegistered(timers.nowMicros(), registry.byService()));
+        scheduleExpiry();
+    }
+
+    private void scheduleExpiry() {
         long next = registry.nextExpiryMicros();
         if (next != Long.MAX_VALUE) {
             timers.after(Math.max(1, next - timers.nowMicros()), this::expireRegistrations);
--- a/entry/src/test/java/org/hyssophitch/entry/SuspicionSpreadTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/SuspicionSpreadTest.java
@@ -157,15 +157,22 @@
                 loop,
                 new SplittableRandom(host.hashCode()),
                 (now, request, body) -> {},
-                () -> 1,
-                () -> true,
-                () -> {},
-                e -> onEvent(tracker, e));
+                new TrackingHost(tracker));
     }
 
-    private static void onEvent(SuspectTracker tracker, CallEvent event) {
-        if (event instanceof CallEvent.SuspicionsReceived e) {
-            e.suspicions().forEach(tracker::merge);
+    private static final class TrackingHost extends CalmHost {
+
+        private final SuspectTracker tracker;
+
+        private TrackingHost(SuspectTracker tracker) {
+            this.tracker = tracker;
+        }
+
+        @Override
+        public void onEvent(CallEvent event) {
+            if (event instanceof CallEvent.SuspicionsReceived e) {
+                e.suspicions().forEach(tracker::merge);
+            }
         }
     }
 }
--- a/wire/src/main/java/org/hyssophitch/wire/codec/AgentMessageCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/AgentMessageCodec.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 import org.hyssophitch.core.control.AgedLimitNews;
 import org.hyssophitch.core.control.AgentMessage;
@@ -30,6 +31,7 @@
                 .addAllLimits(m.limits().stream().map(AgentMessageCodec::encode).toList());
         m.heartbeat().ifPresent(h -> b.setHeartbeat(encode(h)));
         m.repeatedSuspicions().ifPresent(b::setRepeatedSuspicions);
+        m.storeReachableMicros().ifPresent(b::setStoreReachableMicros);
         return b.build();
     }
 
@@ -38,6 +40,9 @@
         Optional<Heartbeat> heartbeat = d.hasHeartbeat() ? Optional.of(decode(d.getHeartbeat())) : Optional.empty();
         OptionalInt repeatedSuspicions =
                 d.hasRepeatedSuspicions() ? OptionalInt.of(d.getRepeatedSuspicions()) : OptionalInt.empty();
+        OptionalLong storeReachable = d.hasStoreReachableMicros()
+                ? OptionalLong.of(Math.max(0, d.getStoreReachableMicros()))
+                : OptionalLong.empty();
         return AgentMessage.builder(MemberCodec.decode(d.getSender()))
                 .heartbeat(heartbeat)
                 .members(MemberCodec.decodeMembers(d.getMembersList()))
@@ -48,6 +53,7 @@
                 .limits(d.getLimitsList().stream()
                         .map(AgentMessageCodec::decode)
                         .toList())
+                .storeReachableMicros(storeReachable)
                 .repeatedSuspicions(repeatedSuspicions)
                 .build();
     }
--- a/wire/src/test/java/org/hyssophitch/wire/codec/RegistrationCodecTest.java
+++ b/wire/src/test/java/org/hyssophitch/wire/codec/RegistrationCodecTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.hyssophitch.core.configuration.BackendServer;
@@ -38,6 +39,7 @@
                 .limits(List.of(
                         new AgedLimitNews("b1", Optional.of(new RateLimit(2.5)), 79),
                         new AgedLimitNews("b2", Optional.empty(), 0)))
+                .storeReachableMicros(OptionalLong.of(80))
                 .repeatedSuspicions(OptionalInt.of(0))
                 .build();
 
