Observability: a server whose registration is removed leaves a line

Change: ServerLeaving with source 'removed'. Evidence: ServerRemovalTest fails without it (nothing recorded). Measured: tests of the call engine pass.

--- a/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ServiceDefinitions.java
@@ -89,6 +89,9 @@
             defineService(s, nowMicros);
         });
         dropServices(names, nowMicros);
+        state.servers().values().stream()
+                .filter(s -> !servers.contains(s.name()) && !s.isLeaving())
+                .forEach(s -> recordLeaving(s.name(), "removed", nowMicros));
         state.servers().keySet().retainAll(servers);
         state.conditions().retain(servers, nowMicros);
     }
@@ -166,7 +169,11 @@
     /** Records that a server has started to leave. */
     void recordLeaving(ServerState server, boolean wasLeaving, String source, long nowMicros) {
         if (!wasLeaving && server.isLeaving()) {
-            state.recorder().record(nowMicros, "", new EventBody.ServerLeaving(server.name(), source));
+            recordLeaving(server.name(), source, nowMicros);
         }
     }
+
+    private void recordLeaving(String server, String source, long nowMicros) {
+        state.recorder().record(nowMicros, "", new EventBody.ServerLeaving(server, source));
+    }
 }
