--- a/bin/deployment.sh
+++ b/bin/deployment.sh
@@ -1,5 +1,5 @@
 # Functions that run a deployment on loopback; sourced by bin/demo, bin/roll and bin/bench.
-# The caller sets $root and $profile.
+# The caller sets $root and $profile, and $host_root if the entry hosts run another build.
 
 directory=$root/target/run-$profile
 HYSSOPHITCH_SETTINGS=$directory/hyssophitch.yaml
@@ -24,15 +24,19 @@
 }
 
 start() { # NAME PROGRAM ARGUMENTS...
-    local name=$1
-    shift
-    "$root/bin/$1" "${@:2}" >>"$directory/$name.out" 2>>"$directory/$name.log" &
+    start_from "$root" "$@"
+}
+
+start_from() { # ROOT NAME PROGRAM ARGUMENTS...
+    local from=$1 name=$2
+    shift 2
+    "$from/bin/$1" "${@:2}" >>"$directory/$name.out" 2>>"$directory/$name.log" &
     pids[$name]=$!
 }
 
 start_host() { # HOST
-    start "agent-$1" hyssophitch-agent "$directory/agent-$1.yaml"
-    start "proxy-$1" hyssophitch-proxy "$directory/proxy-$1.yaml"
+    start_from "${host_root:-$root}" "agent-$1" hyssophitch-agent "$directory/agent-$1.yaml"
+    start_from "${host_root:-$root}" "proxy-$1" hyssophitch-proxy "$directory/proxy-$1.yaml"
 }
 
 hosts() { (cd "$directory" && ls agent-entry-*.yaml | sed 's/^agent-\(.*\)\.yaml$/\1/'); }
