--- a/core/src/main/java/org/hyssophitch/core/entry/ServerRegistry.java
+++ b/core/src/main/java/org/hyssophitch/core/entry/ServerRegistry.java
@@ -63,7 +63,7 @@
     }
 
     /** What another entry host said of the store: since when it has reached it, and when that was heard. */
-    private record StoreSighting(long sinceMicros, long heardMicros) {
+    private record ReachabilityReport(long sinceMicros, long heardMicros) {
 
         /** Returns whether it was heard so recently that no registration can have expired since. */
         private boolean isRecent(long nowMicros) {
@@ -88,12 +88,13 @@
     private long renewalEndMicros;
     private long restoreRenewalEndMicros;
     private boolean isRestored;
-    private Optional<StoreSighting> sighting = Optional.empty();
+    private Optional<ReachabilityReport> otherHostsReport = Optional.empty();
 
     /** Records that the store is reachable again after an outage. */
     public void onStoreRecovered(long nowMicros) {
         long end = nowMicros + RENEWAL_PERIOD_MICROS;
-        renewalEndMicros = sighting.filter(s -> s.isRecent(nowMicros))
+        renewalEndMicros = otherHostsReport
+                .filter(s -> s.isRecent(nowMicros))
                 .map(s -> Math.min(end, s.renewalEndMicros()))
                 .orElse(end);
     }
@@ -102,13 +103,14 @@
      * Records that another entry host has reached the store without a failure since some time, until now. Live servers
      * have had the time from then on to renew their registrations.
      */
-    public void onStoreSeenSince(long sinceMicros, long nowMicros) {
-        if (sighting.filter(s -> s.isRecent(nowMicros) && s.sinceMicros() < sinceMicros)
+    public void onStoreReachedSince(long sinceMicros, long nowMicros) {
+        if (otherHostsReport
+                .filter(s -> s.isRecent(nowMicros) && s.sinceMicros() < sinceMicros)
                 .isPresent()) {
             return;
         }
-        StoreSighting latest = new StoreSighting(sinceMicros, nowMicros);
-        sighting = Optional.of(latest);
+        ReachabilityReport latest = new ReachabilityReport(sinceMicros, nowMicros);
+        otherHostsReport = Optional.of(latest);
         renewalEndMicros = Math.min(renewalEndMicros, latest.renewalEndMicros());
         graces.replaceAll((n, g) -> g.withRenewalUntil(latest.renewalEndMicros()));
     }
--- a/core/src/test/java/org/hyssophitch/core/entry/ServerRegistryTest.java
+++ b/core/src/test/java/org/hyssophitch/core/entry/ServerRegistryTest.java
@@ -150,12 +150,12 @@
         registry.onListed(objects(8), 0);
         long heard = (long) (heardSeconds * SECOND);
         if (heard < 10 * SECOND) {
-            registry.onStoreSeenSince(SECOND, heard);
+            registry.onStoreReachedSince(SECOND, heard);
         }
         registry.onStoreRecovered(10 * SECOND);
         registry.onListed(objects(6), 10 * SECOND);
         if (heard > 10 * SECOND) {
-            registry.onStoreSeenSince(SECOND, heard);
+            registry.onStoreReachedSince(SECOND, heard);
         }
         registry.expire(Math.max(heard, 10 * SECOND));
         assertEquals(names(), expected(0, 6));
@@ -165,10 +165,10 @@
     @Test
     public void keepsServersWhileTheStoreHasJustReturnedForAllHosts() {
         registry.onListed(objects(8), 0);
-        registry.onStoreSeenSince(SECOND, 2 * SECOND);
+        registry.onStoreReachedSince(SECOND, 2 * SECOND);
         registry.onStoreRecovered(10 * SECOND);
         registry.onListed(objects(6), 10 * SECOND);
-        registry.onStoreSeenSince(9 * SECOND, 10 * SECOND);
+        registry.onStoreReachedSince(9 * SECOND, 10 * SECOND);
         assertEquals(registry.nextExpiryMicros(), 11 * SECOND);
         assertEquals(names(), expected(0, 8));
     }
@@ -178,7 +178,7 @@
         registry.onListed(objects(3), 0);
         registry.onStoreRestored(10 * SECOND);
         registry.onListed(objects(1), 10 * SECOND);
-        registry.onStoreSeenSince(SECOND, 10 * SECOND);
+        registry.onStoreReachedSince(SECOND, 10 * SECOND);
         assertEquals(registry.nextExpiryMicros(), 12 * SECOND);
     }
 
--- a/core/src/test/java/org/hyssophitch/core/store/KindWatcherTest.java
+++ b/core/src/test/java/org/hyssophitch/core/store/KindWatcherTest.java
@@ -100,7 +100,7 @@
 
     /** A store that has gone silent is noticed only when the watch times out. */
     @Test
-    public void hostVouchesForAStoreThatHasNotAnsweredForSomeTime() {
+    public void hostSaysThatItReachesAStoreThatHasNotAnsweredLately() {
         assertEquals(watcher.reachableSinceMicros(), OptionalLong.empty());
         timers.advance(SECOND);
         long listed = timers.nowMicros();
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -328,8 +328,8 @@
         }
 
         @Override
-        public void onStoreSeenSince(long sinceMicros) {
-            serverWatcher.onStoreSeenSince(sinceMicros);
+        public void onStoreReachedSince(long sinceMicros) {
+            serverWatcher.onStoreReachedSince(sinceMicros);
         }
 
         @Override
--- a/entry/src/main/java/org/hyssophitch/entry/LocalHost.java
+++ b/entry/src/main/java/org/hyssophitch/entry/LocalHost.java
@@ -20,7 +20,7 @@
     void onStaleConfiguration();
 
     /** Called when another host says that it has reached the store since a time in microseconds. */
-    void onStoreSeenSince(long sinceMicros);
+    void onStoreReachedSince(long sinceMicros);
 
     /** Called with what the others tell that concerns the call engine. */
     void onEvent(CallEvent event);
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -322,7 +322,7 @@
         membership.merge(message.sender(), now);
         membership.refreshSender(message.sender());
         message.members().forEach(m -> membership.merge(m, now));
-        message.storeReachableMicros().ifPresent(t -> localHost.onStoreSeenSince(now - t));
+        message.storeReachableMicros().ifPresent(t -> localHost.onStoreReachedSince(now - t));
         receiveSuspicions(message.suspicions(), now);
         sendMissingSuspicions(message, now);
         if (!message.limits().isEmpty()) {
--- a/entry/src/main/java/org/hyssophitch/entry/RegisteredServerWatcher.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RegisteredServerWatcher.java
@@ -63,9 +63,9 @@
     }
 
     /** Handles that another entry host says that it has reached the store since a time in microseconds. */
-    void onStoreSeenSince(long sinceMicros) {
+    void onStoreReachedSince(long sinceMicros) {
         long before = registry.nextExpiryMicros();
-        registry.onStoreSeenSince(sinceMicros, timers.nowMicros());
+        registry.onStoreReachedSince(sinceMicros, timers.nowMicros());
         if (registry.nextExpiryMicros() < before) {
             expireRegistrations();
             scheduleExpiry();
--- a/entry/src/test/java/org/hyssophitch/entry/CalmHost.java
+++ b/entry/src/test/java/org/hyssophitch/entry/CalmHost.java
@@ -28,7 +28,7 @@
     }
 
     @Override
-    public void onStoreSeenSince(long sinceMicros) {
+    public void onStoreReachedSince(long sinceMicros) {
         // No registrations are watched.
     }
 
