A host keeps no earlier versions of an object

Seen: with 4,200 routes all hosts stopped following the configuration after some 25 versions, without a line in the log, and answered 404 for routes that later versions added. ChangeLog kept the last 512 changes with their decoded objects on every host; an OutOfMemoryError then ended the watch.

The history of the store now holds the name, revision and kind of the last change of each object, at most 64 KiB of it, and takes the content from the current objects: a host behind a relay that has missed several changes of an object needs only the last one. A host that isn't a relay keeps none.

Ruled out: intermediate changes are needed by nobody: ServerRegistry applies the last change of a batch per server, ConfigurationListener the last version. Hosts that become relays start with an empty history, as after a list; hosts that lag behind them then list.

--- a/core/src/main/java/org/hyssophitch/core/store/ChangeLog.java
+++ b/core/src/main/java/org/hyssophitch/core/store/ChangeLog.java
@@ -1,9 +1,8 @@
 package org.hyssophitch.core.store;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,22 +11,32 @@
  * The objects of one kind and their latest changes, kept by a host that watches the store so that other hosts can watch
  * through it. Not thread-safe; owned by the thread of its {@link KindWatcher}.
  *
+ * <p>The history holds names and revisions only; the content is that of the current objects, because a host that has
+ * missed several changes of an object needs the last one. So its size doesn't depend on that of the objects.
+ *
  * @param <T> type of the decoded value
  */
 public final class ChangeLog<T> {
 
-    /** Maximum number of changes kept; a host that is further behind lists the objects. */
-    private static final int MAX_CHANGES = 512;
+    /** Maximum size in bytes of the history; a host that is further behind lists the objects. */
+    private static final int MAX_HISTORY_BYTES = 65_536;
+    /** Approximate size in bytes of an entry of the history without its name. */
+    private static final int ENTRY_BYTES = 120;
     /** Age in microseconds of the last answer from the store up to which the log counts as current. */
     private static final long MAX_AGE_MICROS = 1_700_000;
 
-    private final Deque<StoreChanges<T>> batches = new ArrayDeque<>();
+    /** The last change of an object. */
+    private record LastChange(long revision, boolean isDeleted) {}
+
+    /** The last change of each object by name, oldest first. */
+    private final Map<String, LastChange> history = new LinkedHashMap<>();
+
     private Map<String, StoredObject<T>> objects = Map.of();
     private StorePosition start = StorePosition.NONE;
     private StorePosition end = StorePosition.NONE;
     private boolean isConfirmed;
     private long confirmedMicros;
-    private int size;
+    private int historyBytes;
     private Runnable observer = () -> {};
 
     /** Sets the observer, which is called after each change of the log or of its being current. */
@@ -50,9 +59,9 @@
         if (!position.isSameEpoch(end) || position.revision() < start.revision()) {
             return Optional.empty();
         }
-        List<StoreChanges.Change<T>> changes = batches.stream()
-                .filter(b -> b.position().revision() > position.revision())
-                .flatMap(b -> b.changes().stream())
+        List<StoreChanges.Change<T>> changes = history.entrySet().stream()
+                .filter(e -> e.getValue().revision() > position.revision())
+                .map(e -> change(e.getKey(), e.getValue()))
                 .toList();
         return Optional.of(new StoreChanges<>(changes, end));
     }
@@ -70,22 +79,27 @@
     /** Starts anew after the objects were listed. */
     void reset(Map<String, StoredObject<T>> listed, StorePosition position, long nowMicros) {
         objects = new HashMap<>(listed);
-        batches.clear();
-        size = 0;
-        start = position;
         end = position;
+        clearHistory();
         confirm(nowMicros);
     }
 
     /** Appends what a watch returned, which may be no change at all. */
     void append(StoreChanges<T> changes, long nowMicros) {
         end = end.max(changes.position());
-        if (!changes.changes().isEmpty()) {
-            batches.add(new StoreChanges<>(new ArrayList<>(changes.changes()), end));
-            size += changes.changes().size();
-            changes.changes().forEach(this::apply);
-            dropOldest();
-        }
+        changes.changes().forEach(c -> {
+            apply(c);
+            remember(c);
+        });
+        dropOldest();
+        confirm(nowMicros);
+    }
+
+    /** Applies what a watch returned without keeping a history, as no other host watches through this one. */
+    void applyWithoutHistory(StoreChanges<T> changes, long nowMicros) {
+        end = end.max(changes.position());
+        changes.changes().forEach(this::apply);
+        clearHistory();
         confirm(nowMicros);
     }
 
@@ -103,14 +117,39 @@
         }
     }
 
+    private void remember(StoreChanges.Change<T> change) {
+        String name = change.object().name();
+        LastChange earlier = history.remove(name);
+        historyBytes += earlier == null ? entryBytes(name) : 0;
+        history.put(name, new LastChange(end.revision(), change.isDeleted()));
+    }
+
     private void dropOldest() {
-        while (size > MAX_CHANGES) {
-            StoreChanges<T> oldest = batches.poll();
-            size -= oldest.changes().size();
-            start = oldest.position();
+        Iterator<Map.Entry<String, LastChange>> oldest = history.entrySet().iterator();
+        while (historyBytes > MAX_HISTORY_BYTES) {
+            Map.Entry<String, LastChange> e = oldest.next();
+            historyBytes -= entryBytes(e.getKey());
+            start = new StorePosition(end.epoch(), e.getValue().revision());
+            oldest.remove();
         }
     }
 
+    private void clearHistory() {
+        history.clear();
+        historyBytes = 0;
+        start = end;
+    }
+
+    private StoreChanges.Change<T> change(String name, LastChange last) {
+        StoredObject<T> object =
+                last.isDeleted() ? new StoredObject<>(name, last.revision(), Optional.empty()) : objects.get(name);
+        return new StoreChanges.Change<>(object, last.isDeleted());
+    }
+
+    private static int entryBytes(String name) {
+        return ENTRY_BYTES + name.length();
+    }
+
     private void confirm(long nowMicros) {
         isConfirmed = true;
         confirmedMicros = nowMicros;
--- a/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
+++ b/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
@@ -266,7 +266,11 @@
         }
         position = position.max(changes.position());
         onSuccess();
-        changeLog.append(changes, timers.nowMicros());
+        if (plan.pacing().get().isRelay()) {
+            changeLog.append(changes, timers.nowMicros());
+        } else {
+            changeLog.applyWithoutHistory(changes, timers.nowMicros());
+        }
         if (changes.changes().isEmpty()) {
             timers.after(WATCH_DELAY_MICROS, this::watch);
             return;
--- a/core/src/main/java/org/hyssophitch/core/store/WatchPacing.java
+++ b/core/src/main/java/org/hyssophitch/core/store/WatchPacing.java
@@ -31,6 +31,11 @@
         return batchDelayMicros;
     }
 
+    /** Returns whether other hosts watch through this one. */
+    public boolean isRelay() {
+        return this == RELAY || this == RELAY_RARE;
+    }
+
     /** Returns the pacing in the same role for objects that change rarely. */
     public WatchPacing forRareChanges() {
         return switch (this) {
--- a/core/src/test/java/org/hyssophitch/core/store/ChangeLogTest.java
+++ b/core/src/test/java/org/hyssophitch/core/store/ChangeLogTest.java
@@ -57,6 +57,52 @@
         assertTrue(names(log.since(at(300))).size() == 400);
     }
 
+    /** A host that kept each version of a large configuration ran out of memory. */
+    @Test
+    public void keepsOnlyTheLastVersionOfAnObject() {
+        for (int i = 1; i <= 200; i++) {
+            StoredObject<String> version = new StoredObject<>("a", 10 + i, Optional.of("version " + i));
+            log.append(new StoreChanges<>(List.of(new Change<>(version, false)), at(10 + i)), 0);
+        }
+        assertEquals(contents(log.since(at(10))), List.of("version 200"));
+        assertEquals(contents(log.since(at(209))), List.of("version 200"));
+        assertEquals(contents(log.since(at(210))), List.of());
+    }
+
+    /** Objects with long names must not make the history exceed its share of a small heap. */
+    @Test
+    public void boundsItsHistoryInBytes() {
+        String prefix = "n".repeat(1_000);
+        IntStream.rangeClosed(11, 211).forEach(i -> append(i, prefix + i));
+        assertTrue(log.since(at(10)).isEmpty());
+        assertEquals(names(log.since(at(210))), List.of(prefix + 211));
+    }
+
+    /** A host that isn't a relay would hold what nobody asks for. */
+    @Test
+    public void keepsNoHistoryForNobody() {
+        append(12, "b");
+        Change<String> change = new Change<>(object("c"), false);
+        log.applyWithoutHistory(new StoreChanges<>(List.of(change), at(14)), 0);
+        assertTrue(log.since(at(12)).isEmpty());
+        assertEquals(names(log.since(at(14))), List.of());
+        assertEquals(log.objects().size(), 3);
+        append(15, "d");
+        assertEquals(names(log.since(at(14))), List.of("d"));
+    }
+
+    /** A host that missed both must not take a server that is gone for a live one, or the other way round. */
+    @Test
+    public void tellsWhetherAnObjectWasDeletedOrWrittenLast() {
+        append(12, "b", "c");
+        log.append(new StoreChanges<>(List.of(new Change<>(object("b"), true)), at(13)), 0);
+        log.append(new StoreChanges<>(List.of(new Change<>(object("c"), true)), at(14)), 0);
+        append(15, "c");
+        List<Change<String>> changes = log.since(at(10)).orElseThrow().changes();
+        assertEquals(changes.stream().map(c -> c.object().name()).toList(), List.of("b", "c"));
+        assertEquals(changes.stream().map(Change::isDeleted).toList(), List.of(true, false));
+    }
+
     @Test
     public void keepsTheObjects() {
         append(12, "b");
@@ -88,6 +134,12 @@
                 .toList();
     }
 
+    private static List<String> contents(Optional<StoreChanges<String>> changes) {
+        return changes.orElseThrow().changes().stream()
+                .map(c -> c.object().value().orElseThrow())
+                .toList();
+    }
+
     private static StoredObject<String> object(String name) {
         return new StoredObject<>(name, 0, Optional.of(name));
     }
