A stopping host reports the requests that it leaves without an answer

Two reports of requests cut off at a stop could not be told apart: the log had no line about what a stopping host knew of each request when it ended, so a request taken late looked like a whole answer that waited behind another.

RequestAtStop names for each such request how far it had come, when it was taken, its attempts and its position on its connection; StopEnded sums them up. The lines have a limit of their own, as the failures of a stop come all at once, and the counter hyssophitch_stop_requests_total{state} drops none.

--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -116,6 +116,12 @@
         return state.calls().size();
     }
 
+    /** Returns whether an attempt of a call is in flight. */
+    public boolean isAtServer(long callId) {
+        ActiveCall call = state.calls().get(callId);
+        return call != null && !call.attempts().isEmpty();
+    }
+
     /** Returns whether a request that waits for a connection may be sent; only a removed API key forbids it. */
     public boolean maySend(long callId) {
         ActiveCall call = state.calls().get(callId);
--- a/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
+++ b/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
@@ -128,6 +128,43 @@
     /** The process entered a life-cycle stage: started, stopping or stopped. */
     record ProcessStage(String stage) implements EventBody {}
 
+    /**
+     * A stopping host refused a request because of the stop, or left it without a whole answer.
+     *
+     * @param takenMillis time in milliseconds from the begin of the stop to the request's arrival; negative if the
+     *     request arrived before the stop
+     * @param attempts attempts that were started
+     * @param position position among the unanswered requests of its connection, from 1
+     */
+    record RequestAtStop(State state, long takenMillis, int attempts, int position) implements EventBody {
+
+        /** How far the request had come. */
+        public enum State {
+            /** It was refused because of the stop. */
+            REFUSED,
+            /** Its body had not arrived. */
+            RECEIVING,
+            /** It waited for a backend server. */
+            WAITING_FOR_SERVER,
+            /** An attempt was in flight. */
+            AT_SERVER,
+            /** A part of its answer had been relayed. */
+            RELAYING,
+            /** Its whole answer waited behind that of an earlier request, or for a caller that reads slowly. */
+            ANSWER_WAITING
+        }
+    }
+
+    /**
+     * The process ends.
+     *
+     * @param millis time in milliseconds since the stop began
+     * @param refused requests that were refused because of the stop
+     * @param unfinished requests that were left without a whole answer
+     * @param unclosedConnections connections whose last bytes the callers may not have read
+     */
+    record StopEnded(long millis, int refused, int unfinished, int unclosedConnections) implements EventBody {}
+
     /** The platform's object API became reachable or unreachable. */
     record PlatformState(String state) implements EventBody {}
 
--- a/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
@@ -71,6 +71,12 @@
             .classicOnly()
             .classicUpperBounds(DURATION_BUCKETS_SECONDS)
             .register(registry);
+    private final Counter requestsAtStop = Counter.builder()
+            .name("hyssophitch_stop_requests_total")
+            .help(
+                    "requests refused because of the stop or left without a whole answer, by state")
+            .labelNames("state")
+            .register(registry);
     private final BoundedLabels teams = new BoundedLabels(MAX_TEAMS);
 
     PrometheusRegistry registry() {
@@ -115,6 +121,10 @@
         expectedWait.observe(expectedWaitMicros / MICROS_PER_SECOND);
     }
 
+    void onRequestAtStop(EventBody.RequestAtStop r) {
+        requestsAtStop.labelValues(r.state().name()).inc();
+    }
+
     private String teamLabel(String team) {
         return team.isEmpty() ? NO_TEAM : teams.label(team);
     }
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -65,12 +65,9 @@
     private static final int UNAVAILABLE = 503;
     /** TTL in seconds of a directory response; the settings may lower it. */
     private static final int ADDRESS_TTL_SECONDS = 2;
-    /** Fraction of the grace period during which a stopping host still accepts new requests. */
-    private static final double ACCEPT_FRACTION = 0.55;
-    /** Fraction of the grace period after which the process exits even if requests are still in flight. */
-    private static final double FORCED_EXIT_FRACTION = 0.95;
+    /** Time in milliseconds for the last messages to the other hosts and the store to leave. */
+    private static final long LEAVE_MILLIS = 50;
 
-    private static final long DRAIN_POLL_MILLIS = 50;
     private static final long STORE_POLL_MILLIS = 4;
     /** Maximum time in milliseconds that startup waits for the store before the front listens. */
     private static final long MAX_STORE_WAIT_MILLIS = 300;
@@ -224,25 +221,17 @@
         }
     }
 
-    /**
-     * Shuts down gracefully: reports not ready and deregisters, still accepts requests for a fraction of the grace
-     * period for callers that have this host's address cached, then stops listening and waits for in-flight requests.
-     */
+    /** Shuts down gracefully: reports not ready and deregisters, then ends the front and leaves the other hosts. */
     void stop() {
-        long startNanos = System.nanoTime();
+        GracefulStop stop = new GracefulStop(loop, front, log);
         isStopping = true;
         runOnLoop(this::beginStop);
-        double grace = settings.bounds().gracePeriodMillis();
-        Pause.millis((long) (grace * ACCEPT_FRACTION));
-        runOnLoop(front::stopListening);
-        while (EventLoops.call(loop, front::isBusy) && elapsedMillis(startNanos) < grace * FORCED_EXIT_FRACTION) {
-            Pause.millis(DRAIN_POLL_MILLIS);
-        }
+        stop.awaitEnd(settings.bounds().gracePeriodMillis());
         runOnLoop(() -> {
             peers.leave();
             recordStage("stopped");
         });
-        Pause.millis(DRAIN_POLL_MILLIS);
+        Pause.millis(LEAVE_MILLIS);
     }
 
     /** Applies the bounds of changed settings; changes to host, zone and addresses require a restart. */
--- a/entry/src/main/java/org/hyssophitch/entry/EntryRules.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryRules.java
@@ -7,8 +7,10 @@
 import org.hyssophitch.core.configuration.Route;
 import org.hyssophitch.core.entry.RequestRouter;
 import org.hyssophitch.core.team.Caller;
+import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.http.RequestRules;
 import org.hyssophitch.platform.PlatformHeaders;
+import org.hyssophitch.wire.concurrent.WallClock;
 
 /** Request rules on the platform: routes a request by host and path. Not thread-safe; confined to the event loop. */
 final class EntryRules implements RequestRules {
@@ -79,4 +81,9 @@
         }
         log.recordAnswer(requestId, team, reason, status, elapsedMicros, router.version());
     }
+
+    @Override
+    public void onStopped(String requestId, EventBody.RequestAtStop request) {
+        log.record(WallClock.nowMicros(), requestId, request);
+    }
 }
--- a/entry/src/main/java/org/hyssophitch/entry/EventLog.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EventLog.java
@@ -46,12 +46,15 @@
     private final EntryMetrics metrics;
     private final TokenBucket routineLimit;
     private final TokenBucket failureLimit;
+    /** Limit of their own for lines about requests at the stop, because the failures of a stop come all at once. */
+    private final TokenBucket stopLimit;
 
     EventLog(EntryMetrics metrics) {
         this.metrics = metrics;
         long now = WallClock.nowMicros();
         this.routineLimit = new TokenBucket(ROUTINE_LINES_PER_SECOND, ROUTINE_LINES_PER_SECOND * BURST_SECONDS, now);
         this.failureLimit = new TokenBucket(FAILURE_LINES_PER_SECOND, FAILURE_LINES_PER_SECOND * BURST_SECONDS, now);
+        this.stopLimit = new TokenBucket(FAILURE_LINES_PER_SECOND, FAILURE_LINES_PER_SECOND * BURST_SECONDS, now);
     }
 
     @Override
@@ -60,6 +63,9 @@
         if (body instanceof EventBody.LimitedServerUsed u) {
             metrics.onLimitedServerUsed(u.server(), u.cause());
         }
+        if (body instanceof EventBody.RequestAtStop r) {
+            metrics.onRequestAtStop(r);
+        }
         if (body instanceof EventBody.QuotaDecided q) {
             metrics.onQuotaDecided(q);
         }
@@ -70,6 +76,7 @@
                 switch (body) {
                     case EventBody.CallArrived b -> false;
                     case EventBody.CallAnswered b -> false;
+                    case EventBody.RequestAtStop b -> stopLimit.tryTake(1, nowMicros);
                     case EventBody.CallQueued b -> routineLimit.tryTake(1, nowMicros);
                     case EventBody.MemberChanged b
                     when b.state().equals(MemberState.ALIVE.name()) -> routineLimit.tryTake(1, nowMicros);
--- a/entry/src/test/java/org/hyssophitch/entry/DataPath.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -38,6 +38,7 @@
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.net.EventLoops;
 import org.hyssophitch.wire.net.FreePorts;
+import org.hyssophitch.wire.report.MetricsText;
 
 /** Test fixture: the data path with real sockets and a real call engine, in front of scripted servers. */
 final class DataPath implements AutoCloseable {
@@ -53,13 +54,13 @@
 
     private final EventLoopGroup group = EventLoops.create(1);
     private final EventLoop loop = (EventLoop) group.next();
+    private final EntryMetrics metrics = new EntryMetrics();
     private final RequestRouter router = new RequestRouter(new SplittableRandom(1));
     private final CallDispatcher dispatcher;
     private final FrontListener front;
     private final int port;
 
     DataPath(CallerLimits limits, ScriptedServer... servers) throws IOException {
-        EntryMetrics metrics = new EntryMetrics();
         EventLog log = new EventLog(metrics);
         EngineSettings settings =
                 new EngineSettings("h1", "z1", 1).withFleetLimits(new FleetLimits(0.2, 1_000, 1_000_000, 10_000, 1));
@@ -104,6 +105,11 @@
         return EventLoops.call(loop, front::busyConnections);
     }
 
+    /** Returns the metrics in the text format. */
+    String metrics() {
+        return MetricsText.of(metrics.registry());
+    }
+
     FrontListener front() {
         return front;
     }
--- a/http/src/main/java/org/hyssophitch/http/CallDispatcher.java
+++ b/http/src/main/java/org/hyssophitch/http/CallDispatcher.java
@@ -106,6 +106,11 @@
         return pools.connections();
     }
 
+    /** Returns whether an attempt of a call is in flight. */
+    boolean isAtServer(long callId) {
+        return engine.isAtServer(callId);
+    }
+
     /** Returns whether a request that waits for a connection may still be sent. */
     boolean maySend(long callId) {
         return engine.maySend(callId);
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -289,6 +289,15 @@
         return !exchanges.isEmpty() || unsent != null && unsent.totalPendingWriteBytes() > 0;
     }
 
+    /** Reports the requests without a wholly written response. */
+    void reportUnfinished() {
+        int position = 0;
+        for (CallerExchange exchange : exchanges) {
+            position++;
+            listener.onStopped(exchange, exchange.progress(), position);
+        }
+    }
+
     /** Resets the connection, so that an incomplete response can't look complete. */
     void abort() {
         isClosing = true;
@@ -310,6 +319,9 @@
     private void closeGracefully() {
         isClosing = true;
         context.flush();
+        if (listener.isStopping()) {
+            reportUnfinished();
+        }
         cancelAll();
         if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
             context.channel().config().setAutoRead(true);
--- a/http/src/main/java/org/hyssophitch/http/CallerExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerExchange.java
@@ -25,6 +25,7 @@
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.timeline.EventBody.RequestAtStop;
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.net.HttpReply;
 
@@ -49,6 +50,7 @@
     private final Deque<HttpObject> output = new ArrayDeque<>();
     private RequestRules.Verdict.Accepted accepted;
     private BackendAttempt relayed;
+    private int attemptsStarted;
     private int pendingBytes;
     private int status;
     private boolean isDispatched;
@@ -140,6 +142,7 @@
     void startAttempt(CallAction.StartAttempt action, BackendPools pools) {
         BackendAttempt attempt = new BackendAttempt(this, action, dispatcher);
         attempts.put(action.attempt(), attempt);
+        attemptsStarted++;
         attempt.start(pools);
     }
 
@@ -296,6 +299,29 @@
         return isOutputComplete && output.isEmpty();
     }
 
+    long arrivedMicros() {
+        return arrivedMicros;
+    }
+
+    /** Returns the number of attempts that were started. */
+    int attemptsStarted() {
+        return attemptsStarted;
+    }
+
+    /** Returns how far a request without a wholly written response has come. */
+    RequestAtStop.State progress() {
+        if (isOutputComplete) {
+            return RequestAtStop.State.ANSWER_WAITING;
+        }
+        if (relayed != null) {
+            return RequestAtStop.State.RELAYING;
+        }
+        if (!isDispatched) {
+            return RequestAtStop.State.RECEIVING;
+        }
+        return dispatcher.isAtServer(callId) ? RequestAtStop.State.AT_SERVER : RequestAtStop.State.WAITING_FOR_SERVER;
+    }
+
     private void add(HttpObject part) {
         output.add(part);
     }
--- a/http/src/main/java/org/hyssophitch/http/FrontListener.java
+++ b/http/src/main/java/org/hyssophitch/http/FrontListener.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -17,6 +18,8 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.hyssophitch.core.call.Reason;
+import org.hyssophitch.core.timeline.EventBody.RequestAtStop;
+import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.net.Binding;
 
 /**
@@ -34,6 +37,9 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel channel;
     private boolean isStopping;
+    private long stopMicros;
+    private int refusedAtStop;
+    private int unfinishedAtStop;
 
     /**
      * Creates a listener that isn't open yet.
@@ -70,6 +76,7 @@
     /** Announces in each response from now on that its connection will be closed. */
     public void beginStop() {
         isStopping = true;
+        stopMicros = WallClock.nowMicros();
     }
 
     /** Stops accepting connections and closes idle ones; the others close after their last response. */
@@ -96,6 +103,33 @@
         return connections.size();
     }
 
+    /** Reports the requests without a whole response, which are cut off if the process ends now. */
+    public void reportUnfinished() {
+        connections.forEach(CallerConnection::reportUnfinished);
+    }
+
+    /** Returns the number of requests that were refused because of the stop. */
+    public int refusedAtStop() {
+        return refusedAtStop;
+    }
+
+    /** Returns the number of requests that were reported as left without a whole response. */
+    public int unfinishedAtStop() {
+        return unfinishedAtStop;
+    }
+
+    /** Records what became of a request during the stop. */
+    void onStopped(CallerExchange exchange, RequestAtStop.State state, int position) {
+        if (state == RequestAtStop.State.REFUSED) {
+            refusedAtStop++;
+        } else {
+            unfinishedAtStop++;
+        }
+        long takenMillis = TimeUnit.MICROSECONDS.toMillis(exchange.arrivedMicros() - stopMicros);
+        rules.onStopped(
+                exchange.requestId(), new RequestAtStop(state, takenMillis, exchange.attemptsStarted(), position));
+    }
+
     boolean isStopping() {
         return isStopping;
     }
--- a/http/src/main/java/org/hyssophitch/http/RequestRules.java
+++ b/http/src/main/java/org/hyssophitch/http/RequestRules.java
@@ -4,6 +4,7 @@
 import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.configuration.CallerLimits;
+import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.wire.net.HttpReply;
 
 /**
@@ -84,4 +85,12 @@
      * @param elapsedMicros time in microseconds since the request was received
      */
     void onAnswered(String requestId, String team, Reason reason, int status, long elapsedMicros);
+
+    /**
+     * Records what became of a request at a host that stops.
+     *
+     * @param requestId id of the request
+     * @param request what became of it
+     */
+    void onStopped(String requestId, EventBody.RequestAtStop request);
 }
--- a/proxy/src/main/java/org/hyssophitch/proxy/CallRules.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/CallRules.java
@@ -9,6 +9,7 @@
 import org.hyssophitch.core.configuration.Route;
 import org.hyssophitch.core.entry.RequestRouter;
 import org.hyssophitch.core.team.Caller;
+import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.http.RequestRules;
 
 /**
@@ -57,6 +58,11 @@
         metrics.onAnswered(reason, elapsedMicros);
     }
 
+    @Override
+    public void onStopped(String requestId, EventBody.RequestAtStop request) {
+        metrics.onRequestAtStop(request);
+    }
+
     private Verdict authenticate(RequestHead head, boolean allowsAnonymous, Function<Caller, Verdict> call) {
         return router.teams()
                 .authenticate(HyssophitchHeaders.apiKeys(head.headers()), allowsAnonymous)
--- a/proxy/src/main/java/org/hyssophitch/proxy/ProxyMetrics.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/ProxyMetrics.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.hyssophitch.core.call.Reason;
+import org.hyssophitch.core.timeline.EventBody;
 
 /** Metrics of one proxy. Thread-safe. */
 final class ProxyMetrics {
@@ -24,6 +25,13 @@
             .classicUpperBounds(BUCKETS_SECONDS)
             .register(registry);
 
+    private final Counter requestsAtStop = Counter.builder()
+            .name("hyssophitch_stop_requests_total")
+            .help(
+                    "requests refused because of the stop or left without a whole answer, by state")
+            .labelNames("state")
+            .register(registry);
+
     PrometheusRegistry registry() {
         return registry;
     }
@@ -33,4 +41,9 @@
         calls.labelValues(reason.outcome().wireName(), reason.wireName()).inc();
         duration.observe(elapsedMicros / MICROS_PER_SECOND);
     }
+
+    /** Counts what became of a request during the stop. */
+    void onRequestAtStop(EventBody.RequestAtStop r) {
+        requestsAtStop.labelValues(r.state().name()).inc();
+    }
 }
