Report each server answer that is not taken as whole

Operators saw that an attempt was lost, and not why an answer was dropped or taken for whole; the only trace was an unbounded warning for answers to other requests. Each such answer is now one AnswerRejected event with the request's id, the server, the fault, the bytes seen and the number of requests that the connection had carried. Its log line shares the limit of failure lines; hyssophitch_rejected_answers_total counts all of them by fault.

--- a/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
@@ -53,6 +53,15 @@
         starter.startQueued(call.service(), e.nowMicros());
     }
 
+    /** Records an answer that was not taken as the whole answer to a request. */
+    void onAnswerRejected(CallEvent.AnswerRejected e) {
+        state.recorder()
+                .record(
+                        e.nowMicros(),
+                        e.requestId(),
+                        new EventBody.AnswerRejected(e.server(), e.fault().name(), e.bytes(), e.earlierRequests()));
+    }
+
     /** Handles the end of an attempt. */
     void onAttemptEnded(CallEvent.AttemptEnded e) {
         ActiveCall call = state.calls().get(e.callId());
--- a/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
@@ -42,6 +42,18 @@
             long nowMicros, long sentMicros, String server, AnswerSource source, List<ServerStatement> statements)
             implements CallEvent {}
 
+    /**
+     * An answer of a backend server was not taken as the whole answer to a request.
+     *
+     * @param requestId id of the request that was in flight on the connection; empty without one
+     * @param server name of the server
+     * @param bytes number of bytes that were received since that request was sent
+     * @param earlierRequests number of requests that the connection had carried before
+     */
+    record AnswerRejected(
+            long nowMicros, String requestId, String server, AnswerFault fault, long bytes, int earlierRequests)
+            implements CallEvent {}
+
     /** Other entry hosts told what they have heard of rate limits that backend servers state. */
     record LimitNewsReceived(long nowMicros, List<LimitNews> news) implements CallEvent {}
 
--- a/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
+++ b/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
@@ -48,6 +48,15 @@
     /** An attempt ended. */
     record AttemptEnded(int attempt, String server, String result, long elapsedMicros) implements EventBody {}
 
+    /**
+     * An answer of a backend server was not taken as the whole answer to a request.
+     *
+     * @param fault why it was not taken
+     * @param bytes number of bytes that were received since the request was sent
+     * @param earlierRequests number of requests that the connection had carried before
+     */
+    record AnswerRejected(String server, String fault, long bytes, int earlierRequests) implements EventBody {}
+
     /** The final answer was sent to the caller. */
     record CallAnswered(String outcome, String reason, int attempts, long elapsedMicros) implements EventBody {}
 
--- a/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
@@ -48,6 +48,12 @@
             .labelNames("server", "cause")
             .register(registry);
 
+    private final Counter rejectedAnswers = Counter.builder()
+            .name("hyssophitch_rejected_answers_total")
+            .help("answers of backend servers that were not taken as the whole answer to a request, by fault")
+            .labelNames("fault")
+            .register(registry);
+
     private final Counter teamRefusals = Counter.builder()
             .name("hyssophitch_team_refusals_total")
             .help("requests without a server's answer, by the caller's team and reason")
@@ -100,6 +106,10 @@
         events.labelValues(type).inc();
     }
 
+    void onAnswerRejected(String fault) {
+        rejectedAnswers.labelValues(fault).inc();
+    }
+
     void onLimitedServerUsed(String server, String cause) {
         limitedServerAttempts.labelValues(server, cause).inc();
     }
--- a/entry/src/main/java/org/hyssophitch/entry/EventLog.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EventLog.java
@@ -66,6 +66,9 @@
         if (body instanceof EventBody.CallForecastRejected r) {
             metrics.onForecastRejected(r.service(), r.team(), r.expectedWaitMicros());
         }
+        if (body instanceof EventBody.AnswerRejected r) {
+            metrics.onAnswerRejected(r.fault());
+        }
         boolean isLogged =
                 switch (body) {
                     case EventBody.CallArrived b -> false;
@@ -74,6 +77,7 @@
                     case EventBody.MemberChanged b
                     when b.state().equals(MemberState.ALIVE.name()) -> routineLimit.tryTake(1, nowMicros);
                     case EventBody.CallForecastRejected b -> failureLimit.tryTake(1, nowMicros);
+                    case EventBody.AnswerRejected b -> failureLimit.tryTake(1, nowMicros);
                     case EventBody.HedgeSkipped b -> routineLimit.tryTake(1, nowMicros);
                     case EventBody.QuotaOwnerChanged b -> routineLimit.tryTake(1, nowMicros);
                     case EventBody.QuotaDecided b when b.decision().equals(EventBody.QuotaDecided.GRANTED) -> false;
--- a/entry/src/test/java/org/hyssophitch/entry/DataPath.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -38,6 +38,7 @@
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.net.EventLoops;
 import org.hyssophitch.wire.net.FreePorts;
+import org.hyssophitch.wire.report.MetricsText;
 
 /** Test fixture: the data path with real sockets and a real call engine, in front of scripted servers. */
 final class DataPath implements AutoCloseable {
@@ -51,6 +52,7 @@
 
     private static final int READ_TIMEOUT_MILLIS = 5_000;
 
+    private final EntryMetrics metrics = new EntryMetrics();
     private final EventLoopGroup group = EventLoops.create(1);
     private final EventLoop loop = (EventLoop) group.next();
     private final RequestRouter router = new RequestRouter(new SplittableRandom(1));
@@ -59,7 +61,6 @@
     private final int port;
 
     DataPath(CallerLimits limits, ScriptedServer... servers) throws IOException {
-        EntryMetrics metrics = new EntryMetrics();
         EventLog log = new EventLog(metrics);
         EngineSettings settings =
                 new EngineSettings("h1", "z1", 1).withFleetLimits(new FleetLimits(0.2, 1_000, 1_000_000, 10_000, 1));
@@ -112,6 +113,11 @@
         return dispatcher;
     }
 
+    /** Returns the metrics as they are read at the metrics address. */
+    String metrics() throws IOException {
+        return MetricsText.of(metrics.registry());
+    }
+
     Socket connect() throws IOException {
         Socket s = new Socket("127.0.0.1", port);
         s.setSoTimeout(READ_TIMEOUT_MILLIS);
--- a/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.hyssophitch.core.call.AnswerFault;
 import org.hyssophitch.core.call.AttemptResult;
 import org.hyssophitch.core.call.AttemptResult.LostCause;
 import org.hyssophitch.core.call.AttemptResult.NotRunCause;
@@ -98,6 +99,11 @@
         }
     }
 
+    @Override
+    public String requestId() {
+        return exchange.requestId();
+    }
+
     @Override
     public boolean isExpectedResponse(HttpResponse candidate) {
         return action.isForward()
@@ -193,6 +199,9 @@
         }
         isMisleadingStatus =
                 notRunCause.isEmpty() && dispatcher.headerConventions().impliesNotRun(status);
+        if (isMisleadingStatus) {
+            connection.reject(AnswerFault.UNTRUSTED_REFUSAL);
+        }
     }
 
     private void reportStatements(HttpResponse response, long now) {
--- a/http/src/main/java/org/hyssophitch/http/BackendConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendConnection.java
@@ -5,6 +5,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -13,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import org.hyssophitch.core.call.AnswerFault;
 import org.tinylog.Logger;
 
 /**
@@ -42,6 +45,9 @@
     private boolean isClosing;
     private boolean isTruncated;
     private boolean isRequestWritten;
+    private boolean isRejected;
+    private long receivedBytes;
+    private int requests;
 
     BackendConnection(BackendPool pool) {
         super(false);
@@ -60,6 +66,9 @@
         exchange = newExchange;
         hasResponseHead = false;
         isRequestWritten = false;
+        isRejected = false;
+        receivedBytes = 0;
+        requests++;
         newExchange.onConnected(this);
     }
 
@@ -68,6 +77,23 @@
         isRequestWritten = true;
     }
 
+    /** Records that bytes arrived. */
+    void onBytes(int count) {
+        receivedBytes += count;
+    }
+
+    /** Reports that the current answer is not taken as the whole answer to a request; does so once for each request. */
+    void reject(AnswerFault fault) {
+        if (!isRejected) {
+            isRejected = true;
+            pool.onAnswerRejected(
+                    exchange == null ? "" : exchange.requestId(),
+                    fault,
+                    receivedBytes,
+                    exchange == null ? requests : requests - 1);
+        }
+    }
+
     /** Cancels the current exchange by closing the connection, which tells the server to stop the work. */
     void cancel() {
         exchange = null;
@@ -93,7 +119,7 @@
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         if (exchange == null || message.decoderResult().isFailure()) {
             ReferenceCountUtil.release(message);
-            isTruncated |= message.decoderResult().isFailure();
+            onUnusable(message.decoderResult());
             context.close();
             return;
         }
@@ -105,6 +131,15 @@
         }
     }
 
+    private void onUnusable(DecoderResult result) {
+        if (!isClosing && !isTruncated) {
+            boolean isCutOff = result.cause() instanceof PrematureChannelClosureException;
+            AnswerFault fault = isCutOff ? AnswerFault.CUT_OFF : AnswerFault.MALFORMED;
+            reject(exchange == null ? AnswerFault.UNSOLICITED : fault);
+        }
+        isTruncated |= result.isFailure();
+    }
+
     private void onResponseHead(HttpResponse head) {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             isDiscarding = true;
@@ -113,9 +148,7 @@
         isDiscarding = !exchange.isExpectedResponse(head);
         if (isDiscarding) {
             isClosing = true;
-            Logger.warn(
-                    "server {} sent a response that belongs to another request; closing the connection",
-                    pool.serverName());
+            reject(AnswerFault.FOREIGN);
             return;
         }
         hasResponseHead = true;
@@ -192,6 +225,9 @@
         }
         pool.remove(this);
         if (exchange != null) {
+            if (receivedBytes > 0) {
+                reject(isTruncated ? AnswerFault.RESET : AnswerFault.CUT_OFF);
+            }
             BackendExchange interrupted = exchange;
             exchange = null;
             interrupted.onConnectionLost(hasResponseHead);
--- a/http/src/main/java/org/hyssophitch/http/BackendExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendExchange.java
@@ -9,6 +9,9 @@
  */
 interface BackendExchange {
 
+    /** Returns the id of the request; empty without one. */
+    String requestId();
+
     /** Returns whether a response belongs to this exchange; other responses are discarded. */
     boolean isExpectedResponse(HttpResponse head);
 
--- a/http/src/main/java/org/hyssophitch/http/BackendPool.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendPool.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -15,7 +16,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import org.hyssophitch.core.call.AnswerFault;
+import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.wire.concurrent.WallClock;
 
 /**
  * Connection pool of one backend server. Not thread-safe; confined to one event loop.
@@ -36,19 +40,27 @@
 
     private final BackendServer server;
     private final EventLoop loop;
+    private final Consumer<CallEvent> events;
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<BackendConnection> all = new HashSet<>();
     private boolean isClosed;
 
-    BackendPool(BackendServer server, EventLoop loop) {
+    BackendPool(BackendServer server, EventLoop loop, Consumer<CallEvent> events) {
         this.server = server;
         this.loop = loop;
+        this.events = events;
     }
 
     String serverName() {
         return server.name();
     }
 
+    /** Reports an answer that was not taken as the whole answer to a request. */
+    void onAnswerRejected(String requestId, AnswerFault fault, long bytes, int earlierRequests) {
+        events.accept(new CallEvent.AnswerRejected(
+                WallClock.nowMicros(), requestId, server.name(), fault, bytes, earlierRequests));
+    }
+
     /** Returns whether a server has the address that this pool connects to. */
     boolean hasAddressOf(BackendServer other) {
         return server.host().equals(other.host()) && server.port() == other.port();
@@ -109,7 +121,10 @@
                     @Override
                     protected void initChannel(Channel c) {
                         TcpKeepAlive.enable(c);
-                        c.pipeline().addLast(codec()).addLast(connection);
+                        c.pipeline()
+                                .addLast(new BackendInput(connection))
+                                .addLast(codec())
+                                .addLast(connection);
                     }
                 })
                 .connect(server.host(), server.port());
--- a/http/src/main/java/org/hyssophitch/http/BackendPools.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendPools.java
@@ -3,18 +3,27 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
+import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.configuration.BackendServer;
 
 /** Connection pools of all backend servers, by server name. Not thread-safe; confined to one event loop. */
 final class BackendPools {
 
     private final EventLoop loop;
+    private final Consumer<CallEvent> events;
     private final Map<String, BackendPool> pools = new HashMap<>();
 
-    BackendPools(EventLoop loop) {
+    /**
+     * Creates the pools without a connection.
+     *
+     * @param events receives what is noticed about the answers of the servers
+     */
+    BackendPools(EventLoop loop, Consumer<CallEvent> events) {
         this.loop = loop;
+        this.events = events;
     }
 
     /** Returns the pool of a server. If the server's address has changed, the pool of the old address is closed. */
@@ -26,7 +35,7 @@
         if (existing != null) {
             existing.close();
         }
-        BackendPool created = new BackendPool(server, loop);
+        BackendPool created = new BackendPool(server, loop, events);
         pools.put(server.name(), created);
         return created;
     }
--- a/http/src/main/java/org/hyssophitch/http/CallDispatcher.java
+++ b/http/src/main/java/org/hyssophitch/http/CallDispatcher.java
@@ -63,7 +63,7 @@
         this.engine = engine;
         this.loop = loop;
         this.headerConventions = headerConventions;
-        this.pools = new BackendPools(loop);
+        this.pools = new BackendPools(loop, this::handle);
         this.loadProber = new LoadProber(this, pools, headerConventions, loop);
         this.responseBufferBytes = responseBufferBytes;
         this.fleetNews = fleetNews;
--- a/http/src/main/java/org/hyssophitch/http/LoadProber.java
+++ b/http/src/main/java/org/hyssophitch/http/LoadProber.java
@@ -67,6 +67,11 @@
             this.timer = loop.schedule(this::onTimeout, PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }
 
+        @Override
+        public String requestId() {
+            return "";
+        }
+
         /** A response with a request id belongs to an earlier request, because a probe is sent without an id. */
         @Override
         public boolean isExpectedResponse(HttpResponse head) {
