--- a/entry/src/test/java/org/hyssophitch/entry/DataPath.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -52,6 +52,7 @@
 
     private static final int READ_TIMEOUT_MILLIS = 5_000;
 
+    private final EntryMetrics metrics = new EntryMetrics();
     private final EventLoopGroup group = EventLoops.create(1);
     private final EventLoop loop = (EventLoop) group.next();
     private final EntryMetrics metrics = new EntryMetrics();
@@ -118,6 +119,11 @@
         return dispatcher;
     }
 
+    /** Returns the metrics as they are read at the metrics address. */
+    String metrics() throws IOException {
+        return MetricsText.of(metrics.registry());
+    }
+
     Socket connect() throws IOException {
         Socket s = new Socket("127.0.0.1", port);
         s.setSoTimeout(READ_TIMEOUT_MILLIS);
