Log and count objects of the store that can't be used

An object that a host couldn't decode was logged as free text at each list and watch, for servers and entry hosts with the parser's message, which quotes the content. Nothing counted them, and nothing told how long ago a host had last decoded an answer about a kind, so that a host that had stopped following one looked like one at rest.

ObjectKind.decode now throws a typed exception whose message names the field or the place and quotes nothing. InvalidObjectLog records an object when it is first seen and when its revision or problem changes (StoreObjectIgnored, hyssophitch_store_objects_ignored_total{kind}); it remembers 1,000 objects. hyssophitch_store_answer_age_seconds{kind} is the age of the last decoded answer, of the store or of a relay. It lacks the entry hosts' own objects, which no watcher follows.

The tests of malformed values expect the exception where they expected an empty value; the one about keys now also checks its message and that it has no cause.

--- a/core/src/main/java/org/hyssophitch/core/store/ChangeLog.java
+++ b/core/src/main/java/org/hyssophitch/core/store/ChangeLog.java
@@ -67,6 +67,11 @@
         return isConfirmed && nowMicros - confirmedMicros <= MAX_AGE_MICROS;
     }
 
+    /** Returns the time in microseconds at which an answer of the store or of a relay was last decoded; 0 before. */
+    public long confirmedMicros() {
+        return confirmedMicros;
+    }
+
     /** Starts anew after the objects were listed. */
     void reset(Map<String, StoredObject<T>> listed, StorePosition position, long nowMicros) {
         objects = new HashMap<>(listed);
--- a/core/src/main/java/org/hyssophitch/core/store/ObjectKind.java
+++ b/core/src/main/java/org/hyssophitch/core/store/ObjectKind.java
@@ -1,7 +1,5 @@
 package org.hyssophitch.core.store;
 
-import java.util.Optional;
-
 /**
  * One kind of object in the platform's store and the codec of its values. Implementations are stateless.
  *
@@ -12,8 +10,12 @@
     /** Returns the name of the kind, which is part of its URL. */
     String name();
 
-    /** Decodes a value; empty when it is malformed. */
-    Optional<T> decode(String objectName, byte[] value);
+    /**
+     * Decodes a value.
+     *
+     * @throws InvalidObjectException if it can't be used
+     */
+    T decode(String objectName, byte[] value) throws InvalidObjectException;
 
     /**
      * Encodes a value.
--- a/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
+++ b/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
@@ -131,6 +131,14 @@
     /** The platform's object API became reachable or unreachable. */
     record PlatformState(String state) implements EventBody {}
 
+    /**
+     * An object of the platform's store is ignored because it can't be used.
+     *
+     * @param name name of the object; empty when it is unreadable
+     * @param problem what is wrong with it
+     */
+    record StoreObjectIgnored(String kind, String name, String problem) implements EventBody {}
+
     /**
      * State of a candidate server when the choice was made.
      *
--- a/core/src/test/java/org/hyssophitch/core/store/KindWatcherTest.java
+++ b/core/src/test/java/org/hyssophitch/core/store/KindWatcherTest.java
@@ -30,8 +30,8 @@
         }
 
         @Override
-        public Optional<String> decode(String objectName, byte[] value) {
-            return Optional.of(new String(value));
+        public String decode(String objectName, byte[] value) {
+            return new String(value);
         }
 
         @Override
--- a/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
@@ -1,6 +1,8 @@
 package org.hyssophitch.entry;
 
+import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
@@ -71,6 +73,11 @@
             .classicOnly()
             .classicUpperBounds(DURATION_BUCKETS_SECONDS)
             .register(registry);
+    private final Counter ignoredObjects = Counter.builder()
+            .name("hyssophitch_store_objects_ignored_total")
+            .help("objects of the store that were found to be unusable, when first seen or changed, by kind")
+            .labelNames("kind")
+            .register(registry);
     private final BoundedLabels teams = new BoundedLabels(MAX_TEAMS);
 
     PrometheusRegistry registry() {
@@ -86,6 +93,16 @@
                 .register(registry);
     }
 
+    /** Registers the ages in seconds of the last decoded answers about the store, which are read at each scrape. */
+    void registerStoreAges(Supplier<Map<String, Double>> agesByKind) {
+        GaugeWithCallback.builder()
+                .name("hyssophitch_store_answer_age_seconds")
+                .help("age of the last decoded answer of the store or of a relay by kind")
+                .labelNames("kind")
+                .callback(c -> agesByKind.get().forEach((kind, age) -> c.call(age, kind)))
+                .register(registry);
+    }
+
     void onAnswered(Reason reason, long elapsedMicros) {
         requests.labelValues(reason.outcome().wireName(), reason.wireName()).inc();
         duration.observe(elapsedMicros / MICROS_PER_SECOND);
@@ -119,6 +136,11 @@
         return team.isEmpty() ? NO_TEAM : teams.label(team);
     }
 
+    /** Counts an object of the store that can't be used. */
+    void onObjectIgnored(String kind) {
+        ignoredObjects.labelValues(kind).inc();
+    }
+
     void onDroppedLine() {
         droppedLines.inc();
     }
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -118,7 +118,8 @@
                         Addresses.parse(settings.storeAddress()),
                         STORE_CONNECT_TIMEOUT_MILLIS,
                         TcpKeepAlive::enable),
-                this::onStoreEpoch);
+                this::onStoreEpoch,
+                new InvalidObjectLog(metrics, log)::onInvalid);
         storeRelay = new StoreRelay(settings, loop, timers, peers::live);
         ServerKind servers = new ServerKind();
         RelayCodec<RegisteredServer> registrationCodec = new RelayedRegistrationCodec();
@@ -214,6 +215,7 @@
                 dispatcher::coldServers);
         metrics.registerGauge(
                 "hyssophitch_configuration_version", "version of the configuration in force", router::version);
+        metrics.registerStoreAges(storeRelay::answerAgesSeconds);
     }
 
     /** Delays opening the front, because requests that arrive before the first store response would be rejected. */
--- a/entry/src/main/java/org/hyssophitch/entry/EventLog.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EventLog.java
@@ -73,6 +73,7 @@
                     case EventBody.CallQueued b -> routineLimit.tryTake(1, nowMicros);
                     case EventBody.MemberChanged b
                     when b.state().equals(MemberState.ALIVE.name()) -> routineLimit.tryTake(1, nowMicros);
+                    case EventBody.StoreObjectIgnored b -> failureLimit.tryTake(1, nowMicros);
                     case EventBody.CallForecastRejected b -> failureLimit.tryTake(1, nowMicros);
                     case EventBody.HedgeSkipped b -> routineLimit.tryTake(1, nowMicros);
                     case EventBody.QuotaOwnerChanged b -> routineLimit.tryTake(1, nowMicros);
--- a/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
+++ b/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 import org.hyssophitch.core.entry.EntrySettings;
@@ -30,6 +31,7 @@
 final class StoreRelay {
 
     private static final int MISDIRECTED = 421;
+    private static final double MICROS_PER_SECOND = 1_000_000;
 
     private final RelaySelector selector;
     private final RelayClients clients;
@@ -76,6 +78,17 @@
         return kind.handle(request);
     }
 
+    /** Returns the age in seconds of the last decoded answer of the store or of a relay by kind. */
+    Map<String, Double> answerAgesSeconds() {
+        long now = timers.nowMicros();
+        return served.entrySet().stream()
+                .filter(e -> e.getValue().watcher().changeLog().confirmedMicros() > 0)
+                .collect(Collectors.toMap(Map.Entry::getKey, e -> {
+                    long micros = now - e.getValue().watcher().changeLog().confirmedMicros();
+                    return micros / MICROS_PER_SECOND;
+                }));
+    }
+
     private <T> RelayedSource<T> source(ObjectStore store, ObjectKind<T> kind, RelayCodec<T> codec) {
         ChangeSource<T> direct = ChangeSource.of(store, kind);
         RelayedSource<T> source = new RelayedSource<>(
--- a/wire/src/main/java/org/hyssophitch/wire/json/Json.java
+++ b/wire/src/main/java/org/hyssophitch/wire/json/Json.java
@@ -3,12 +3,14 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.hyssophitch.core.store.InvalidObjectException;
 
 /** Helpers for reading and writing JSON. Stateless. */
 public final class Json {
@@ -46,6 +48,19 @@
         return MAPPER.readTree(body);
     }
 
+    /**
+     * Parses a JSON text and converts it.
+     *
+     * @throws InvalidObjectException if it is malformed, or the conversion finds a field that is
+     */
+    public static <T> T decode(byte[] body, Function<JsonNode, T> converter) throws InvalidObjectException {
+        try {
+            return converter.apply(parse(body));
+        } catch (IOException | RuntimeException e) {
+            throw new InvalidObjectException(describe(e));
+        }
+    }
+
     /** Serializes a JSON tree. */
     public static byte[] bytes(JsonNode node) {
         try {
