--- a/entry/src/test/java/org/hyssophitch/entry/DataPath.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -55,7 +55,6 @@
     private final EntryMetrics metrics = new EntryMetrics();
     private final EventLoopGroup group = EventLoops.create(1);
     private final EventLoop loop = (EventLoop) group.next();
-    private final EntryMetrics metrics = new EntryMetrics();
     private final RequestRouter router = new RequestRouter(new SplittableRandom(1));
     private final CallDispatcher dispatcher;
     private final FrontListener front;
@@ -119,11 +118,6 @@
         return dispatcher;
     }
 
-    /** Returns the metrics as they are read at the metrics address. */
-    String metrics() throws IOException {
-        return MetricsText.of(metrics.registry());
-    }
-
     Socket connect() throws IOException {
         Socket s = new Socket("127.0.0.1", port);
         s.setSoTimeout(READ_TIMEOUT_MILLIS);
