Take an answer without a length as whole only after an orderly end

Only a failed read marked the answer as cut off; a write that notices the reset first closes the channel without one, and the decoder takes any closed channel for the end of such an answer.

Channels to servers now allow half-closure, so that the orderly end of the input is an event of its own. A handler ahead of the decoder records it; a channel that becomes inactive without it has lost its input. The connection closes as soon as its input has ended and is not reused meanwhile.

--- a/entry/src/test/java/org/hyssophitch/entry/ScriptedServer.java
+++ b/entry/src/test/java/org/hyssophitch/entry/ScriptedServer.java
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -30,6 +31,8 @@
         boolean respond(Request request, Socket connection) throws IOException, InterruptedException;
     }
 
+    private static final int DEFAULT_RECEIVE_BYTES = 131_072;
+
     private final ServerSocket socket;
     private final List<Request> requests = new CopyOnWriteArrayList<>();
     private final AtomicInteger connections = new AtomicInteger();
@@ -41,8 +44,20 @@
     private volatile int healthStatus = 200;
 
     ScriptedServer(Script script) throws IOException {
+        this(script, DEFAULT_RECEIVE_BYTES);
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param receiveBytes size in bytes of the receive buffer of its connections; with a small one, a sender of a long
+     *     body has to wait soon
+     */
+    ScriptedServer(Script script, int receiveBytes) throws IOException {
         this.script = script;
-        socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        socket = new ServerSocket();
+        socket.setReceiveBufferSize(receiveBytes);
+        socket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 50);
         Thread.startVirtualThread(this::accept);
     }
 
--- a/http/src/main/java/org/hyssophitch/http/BackendConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendConnection.java
@@ -5,8 +5,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderResult;
-import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -43,7 +43,9 @@
     private boolean hasResponseHead;
     private boolean isDiscarding;
     private boolean isClosing;
-    private boolean isTruncated;
+    private boolean isInputEnded;
+    private boolean isInputLost;
+    private boolean isMalformed;
     private boolean isRequestWritten;
     private boolean isRejected;
     private long receivedBytes;
@@ -82,6 +84,18 @@
         receivedBytes += count;
     }
 
+    /** Records that the server has ended its output in an orderly way; no request may be sent from now on. */
+    void onInputEnded() {
+        isInputEnded = !isInputLost;
+        isClosing = true;
+    }
+
+    /** Records that the channel was closed or failed; without an orderly end before it, an answer is cut off. */
+    void onInputLost() {
+        isInputLost = !isInputEnded;
+        isClosing = true;
+    }
+
     /** Reports that the current answer is not taken as the whole answer to a request; does so once for each request. */
     void reject(AnswerFault fault) {
         if (!isRejected) {
@@ -132,12 +146,12 @@
     }
 
     private void onUnusable(DecoderResult result) {
-        if (!isClosing && !isTruncated) {
-            boolean isCutOff = result.cause() instanceof PrematureChannelClosureException;
-            AnswerFault fault = isCutOff ? AnswerFault.CUT_OFF : AnswerFault.MALFORMED;
-            reject(exchange == null ? AnswerFault.UNSOLICITED : fault);
+        isMalformed |= result.isFailure();
+        if (exchange == null && !isClosing) {
+            reject(AnswerFault.UNSOLICITED);
+        } else if (exchange != null && !isInputEnded && !isInputLost) {
+            reject(AnswerFault.MALFORMED);
         }
-        isTruncated |= result.isFailure();
     }
 
     private void onResponseHead(HttpResponse head) {
@@ -164,7 +178,7 @@
             return;
         }
         boolean isLast = content instanceof LastHttpContent;
-        if (isLast && isTruncated) {
+        if (isLast && (isInputLost || isMalformed)) {
             content.release();
             return;
         }
@@ -206,13 +220,17 @@
         }
     }
 
-    /**
-     * Records the failure before the decoder emits its final content, so that a reset doesn't make a response without a
-     * stated length look complete.
-     */
+    /** Closes the connection: after the orderly end of its input, no further answer can arrive. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            context.close();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        isTruncated = true;
+        isMalformed = true;
         Logger.debug("connection to server {} failed: {}", pool.serverName(), cause.toString());
         context.close();
     }
@@ -226,7 +244,7 @@
         pool.remove(this);
         if (exchange != null) {
             if (receivedBytes > 0) {
-                reject(isTruncated ? AnswerFault.RESET : AnswerFault.CUT_OFF);
+                reject(isInputLost ? AnswerFault.RESET : AnswerFault.CUT_OFF);
             }
             BackendExchange interrupted = exchange;
             exchange = null;
--- a/http/src/main/java/org/hyssophitch/http/BackendPool.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendPool.java
@@ -117,6 +117,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
