An action that fails leaves the others alone and ends its attempt

Callers of a service whose only server had registered a port above 65,535 got 504 when their timeout had passed, though nothing had been sent. The same came from an instance id that can't be written into a header.

CallDispatcher.handleOne ran all actions of an event in one try block: one that threw dropped the rest of them, and the engine waited for the attempt until its deadline. An exception while the request's head was written on a new connection went to Netty's future listener with the same effect.

Each action now runs alone. An attempt whose start fails ends as not run while it has no connection, and as lost after, since bytes may have left; its connection is closed then. Failures are logged with 10 lines a second at most.

--- a/entry/src/test/java/org/hyssophitch/entry/DataPath.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -88,6 +88,12 @@
         runOnLoop(() -> dispatcher.handle(new CallEvent.ServersRegistered(WallClock.nowMicros(), registered)));
     }
 
+    /** Registers exactly the given servers. */
+    void register(RegisteredServer... servers) {
+        Map<String, List<RegisteredServer>> registered = Map.of("svc", List.of(servers));
+        runOnLoop(() -> dispatcher.handle(new CallEvent.ServersRegistered(WallClock.nowMicros(), registered)));
+    }
+
     /** Accepts a configuration that differs from the first one in its version and its teams. */
     void configure(long version, Team... teams) {
         Configuration c = configuration(LIMITS).withVersion(version).withTeams(List.of(teams));
--- a/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
@@ -75,6 +75,19 @@
         }
     }
 
+    /** Ends the attempt after a failure of this host; the server may have got part of the request once connected. */
+    void fail() {
+        if (isEnded) {
+            return;
+        }
+        if (connection == null) {
+            onConnectFailed();
+        } else {
+            connection.cancel();
+            end(new AttemptResult.Lost(LostCause.CONNECTION_LOST));
+        }
+    }
+
     /** Relays the buffered part of the response to the caller, and everything received from now on. */
     void relay() {
         isRelaying = true;
@@ -126,9 +139,18 @@
             return;
         }
         sentMicros = now;
-        newConnection.channel().write(requestHead((action.deadlineMicros() - now) / MICROS_PER_MILLI));
+        try {
+            send(now);
+        } catch (RuntimeException e) {
+            dispatcher.onActionFailed(action, e);
+            fail();
+        }
+    }
+
+    private void send(long now) {
+        connection.channel().write(requestHead((action.deadlineMicros() - now) / MICROS_PER_MILLI));
         exchange.sendBody(this);
-        newConnection.channel().flush();
+        connection.channel().flush();
     }
 
     @Override
--- a/http/src/main/java/org/hyssophitch/http/CallDispatcher.java
+++ b/http/src/main/java/org/hyssophitch/http/CallDispatcher.java
@@ -13,6 +13,7 @@
 import org.hyssophitch.core.call.CallEngine;
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.call.FleetNews;
+import org.hyssophitch.core.load.TokenBucket;
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.tinylog.Logger;
 
@@ -31,6 +32,9 @@
     /** Value of {@code responseBufferBytes} that relays each piece of a response to the caller immediately. */
     public static final int NO_RESPONSE_BUFFERING = 0;
 
+    /** Rate limit of log lines about actions that failed. */
+    private static final double FAILURE_LINES_PER_SECOND = 10;
+
     private final CallEngine engine;
     private final EventLoop loop;
     private final HeaderConventions headerConventions;
@@ -40,6 +44,8 @@
     private final FleetNews fleetNews;
     private final Map<Long, CallerExchange> exchanges = new HashMap<>();
     private final Deque<CallEvent> pendingEvents = new ArrayDeque<>();
+    private final TokenBucket failureLines =
+            new TokenBucket(FAILURE_LINES_PER_SECOND, FAILURE_LINES_PER_SECOND, WallClock.nowMicros());
     private ScheduledFuture<?> timer;
     private long timerMicros = Long.MAX_VALUE;
     private long lastCallId;
@@ -138,7 +144,7 @@
 
     private void handleOne(CallEvent event) {
         try {
-            engine.handle(event).forEach(this::execute);
+            engine.handle(event).forEach(this::executeAlone);
             if (event instanceof CallEvent.ServersRegistered || event instanceof CallEvent.ConfigurationAccepted) {
                 pools.retain(engine.servers().keySet());
             }
@@ -147,6 +153,25 @@
         }
     }
 
+    /** Executes an action so that its failure leaves the other actions of the event alone. */
+    private void executeAlone(CallAction action) {
+        try {
+            execute(action);
+        } catch (RuntimeException e) {
+            onActionFailed(action, e);
+            if (action instanceof CallAction.StartAttempt a) {
+                withExchange(a.callId(), x -> x.failAttempt(a.attempt()));
+            }
+        }
+    }
+
+    /** Logs that an action failed. */
+    void onActionFailed(CallAction action, RuntimeException failure) {
+        if (failureLines.tryTake(1, WallClock.nowMicros())) {
+            Logger.error("cannot execute {}: {}", action.getClass().getSimpleName(), failure.toString());
+        }
+    }
+
     private void execute(CallAction action) {
         switch (action) {
             case CallAction.StartAttempt a -> withExchange(a.callId(), x -> x.startAttempt(a, pools));
--- a/http/src/main/java/org/hyssophitch/http/CallerExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerExchange.java
@@ -150,6 +150,14 @@
         }
     }
 
+    /** Ends an attempt that can't be started or whose request can't be written. */
+    void failAttempt(int number) {
+        BackendAttempt attempt = attempts.get(number);
+        if (attempt != null) {
+            attempt.fail();
+        }
+    }
+
     void sendBody(BackendAttempt attempt) {
         if (body.isReplayable()) {
             body.replayTo(attempt);
