A watch that fails inside a host lists again

Seen: an OutOfMemoryError while a configuration was handled ended the watch for good, on all hosts at the same version; they stayed ready and the log held no line.

Cause: the next step of a watch was begun by the last one only. One that threw, or whose result was lost before it reached the watcher, had no successor.

Each step now has a deadline, five seconds beyond its wait; a check once a second lists again when it has passed twice, so that a paused process doesn't list for nothing. The gauge hyssophitch_store_silence_seconds{kind} tells how long ago the host last took over what the store said; what it took over but failed to handle doesn't count.

Ruled out: that a relist during a list is forgotten. listAgain is remembered, and the list under way is current or is followed by a watch from its position; what was missing was its deadline.

--- a/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
+++ b/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 import org.hyssophitch.core.retry.Backoff;
@@ -15,6 +17,9 @@
  * <p>Not thread-safe; owned by one thread from {@link #start} until {@link #stop}. A failed call is retried with
  * exponential backoff and jitter, so that hosts don't retry in step after an outage of the store.
  *
+ * <p>Each step has a deadline. A step that throws, or whose result hasn't been handled at its deadline, doesn't end the
+ * watch: the objects are listed again.
+ *
  * @param <T> type of the decoded value
  */
 public final class KindWatcher<T> {
@@ -45,6 +50,21 @@
          * @param detail name of the kind and, when unreachable, the reason
          */
         void onReachabilityChanged(boolean isReachable, String detail);
+
+        /**
+         * Called when a step of the watch has failed inside this host, before the objects are listed again.
+         *
+         * @param failure the kind, the step, its failure and the time since the store was last heard
+         */
+        void onWatchFailed(WatchFailure failure);
+    }
+
+    /** What a watcher does or waits for. The names are written to the log in lower case. */
+    private enum Step {
+        LIST,
+        WATCH,
+        HANDLE,
+        PAUSE
     }
 
     /**
@@ -57,6 +77,11 @@
 
     private static final long INITIAL_BACKOFF_MILLIS = 100;
     private static final long MAX_BACKOFF_MILLIS = 1_000;
+    /** Upper bound in milliseconds of the delay after a failure inside this host, which may recur with each list. */
+    private static final long MAX_FAILURE_BACKOFF_MILLIS = 8_000;
+    /** Time in microseconds that a step may take longer than it waits; above the timeouts of all sources. */
+    private static final long STEP_MARGIN_MICROS = 5_000_000;
+
     private static final long MICROS_PER_MILLI = 1_000;
 
     private final String kind;
@@ -64,16 +89,20 @@
     private final Listener<T> listener;
     private final WatchPlan<T> plan;
     private final Backoff backoff;
+    private final Backoff failureBackoff;
     private final ChangeLog<T> changeLog = new ChangeLog<>();
     private PagedList<T> listing = new PagedList<>(false);
     private StorePosition position = StorePosition.NONE;
     private WatchPacing currentPacing = WatchPacing.ALONE;
-    /** Identifies the current watch; the result of an earlier one is ignored. */
-    private long watchId;
+    /** Identifies the current step; the result of an earlier one is ignored. */
+    private long stepId;
 
+    private Step step = Step.PAUSE;
+    private long deadlineMicros = Long.MAX_VALUE;
+    private boolean isOverdue;
     private boolean hasFailed;
     private long reachableSinceMicros;
-    private boolean isWatching;
+    private long heardMicros;
     private boolean usesRecoveryWatch;
     private boolean mustList;
     private boolean isStopped;
@@ -93,11 +122,13 @@
         this.plan = plan;
         this.listener = listener;
         this.backoff = new Backoff(INITIAL_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS, random);
+        this.failureBackoff = new Backoff(INITIAL_BACKOFF_MILLIS, MAX_FAILURE_BACKOFF_MILLIS, random);
+        this.heardMicros = timers.nowMicros();
     }
 
     /** Starts with the first list. */
     public void start() {
-        list();
+        run(this::list);
     }
 
     /** Stops watching; results that arrive later are ignored. */
@@ -119,6 +150,26 @@
         return isReachable ? OptionalLong.of(reachableSinceMicros) : OptionalLong.empty();
     }
 
+    /** Returns the time in microseconds since the host last took over what the store said about this kind. */
+    public long silentMicros() {
+        return timers.nowMicros() - heardMicros;
+    }
+
+    /**
+     * Lists again if the current step is overdue. Called about once a second; the result of a step that seems late
+     * because the process was paused arrives before the second call.
+     */
+    public void checkProgress() {
+        if (isStopped || timers.nowMicros() <= deadlineMicros) {
+            return;
+        }
+        if (isOverdue) {
+            recover("overdue");
+        } else {
+            isOverdue = true;
+        }
+    }
+
     private void list() {
         listing = new PagedList<>(false);
         listPages();
@@ -136,13 +187,10 @@
     }
 
     private void listPage(String after) {
-        plan.source().list(after, listing.mayBeStale(after), this::onPage);
+        plan.source().list(after, listing.mayBeStale(after), begin(Step.LIST, 0, this::onPage));
     }
 
     private void onPage(StoreResult<StorePage<T>> result) {
-        if (isStopped) {
-            return;
-        }
         if (!(result instanceof StoreResult.Done<StorePage<T>> done)) {
             retry(describe(result), this::list);
             return;
@@ -153,16 +201,13 @@
         } else if (page.hasMore()) {
             listPage(page.lastName());
         } else if (listing.isStale()) {
-            plan.source().readChanges(listing.position(), this::onCaughtUp);
+            plan.source().readChanges(listing.position(), begin(Step.LIST, 0, this::onCaughtUp));
         } else {
             onListed();
         }
     }
 
     private void onCaughtUp(StoreResult<StoreChanges<T>> result) {
-        if (isStopped) {
-            return;
-        }
         switch (result) {
             case StoreResult.Done<StoreChanges<T>> d when listing.catchUp(d.value()) -> onListed();
             case StoreResult.Done<StoreChanges<T>> d -> listCurrentPages();
@@ -187,40 +232,29 @@
         listing = new PagedList<>(false);
         listener.onListed(listed, hadOutage);
         changeLog.reset(listed, position, timers.nowMicros());
+        onHandled();
         watch();
     }
 
     private void watch() {
-        if (isStopped) {
-            return;
-        }
         if (mustList) {
             list();
-        } else {
-            watchId++;
-            long current = watchId;
-            isWatching = true;
-            currentPacing = plan.pacing().get();
-            int waitMillis = usesRecoveryWatch ? RECOVERY_WATCH_MILLIS : currentPacing.waitMillis();
-            usesRecoveryWatch = false;
-            plan.source().watch(position, waitMillis, r -> {
-                if (current == watchId) {
-                    isWatching = false;
-                    onWatchResult(r);
-                }
-            });
+            return;
         }
+        currentPacing = plan.pacing().get();
+        int waitMillis = usesRecoveryWatch ? RECOVERY_WATCH_MILLIS : currentPacing.waitMillis();
+        usesRecoveryWatch = false;
+        plan.source()
+                .watch(position, waitMillis, begin(Step.WATCH, waitMillis * MICROS_PER_MILLI, this::onWatchResult));
     }
 
     /**
      * Abandons the current watch and lists again. Called after the store was unreachable for other calls, as the
-     * response to the watch may have been lost.
+     * response to the watch may have been lost. A list under way goes on; it has a deadline of its own.
      */
     public void relist() {
-        if (isWatching) {
-            watchId++;
-            isWatching = false;
-            list();
+        if (step == Step.WATCH) {
+            run(this::list);
         }
     }
 
@@ -243,15 +277,12 @@
 
     /** Begins the current watch anew if its pacing has changed since. */
     public void renewWatch() {
-        if (isWatching && plan.pacing().get() != currentPacing) {
-            watch();
+        if (step == Step.WATCH && plan.pacing().get() != currentPacing) {
+            run(this::watch);
         }
     }
 
     private void onWatchResult(StoreResult<StoreChanges<T>> result) {
-        if (isStopped) {
-            return;
-        }
         switch (result) {
             case StoreResult.Done<StoreChanges<T>> d -> onChanges(d.value());
             case StoreResult.HistoryGone<StoreChanges<T>> g -> list();
@@ -271,12 +302,16 @@
         } else {
             changeLog.applyWithoutHistory(changes, timers.nowMicros());
         }
-        if (changes.changes().isEmpty()) {
-            timers.after(WATCH_DELAY_MICROS, this::watch);
-            return;
+        if (!changes.changes().isEmpty()) {
+            listener.onChanged(new ArrayList<>(changes.changes()));
         }
-        listener.onChanged(new ArrayList<>(changes.changes()));
-        timers.after(currentPacing.batchDelayMicros(), this::watch);
+        onHandled();
+        pause(changes.changes().isEmpty() ? WATCH_DELAY_MICROS : currentPacing.batchDelayMicros(), this::watch);
+    }
+
+    private void onHandled() {
+        heardMicros = timers.nowMicros();
+        failureBackoff.reset();
     }
 
     private void onSuccess() {
@@ -293,11 +328,43 @@
             listener.onReachabilityChanged(false, kind + ' ' + detail);
         }
         changeLog.invalidate();
-        timers.after(backoff.nextMillis() * MICROS_PER_MILLI, () -> {
-            if (!isStopped) {
-                task.run();
+        pause(backoff.nextMillis() * MICROS_PER_MILLI, task);
+    }
+
+    /** Begins a step; returns the consumer of its result, which does nothing once another step has begun. */
+    private <R> Consumer<R> begin(Step next, long waitMicros, Consumer<R> onResult) {
+        stepId++;
+        long current = stepId;
+        step = next;
+        deadlineMicros = timers.nowMicros() + waitMicros + STEP_MARGIN_MICROS;
+        isOverdue = false;
+        return r -> {
+            if (current == stepId && !isStopped) {
+                step = Step.HANDLE;
+                run(() -> onResult.accept(r));
             }
-        });
+        };
+    }
+
+    private void pause(long micros, Runnable next) {
+        Consumer<Runnable> onEnd = begin(Step.PAUSE, micros, Runnable::run);
+        timers.after(micros, () -> onEnd.accept(next));
+    }
+
+    private void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
+            recover(e.getClass().getSimpleName());
+        }
+    }
+
+    /** Lists again later. If not even this succeeds, the deadline of the pause passes and it is done again. */
+    private void recover(String cause) {
+        Step failed = step;
+        pause(failureBackoff.nextMillis() * MICROS_PER_MILLI, this::list);
+        changeLog.invalidate();
+        listener.onWatchFailed(new WatchFailure(kind, failed.name().toLowerCase(Locale.ROOT), cause, silentMicros()));
     }
 
     private static <V> String describe(StoreResult<V> result) {
--- a/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
+++ b/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
@@ -131,6 +131,15 @@
     /** The platform's object API became reachable or unreachable. */
     record PlatformState(String state) implements EventBody {}
 
+    /**
+     * A step of the watch of one kind of objects failed inside this process; the objects are listed again.
+     *
+     * @param step what the watch did or waited for
+     * @param cause class of what was thrown, or that the step was overdue
+     * @param silentMicros time in microseconds since the process last took over what the store said about the kind
+     */
+    record WatchFailed(String kind, String step, String cause, long silentMicros) implements EventBody {}
+
     /**
      * State of a candidate server when the choice was made.
      *
--- a/core/src/test/java/org/hyssophitch/core/store/KindWatcherMemoryTest.java
+++ b/core/src/test/java/org/hyssophitch/core/store/KindWatcherMemoryTest.java
@@ -68,5 +68,10 @@
         public void onReachabilityChanged(boolean isReachable, String detail) {
             // The store is always reachable.
         }
+
+        @Override
+        public void onWatchFailed(WatchFailure failure) {
+            throw new AssertionError(failure.toString());
+        }
     }
 }
--- a/core/src/test/java/org/hyssophitch/core/store/KindWatcherTest.java
+++ b/core/src/test/java/org/hyssophitch/core/store/KindWatcherTest.java
@@ -72,6 +72,11 @@
             public void onReachabilityChanged(boolean isReachable, String detail) {
                 notifications.add(isReachable ? "reachable" : "unreachable");
             }
+
+            @Override
+            public void onWatchFailed(WatchFailure failure) {
+                notifications.add("failed " + failure.cause());
+            }
         });
         watcher.start();
     }
--- a/core/src/test/java/org/hyssophitch/core/store/RestoreHistoryTest.java
+++ b/core/src/test/java/org/hyssophitch/core/store/RestoreHistoryTest.java
@@ -120,6 +120,11 @@
             }
         }
 
+        @Override
+        public void onWatchFailed(WatchFailure failure) {
+            throw new AssertionError(failure.toString());
+        }
+
         private boolean knowsDraining(String id) {
             return registry.byService().getOrDefault("s", List.of()).stream()
                     .anyMatch(r -> r.server().name().equals(id) && r.server().draining());
--- a/entry/src/main/java/org/hyssophitch/entry/ConfigurationListener.java
+++ b/entry/src/main/java/org/hyssophitch/entry/ConfigurationListener.java
@@ -8,6 +8,7 @@
 import org.hyssophitch.core.store.KindWatcher;
 import org.hyssophitch.core.store.StoreChanges.Change;
 import org.hyssophitch.core.store.StoredObject;
+import org.hyssophitch.core.store.WatchFailure;
 
 /** Forwards each configuration that the store delivers to a consumer. Not thread-safe; confined to the event loop. */
 final class ConfigurationListener implements KindWatcher.Listener<Configuration> {
@@ -60,6 +61,11 @@
         }
     }
 
+    @Override
+    public void onWatchFailed(WatchFailure failure) {
+        log.recordWatchFailure(failure);
+    }
+
     private void apply(StoredObject<Configuration> object) {
         if (object != null) {
             object.value().ifPresent(onConfiguration);
--- a/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
@@ -1,5 +1,6 @@
 package org.hyssophitch.entry;
 
+import java.util.Map;
 import java.util.function.DoubleSupplier;
 
 import io.prometheus.metrics.core.metrics.Counter;
@@ -86,6 +87,16 @@
                 .register(registry);
     }
 
+    /** Registers a gauge with a time series for each value of a label; they are read at each scrape. */
+    void registerGauge(String name, String help, String label, Map<String, DoubleSupplier> values) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .labelNames(label)
+                .callback(c -> values.forEach((v, s) -> c.call(s.getAsDouble(), v)))
+                .register(registry);
+    }
+
     void onAnswered(Reason reason, long elapsedMicros) {
         requests.labelValues(reason.outcome().wireName(), reason.wireName()).inc();
         duration.observe(elapsedMicros / MICROS_PER_SECOND);
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -183,6 +183,7 @@
             configurationWatcher.start();
             serverWatcher.start();
             evacuations.ifPresent(e -> e.watcher().start());
+            storeRelay.startChecks();
             dispatcher.handle(
                     new CallEvent.ColdBoundChanged(WallClock.nowMicros(), EngineLimits.cold(settings.bounds())));
         });
@@ -214,6 +215,7 @@
                 dispatcher::coldServers);
         metrics.registerGauge(
                 "hyssophitch_configuration_version", "version of the configuration in force", router::version);
+        storeRelay.registerGauges(metrics);
     }
 
     /** Delays opening the front, because requests that arrive before the first store response would be rejected. */
--- a/entry/src/main/java/org/hyssophitch/entry/EvacuationWatcher.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EvacuationWatcher.java
@@ -11,6 +11,7 @@
 import org.hyssophitch.core.store.StoreChanges.Change;
 import org.hyssophitch.core.store.StoredObject;
 import org.hyssophitch.core.store.Timers;
+import org.hyssophitch.core.store.WatchFailure;
 import org.hyssophitch.core.store.WatchPlan;
 
 /**
@@ -96,4 +97,9 @@
             onStoreRecovered.run();
         }
     }
+
+    @Override
+    public void onWatchFailed(WatchFailure failure) {
+        log.recordWatchFailure(failure);
+    }
 }
--- a/entry/src/main/java/org/hyssophitch/entry/EventLog.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EventLog.java
@@ -6,6 +6,7 @@
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.load.TokenBucket;
 import org.hyssophitch.core.membership.MemberState;
+import org.hyssophitch.core.store.WatchFailure;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.core.timeline.EventRecorder;
 import org.hyssophitch.wire.concurrent.WallClock;
@@ -73,6 +74,7 @@
                     case EventBody.CallQueued b -> routineLimit.tryTake(1, nowMicros);
                     case EventBody.MemberChanged b
                     when b.state().equals(MemberState.ALIVE.name()) -> routineLimit.tryTake(1, nowMicros);
+                    case EventBody.WatchFailed b -> failureLimit.tryTake(1, nowMicros);
                     case EventBody.CallForecastRejected b -> failureLimit.tryTake(1, nowMicros);
                     case EventBody.HedgeSkipped b -> routineLimit.tryTake(1, nowMicros);
                     case EventBody.QuotaOwnerChanged b -> routineLimit.tryTake(1, nowMicros);
@@ -126,6 +128,11 @@
         record(WallClock.nowMicros(), "", new EventBody.PlatformState("restored from a copy"));
     }
 
+    /** Records that a watch failed inside this host, and that the objects of its kind are listed again. */
+    void recordWatchFailure(WatchFailure f) {
+        record(WallClock.nowMicros(), "", new EventBody.WatchFailed(f.kind(), f.step(), f.cause(), f.silentMicros()));
+    }
+
     /** Writes a line about the final response to a request. */
     void recordAnswer(String requestId, String team, Reason reason, int status, long elapsedMicros, long version) {
         long now = WallClock.nowMicros();
--- a/entry/src/main/java/org/hyssophitch/entry/RegisteredServerWatcher.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RegisteredServerWatcher.java
@@ -11,6 +11,7 @@
 import org.hyssophitch.core.store.StoreChanges.Change;
 import org.hyssophitch.core.store.StoredObject;
 import org.hyssophitch.core.store.Timers;
+import org.hyssophitch.core.store.WatchFailure;
 import org.hyssophitch.core.store.WatchPlan;
 import org.hyssophitch.http.CallDispatcher;
 
@@ -107,6 +108,11 @@
         }
     }
 
+    @Override
+    public void onWatchFailed(WatchFailure failure) {
+        log.recordWatchFailure(failure);
+    }
+
     private void publishServers() {
         dispatcher.handle(new CallEvent.ServersRegistered(timers.nowMicros(), registry.byService()));
         scheduleExpiry();
--- a/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
+++ b/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
 import org.hyssophitch.core.entry.EntrySettings;
@@ -16,7 +18,6 @@
 import org.hyssophitch.core.store.ObjectKind;
 import org.hyssophitch.core.store.ObjectStore;
 import org.hyssophitch.core.store.RelaySelector;
-import org.hyssophitch.core.store.Timers;
 import org.hyssophitch.core.store.WatchPacing;
 import org.hyssophitch.core.store.WatchPlan;
 import org.hyssophitch.wire.codec.RelayCodec;
@@ -30,10 +31,14 @@
 final class StoreRelay {
 
     private static final int MISDIRECTED = 421;
+    /** Interval in milliseconds at which the watches are checked for progress. */
+    private static final long CHECK_INTERVAL_MILLIS = 1_000;
+
+    private static final double MICROS_PER_SECOND = 1_000_000.0;
 
     private final RelaySelector selector;
     private final RelayClients clients;
-    private final Timers timers;
+    private final EventLoopTimers timers;
     private final List<RelayedSource<?>> sources = new ArrayList<>();
     private final Map<String, RelayedKind<?>> served = new HashMap<>();
 
@@ -42,7 +47,7 @@
      *
      * @param live supplies the live members, including this host
      */
-    StoreRelay(EntrySettings settings, EventLoop loop, Timers timers, Supplier<List<Member>> live) {
+    StoreRelay(EntrySettings settings, EventLoop loop, EventLoopTimers timers, Supplier<List<Member>> live) {
         this.selector = new RelaySelector(settings.host(), settings.zone(), live);
         this.clients = new RelayClients(loop);
         this.timers = timers;
@@ -63,6 +68,26 @@
         served.put(kind, new RelayedKind<>(watcher, codec, this::isStoreReachable, timers));
     }
 
+    /** Starts the checks that let a watch whose current step is overdue list again. */
+    void startChecks() {
+        timers.every(CHECK_INTERVAL_MILLIS, "check of the watches", () -> served.values()
+                .forEach(k -> k.watcher().checkProgress()));
+    }
+
+    /** Registers gauges that tell for each kind how long ago the store was last heard. */
+    void registerGauges(EntryMetrics metrics) {
+        metrics.registerGauge(
+                "hyssophitch_store_silence_seconds",
+                "time since this host took over what the store said about a kind of objects",
+                "kind",
+                served.entrySet().stream()
+                        .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, e -> silentSeconds(e.getValue()))));
+    }
+
+    private static DoubleSupplier silentSeconds(RelayedKind<?> kind) {
+        return () -> kind.watcher().silentMicros() / MICROS_PER_SECOND;
+    }
+
     /** Handles another host's request; a host that isn't a relay turns it away. */
     CompletionStage<HttpReply> handle(HttpQuery query) {
         RelayRequest request = RelayRequest.of(query);
