--- a/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
@@ -2,7 +2,6 @@
 
 import java.util.Map;
 import java.util.function.DoubleSupplier;
-import java.util.function.Supplier;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
@@ -104,13 +103,13 @@
                 .register(registry);
     }
 
-    /** Registers the ages in seconds of the last decoded answers about the store, which are read at each scrape. */
-    void registerStoreAges(Supplier<Map<String, Double>> agesByKind) {
+    /** Registers a gauge with a time series for each value of a label; they are read at each scrape. */
+    void registerGauge(String name, String help, String label, Map<String, DoubleSupplier> values) {
         GaugeWithCallback.builder()
-                .name("hyssophitch_store_answer_age_seconds")
-                .help("age of the last decoded answer of the store or of a relay by kind")
-                .labelNames("kind")
-                .callback(c -> agesByKind.get().forEach((kind, age) -> c.call(age, kind)))
+                .name(name)
+                .help(help)
+                .labelNames(label)
+                .callback(c -> values.forEach((v, s) -> c.call(s.getAsDouble(), v)))
                 .register(registry);
     }
 
--- a/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
+++ b/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
@@ -17,7 +18,6 @@
 import org.hyssophitch.core.store.ObjectKind;
 import org.hyssophitch.core.store.ObjectStore;
 import org.hyssophitch.core.store.RelaySelector;
-import org.hyssophitch.core.store.Timers;
 import org.hyssophitch.core.store.WatchPacing;
 import org.hyssophitch.core.store.WatchPlan;
 import org.hyssophitch.wire.codec.RelayCodec;
@@ -31,11 +31,14 @@
 final class StoreRelay {
 
     private static final int MISDIRECTED = 421;
-    private static final double MICROS_PER_SECOND = 1_000_000;
+    /** Interval in milliseconds at which the watches are checked for progress. */
+    private static final long CHECK_INTERVAL_MILLIS = 1_000;
+
+    private static final double MICROS_PER_SECOND = 1_000_000.0;
 
     private final RelaySelector selector;
     private final RelayClients clients;
-    private final Timers timers;
+    private final EventLoopTimers timers;
     private final List<RelayedSource<?>> sources = new ArrayList<>();
     private final Map<String, RelayedKind<?>> served = new HashMap<>();
 
@@ -44,7 +47,7 @@
      *
      * @param live supplies the live members, including this host
      */
-    StoreRelay(EntrySettings settings, EventLoop loop, Timers timers, Supplier<List<Member>> live) {
+    StoreRelay(EntrySettings settings, EventLoop loop, EventLoopTimers timers, Supplier<List<Member>> live) {
         this.selector = new RelaySelector(settings.host(), settings.zone(), live);
         this.clients = new RelayClients(loop);
         this.timers = timers;
@@ -65,6 +68,26 @@
         served.put(kind, new RelayedKind<>(watcher, codec, this::isStoreReachable, timers));
     }
 
+    /** Starts the checks that let a watch whose current step is overdue list again. */
+    void startChecks() {
+        timers.every(CHECK_INTERVAL_MILLIS, "check of the watches", () -> served.values()
+                .forEach(k -> k.watcher().checkProgress()));
+    }
+
+    /** Registers gauges that tell for each kind how long ago the store was last heard. */
+    void registerGauges(EntryMetrics metrics) {
+        metrics.registerGauge(
+                "hyssophitch_store_silence_seconds",
+                "time since this host took over what the store said about a kind of objects",
+                "kind",
+                served.entrySet().stream()
+                        .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, e -> silentSeconds(e.getValue()))));
+    }
+
+    private static DoubleSupplier silentSeconds(RelayedKind<?> kind) {
+        return () -> kind.watcher().silentMicros() / MICROS_PER_SECOND;
+    }
+
     /** Handles another host's request; a host that isn't a relay turns it away. */
     CompletionStage<HttpReply> handle(HttpQuery query) {
         RelayRequest request = RelayRequest.of(query);
@@ -78,17 +101,6 @@
         return kind.handle(request);
     }
 
-    /** Returns the age in seconds of the last decoded answer of the store or of a relay by kind. */
-    Map<String, Double> answerAgesSeconds() {
-        long now = timers.nowMicros();
-        return served.entrySet().stream()
-                .filter(e -> e.getValue().watcher().changeLog().confirmedMicros() > 0)
-                .collect(Collectors.toMap(Map.Entry::getKey, e -> {
-                    long micros = now - e.getValue().watcher().changeLog().confirmedMicros();
-                    return micros / MICROS_PER_SECOND;
-                }));
-    }
-
     private <T> RelayedSource<T> source(ObjectStore store, ObjectKind<T> kind, RelayCodec<T> codec) {
         ChangeSource<T> direct = ChangeSource.of(store, kind);
         RelayedSource<T> source = new RelayedSource<>(
