Never send two attempts of a request on one connection

All attempts of a call have the caller's request id. Pools take the most recently used connection first, so a retry at the same server usually got the connection of the attempt before it. A server that wrote its refusal once more, at the point where the next answer is due, then refused the retry with it: the caller of a request that must not run twice was told 503 although the request ran, and a safe request failed in place of the server's own answer.

A connection remembers the hashes of the latest ids that it carried, and the pool passes over it for a request with the same id. The id and not the call counts, because a request that another host forwards twice is two calls here. A hash collision costs a connection and nothing else.

--- a/http/src/main/java/org/hyssophitch/http/BackendConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendConnection.java
@@ -35,6 +35,7 @@
     private static final String TIMEOUT_PARAMETER = "timeout=";
 
     private final BackendPool pool;
+    private final RecentRequests recentRequests = new RecentRequests();
     private Channel channel;
     private BackendExchange exchange;
     private ScheduledFuture<?> idleTimer;
@@ -71,6 +72,7 @@
         isRejected = false;
         receivedBytes = 0;
         requests++;
+        recentRequests.add(newExchange.requestId());
         newExchange.onConnected(this);
     }
 
@@ -120,6 +122,11 @@
         return System.nanoTime() - lastResponseNanos < TimeUnit.MILLISECONDS.toNanos(maxAgeMillis);
     }
 
+    /** Returns whether the connection has carried a request with this id, of which a late answer may still arrive. */
+    boolean hasCarried(String requestId) {
+        return recentRequests.mayContain(requestId);
+    }
+
     boolean isOpen() {
         return channel.isActive() && !isClosing;
     }
--- a/http/src/main/java/org/hyssophitch/http/BackendPool.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendPool.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -67,23 +68,22 @@
     }
 
     /**
-     * Starts an exchange on an idle connection, or on a new one.
+     * Starts an exchange on an idle connection, or on a new one. A connection that has carried an earlier attempt with
+     * the same request id isn't used: a late answer to that attempt would pass for the answer to this one.
      *
      * @param needsRecentUse whether an idle connection may be used only if it has been used recently
      */
     void acquire(BackendExchange exchange, boolean needsRecentUse) {
-        BackendConnection candidate = idle.pollLast();
-        while (candidate != null && !candidate.isOpen()) {
-            candidate = idle.pollLast();
-        }
-        if (candidate != null && (!needsRecentUse || candidate.isRecentlyUsed(MAX_REUSE_AGE_MILLIS))) {
-            candidate.begin(exchange);
-            return;
-        }
-        if (candidate != null) {
-            idle.addLast(candidate);
+        Optional<BackendConnection> candidate = idle.reversed().stream()
+                .filter(c -> c.isOpen() && !c.hasCarried(exchange.requestId()))
+                .findFirst()
+                .filter(c -> !needsRecentUse || c.isRecentlyUsed(MAX_REUSE_AGE_MILLIS));
+        if (candidate.isPresent()) {
+            idle.removeLastOccurrence(candidate.get());
+            candidate.get().begin(exchange);
+        } else {
+            open(exchange);
         }
-        open(exchange);
     }
 
     /** Returns a connection to the pool after its exchange has completed. */
