--- a/entry/src/test/java/org/hyssophitch/entry/FakeStore.java
+++ b/entry/src/test/java/org/hyssophitch/entry/FakeStore.java
@@ -23,10 +23,10 @@
 import org.hyssophitch.wire.net.HttpReply;
 
 /** Fake of the platform's store: follows its published contract, with failures on demand. Thread-safe. */
-final class FakeStore implements AutoCloseable {
+public final class FakeStore implements AutoCloseable {
 
     /** How the store fails calls. */
-    enum FailureMode {
+    public enum FailureMode {
         /** All calls work. */
         NONE,
         /** Every call gets 503. */
@@ -37,6 +37,8 @@
         UNRESPONSIVE,
         /** Watches return no changes and end at their timeout; all other calls work. */
         SILENT_WATCHES,
+        /** Every response comes late. */
+        SLOW,
         /** Writes take effect, but their responses are lost. */
         LOST_WRITE_RESPONSES
     }
@@ -46,6 +48,8 @@
     /** Maximum number of objects in one list response, as on the platform. */
     private static final int PAGE_SIZE = 500;
 
+    private static final long SLOW_RESPONSE_MILLIS = 700;
+
     private record Event(long revision, String kind, ObjectNode object, boolean deleted) {}
 
     /** Objects of all kinds at one revision. */
@@ -64,24 +68,27 @@
     private long era = 1;
     private FailureMode failureMode = FailureMode.NONE;
 
-    FakeStore(int port) {
+    /** Opens the store on a port of 127.0.0.1. */
+    public FakeStore(int port) {
         endpoint = new HttpEndpoint(group, new InetSocketAddress("127.0.0.1", port), q -> handle(q)
+                .thenCompose(this::delay)
                 .thenApply(r -> r.withHeaders(Map.of("Store-Era", Long.toString(era)))));
     }
 
-    synchronized void setFailureMode(FailureMode value) {
+    /** Sets how calls fail from now on. */
+    public synchronized void setFailureMode(FailureMode value) {
         failureMode = value;
     }
 
     /** Ends the pending watches with 503. */
-    synchronized void cutWatches() {
+    public synchronized void cutWatches() {
         List<PendingWatch> cut = List.copyOf(pendingWatches);
         pendingWatches.clear();
         cut.forEach(w -> w.response().complete(HttpReply.empty(503)));
     }
 
     /** Drops the history and ends the pending watches with 410. */
-    synchronized void compact() {
+    public synchronized void compact() {
         compactedRevision = revision;
         history.clear();
         pendingWatches.forEach(w -> w.response().complete(HttpReply.empty(410)));
@@ -107,7 +114,7 @@
     }
 
     /** Writes an object, as the operator or a backend server would. */
-    synchronized void put(String kind, String name, String specification) {
+    public synchronized void put(String kind, String name, String specification) {
         try {
             store(kind, name, JSON.readTree(specification));
         } catch (JsonProcessingException e) {
@@ -115,7 +122,8 @@
         }
     }
 
-    synchronized void remove(String kind, String name) {
+    /** Deletes an object, if it exists. */
+    public synchronized void remove(String kind, String name) {
         ObjectNode object = kinds.getOrDefault(kind, Map.of()).get(name);
         if (object != null) {
             kinds.get(kind).remove(name);
@@ -155,6 +163,15 @@
         return isWrite && failureMode == FailureMode.LOST_WRITE_RESPONSES ? new CompletableFuture<>() : response;
     }
 
+    private synchronized CompletionStage<HttpReply> delay(HttpReply reply) {
+        if (failureMode != FailureMode.SLOW) {
+            return done(reply);
+        }
+        CompletableFuture<HttpReply> late = new CompletableFuture<>();
+        group.schedule(() -> late.complete(reply), SLOW_RESPONSE_MILLIS, TimeUnit.MILLISECONDS);
+        return late;
+    }
+
     private CompletionStage<HttpReply> read(HttpQuery q, String kind) {
         if (!q.parameters().containsKey("watch")) {
             return done(list(kind, q.parameter("after", "")));
