An object that can't be used no longer spoils the answer that holds it

Another writer left one object among the servers that was nested 1,500 deep, held a number of 5,000 digits, or no JSON at all. Hosts then couldn't decode any list of servers, for ever: those that ran kept what they knew and served no server that registered later, and those that started were never ready and refused every call. It didn't matter whether the object came in the first list or by watch.

PlatformStore parsed the whole answer into one tree, and wrote each object to bytes again to parse them a second time. The writing is recursive: 990 levels overflow the stack of 256 KB that the processes have, and the Error left the callback of the HTTP client without a line in the log, so that the watch never returned.

What can't be read empties that object only.

--- a/wire/src/main/java/org/hyssophitch/wire/json/Json.java
+++ b/wire/src/main/java/org/hyssophitch/wire/json/Json.java
@@ -17,6 +17,11 @@
 
     public static final JsonMapper MAPPER = new JsonMapper();
 
+    /** Parses a JSON text. */
+    interface Parser {
+        JsonNode parse() throws IOException;
+    }
+
     /** Thrown when a required field is missing, has the wrong type or has an invalid value. */
     public static final class FieldException extends RuntimeException {
         private static final long serialVersionUID = 1L;
@@ -54,10 +59,17 @@
      * @throws InvalidObjectException if it is malformed, or the conversion finds a field that is
      */
     public static <T> T decode(byte[] body, Function<JsonNode, T> converter) throws InvalidObjectException {
+        return convert(() -> parse(body), converter);
+    }
+
+    /** Converts what a parser returns; an exhausted stack ends only this conversion. */
+    static <T> T convert(Parser parser, Function<JsonNode, T> converter) throws InvalidObjectException {
         try {
-            return converter.apply(parse(body));
+            return converter.apply(parser.parse());
         } catch (IOException | RuntimeException e) {
             throw new InvalidObjectException(describe(e));
+        } catch (StackOverflowError e) {
+            throw new InvalidObjectException("nested too deeply");
         }
     }
 
@@ -72,11 +84,30 @@
 
     /** Returns the text of a required field. */
     public static String text(JsonNode node, String field) {
-        JsonNode value = node.path(field);
-        if (!value.isTextual()) {
+        return text(node.path(field), field, 0, Integer.MAX_VALUE);
+    }
+
+    /** Returns the text of a required field, which is neither empty nor longer than a number of characters. */
+    public static String text(JsonNode node, String field, int maxLength) {
+        return text(node.path(field), field, 1, maxLength);
+    }
+
+    /** Returns a text, which is neither empty nor longer than a number of characters. */
+    public static String text(JsonNode value, int maxLength) {
+        return text(value, "text", 1, maxLength);
+    }
+
+    private static String text(JsonNode value, String field, int minLength, int maxLength) {
+        String text = value.textValue();
+        if (text == null || text.length() < minLength || text.length() > maxLength || !isWellFormed(text)) {
             throw new FieldException(field);
         }
-        return value.textValue();
+        return text;
+    }
+
+    /** Returns whether a text has no surrogate alone, which can't be encoded for other hosts. */
+    private static boolean isWellFormed(String text) {
+        return text.codePoints().noneMatch(c -> c >= Character.MIN_SURROGATE && c <= Character.MAX_SURROGATE);
     }
 
     /** Returns the value of a required field with a whole number. */
@@ -88,6 +119,14 @@
         return value.longValue();
     }
 
+    /** Returns the value of a whole number. */
+    public static long wholeNumber(JsonNode value) {
+        if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+            throw new FieldException("whole number");
+        }
+        return value.longValue();
+    }
+
     /** Returns the value of a required field with a number. */
     public static double decimal(JsonNode node, String field) {
         JsonNode value = node.path(field);
@@ -105,7 +144,8 @@
 
     /** Returns the text of a field; empty when it is missing or not a string. */
     public static Optional<String> optionalText(JsonNode node, String field) {
-        return Optional.ofNullable(node.path(field).textValue());
+        JsonNode value = node.path(field);
+        return value.isTextual() ? Optional.of(text(node, field)) : Optional.empty();
     }
 
     /** Returns the elements of an array; none when the node is not an array. */
