The steps of a watch are run by a class of their own

StepRunner holds the deadline, the backoff and the catching of failures, so that other duties of a host can use it. No change of behaviour; KindWatcherFailureTest is unchanged.

--- a/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
+++ b/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
@@ -2,13 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 import org.hyssophitch.core.retry.Backoff;
+import org.hyssophitch.core.store.StepRunner.Step;
 
 /**
  * Watches all objects of one kind: lists them once, then watches for changes, and lists again when the store no longer
@@ -59,14 +58,6 @@
         void onWatchFailed(WatchFailure failure);
     }
 
-    /** What a watcher does or waits for. The names are written to the log in lower case. */
-    private enum Step {
-        LIST,
-        WATCH,
-        HANDLE,
-        PAUSE
-    }
-
     /**
      * Maximum wait in milliseconds of the first watch after a failure or a repeated list. It is shorter because a store
      * that drops its history may never notify a watch that was begun at that moment.
@@ -77,11 +68,6 @@
 
     private static final long INITIAL_BACKOFF_MILLIS = 100;
     private static final long MAX_BACKOFF_MILLIS = 1_000;
-    /** Upper bound in milliseconds of the delay after a failure inside this host, which may recur with each list. */
-    private static final long MAX_FAILURE_BACKOFF_MILLIS = 8_000;
-    /** Time in microseconds that a step may take longer than it waits; above the timeouts of all sources. */
-    private static final long STEP_MARGIN_MICROS = 5_000_000;
-
     private static final long MICROS_PER_MILLI = 1_000;
 
     private final String kind;
@@ -89,23 +75,17 @@
     private final Listener<T> listener;
     private final WatchPlan<T> plan;
     private final Backoff backoff;
-    private final Backoff failureBackoff;
+    private final StepRunner steps;
     private final ChangeLog<T> changeLog = new ChangeLog<>();
     private PagedList<T> listing = new PagedList<>(false);
     private StorePosition position = StorePosition.NONE;
     private WatchPacing currentPacing = WatchPacing.ALONE;
-    /** Identifies the current step; the result of an earlier one is ignored. */
-    private long stepId;
 
-    private Step step = Step.PAUSE;
-    private long deadlineMicros = Long.MAX_VALUE;
-    private boolean isOverdue;
     private boolean hasFailed;
     private long reachableSinceMicros;
     private long heardMicros;
     private boolean usesRecoveryWatch;
     private boolean mustList;
-    private boolean isStopped;
 
     /**
      * Creates a watcher that makes no calls until {@link #start}.
@@ -122,18 +102,18 @@
         this.plan = plan;
         this.listener = listener;
         this.backoff = new Backoff(INITIAL_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS, random);
-        this.failureBackoff = new Backoff(INITIAL_BACKOFF_MILLIS, MAX_FAILURE_BACKOFF_MILLIS, random);
+        this.steps = new StepRunner(timers, random, this::list, this::onStepFailed);
         this.heardMicros = timers.nowMicros();
     }
 
     /** Starts with the first list. */
     public void start() {
-        run(this::list);
+        steps.run(this::list);
     }
 
     /** Stops watching; results that arrive later are ignored. */
     public void stop() {
-        isStopped = true;
+        steps.stop();
     }
 
     /** Returns what this watcher has received, for hosts that watch through this one. */
@@ -155,19 +135,9 @@
         return timers.nowMicros() - heardMicros;
     }
 
-    /**
-     * Lists again if the current step is overdue. Called about once a second; the result of a step that seems late
-     * because the process was paused arrives before the second call.
-     */
+    /** Lists again if the current step is overdue; called about once a second. */
     public void checkProgress() {
-        if (isStopped || timers.nowMicros() <= deadlineMicros) {
-            return;
-        }
-        if (isOverdue) {
-            recover("overdue");
-        } else {
-            isOverdue = true;
-        }
+        steps.checkProgress();
     }
 
     private void list() {
@@ -187,7 +157,7 @@
     }
 
     private void listPage(String after) {
-        plan.source().list(after, listing.mayBeStale(after), begin(Step.LIST, 0, this::onPage));
+        plan.source().list(after, listing.mayBeStale(after), steps.begin(Step.LIST, 0, this::onPage));
     }
 
     private void onPage(StoreResult<StorePage<T>> result) {
@@ -201,7 +171,7 @@
         } else if (page.hasMore()) {
             listPage(page.lastName());
         } else if (listing.isStale()) {
-            plan.source().readChanges(listing.position(), begin(Step.LIST, 0, this::onCaughtUp));
+            plan.source().readChanges(listing.position(), steps.begin(Step.LIST, 0, this::onCaughtUp));
         } else {
             onListed();
         }
@@ -245,7 +215,10 @@
         int waitMillis = usesRecoveryWatch ? RECOVERY_WATCH_MILLIS : currentPacing.waitMillis();
         usesRecoveryWatch = false;
         plan.source()
-                .watch(position, waitMillis, begin(Step.WATCH, waitMillis * MICROS_PER_MILLI, this::onWatchResult));
+                .watch(
+                        position,
+                        waitMillis,
+                        steps.begin(Step.WATCH, waitMillis * MICROS_PER_MILLI, this::onWatchResult));
     }
 
     /**
@@ -253,8 +226,8 @@
      * response to the watch may have been lost. A list under way goes on; it has a deadline of its own.
      */
     public void relist() {
-        if (step == Step.WATCH) {
-            run(this::list);
+        if (steps.step() == Step.WATCH) {
+            steps.run(this::list);
         }
     }
 
@@ -277,8 +250,8 @@
 
     /** Begins the current watch anew if its pacing has changed since. */
     public void renewWatch() {
-        if (step == Step.WATCH && plan.pacing().get() != currentPacing) {
-            run(this::watch);
+        if (steps.step() == Step.WATCH && plan.pacing().get() != currentPacing) {
+            steps.run(this::watch);
         }
     }
 
@@ -306,12 +279,12 @@
             listener.onChanged(new ArrayList<>(changes.changes()));
         }
         onHandled();
-        pause(changes.changes().isEmpty() ? WATCH_DELAY_MICROS : currentPacing.batchDelayMicros(), this::watch);
+        steps.pause(changes.changes().isEmpty() ? WATCH_DELAY_MICROS : currentPacing.batchDelayMicros(), this::watch);
     }
 
     private void onHandled() {
         heardMicros = timers.nowMicros();
-        failureBackoff.reset();
+        steps.onHandled();
     }
 
     private void onSuccess() {
@@ -328,43 +301,12 @@
             listener.onReachabilityChanged(false, kind + ' ' + detail);
         }
         changeLog.invalidate();
-        pause(backoff.nextMillis() * MICROS_PER_MILLI, task);
-    }
-
-    /** Begins a step; returns the consumer of its result, which does nothing once another step has begun. */
-    private <R> Consumer<R> begin(Step next, long waitMicros, Consumer<R> onResult) {
-        stepId++;
-        long current = stepId;
-        step = next;
-        deadlineMicros = timers.nowMicros() + waitMicros + STEP_MARGIN_MICROS;
-        isOverdue = false;
-        return r -> {
-            if (current == stepId && !isStopped) {
-                step = Step.HANDLE;
-                run(() -> onResult.accept(r));
-            }
-        };
-    }
-
-    private void pause(long micros, Runnable next) {
-        Consumer<Runnable> onEnd = begin(Step.PAUSE, micros, Runnable::run);
-        timers.after(micros, () -> onEnd.accept(next));
-    }
-
-    private void run(Runnable task) {
-        try {
-            task.run();
-        } catch (RuntimeException | OutOfMemoryError | StackOverflowError e) {
-            recover(e.getClass().getSimpleName());
-        }
+        steps.pause(backoff.nextMillis() * MICROS_PER_MILLI, task);
     }
 
-    /** Lists again later. If not even this succeeds, the deadline of the pause passes and it is done again. */
-    private void recover(String cause) {
-        Step failed = step;
-        pause(failureBackoff.nextMillis() * MICROS_PER_MILLI, this::list);
+    private void onStepFailed(Step step, String cause) {
         changeLog.invalidate();
-        listener.onWatchFailed(new WatchFailure(kind, failed.name().toLowerCase(Locale.ROOT), cause, silentMicros()));
+        listener.onWatchFailed(new WatchFailure(kind, StepRunner.logName(step), cause, silentMicros()));
     }
 
     private static <V> String describe(StoreResult<V> result) {
