A stopping host deletes only its own registration

Seen by reading: the deletion had no condition, so one that the store did late removed the registration of the process that followed on the same host.

The host now remembers the revision of its object and deletes that one only. If it doesn't know the revision, because the answer to its write was lost, it deletes nothing: another host deletes the object of a host that left, and a successor replaces it.

Evidence: leavesTheRegistrationOfItsSuccessorAlone failed with the former Registration (the object was gone), passes now; EntryProgramTest 18 of 18. The test's store now honours the condition of a deletion as the platform does.

--- a/entry/src/main/java/org/hyssophitch/entry/Registration.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Registration.java
@@ -52,6 +52,9 @@
     private int missingLists;
     private int completedLists;
     private boolean isRegistered;
+    /** Revision of this process's object as far as it is known; 0 if it isn't. */
+    private long ownRevision;
+
     /** Whether the next list has to be current: this host's object differed from the one in the last list. */
     private boolean needsCurrentList;
 
@@ -80,10 +83,19 @@
         listHosts("");
     }
 
-    /** Deletes the object; the process exits whether or not this succeeds. */
+    /**
+     * Deletes the object if it is still this process's; the process exits whether or not this succeeds. Its successor
+     * may already have replaced the object when a delayed call takes effect, and what is left behind is deleted by
+     * another host or replaced by the successor.
+     */
     void stop() {
         isStopped = true;
-        store.delete(kind, host, 0, r -> Logger.info("deletion of the registration of {}: {}", host, describe(r)));
+        if (ownRevision == 0) {
+            Logger.info("the registration of {} is left to other hosts: its revision isn't known", host);
+            return;
+        }
+        store.delete(
+                kind, host, ownRevision, r -> Logger.info("deletion of the registration of {}: {}", host, describe(r)));
     }
 
     /** Registers this host again, because the registration may be missing from the restored store. */
@@ -94,13 +106,16 @@
     private void register() {
         if (!isStopped) {
             missingLists = 0;
-            store.create(kind, host, peers.self(), this::onCreated);
+            store.create(kind, host, peers.self(), this::onWritten);
         }
     }
 
     /** Lists again soon: after a first start of all hosts, the first list lacks those that registered after it. */
-    private void onCreated(StoreResult<StoredObject<EntryHost>> result) {
+    private void onWritten(StoreResult<StoredObject<EntryHost>> result) {
         isRegistered = result instanceof StoreResult.Done<StoredObject<EntryHost>>;
+        ownRevision = result instanceof StoreResult.Done<StoredObject<EntryHost>> d
+                ? d.value().revision()
+                : 0;
         needsCurrentList = !isRegistered;
         timers.after(backoff.nextMillis() * MICROS_PER_MILLI, () -> listHosts(""));
     }
@@ -167,16 +182,14 @@
             return;
         }
         long incarnation = known.value().map(EntryHost::incarnation).orElse(0L);
-        if (incarnation == peers.self().incarnation() || !peers.raiseIncarnationAbove(incarnation)) {
+        boolean isOwn = incarnation == peers.self().incarnation();
+        ownRevision = isOwn ? known.revision() : ownRevision;
+        if (isOwn || !peers.raiseIncarnationAbove(incarnation)) {
             isRegistered = true;
             timers.after(listIntervalMicros(), () -> listHosts(""));
             return;
         }
-        store.replace(kind, host, peers.self(), known.revision(), r -> {
-            isRegistered = r instanceof StoreResult.Done<StoredObject<EntryHost>>;
-            needsCurrentList = !isRegistered;
-            timers.after(backoff.nextMillis() * MICROS_PER_MILLI, () -> listHosts(""));
-        });
+        store.replace(kind, host, peers.self(), known.revision(), this::onWritten);
     }
 
     /** Deletes the objects of stopped processes; only the accepting host whose name sorts first does this. */
--- a/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramTest.java
@@ -236,6 +236,23 @@
         await(() -> directory(other).contains(settings.addresses().front()));
     }
 
+    /** A stopping host whose deletion was done late removed the registration of the process that followed it. */
+    @Test
+    public void leavesTheRegistrationOfItsSuccessorAlone() throws Exception {
+        configure(1, "svc");
+        EntryProgram program = start(settings);
+        await(() -> store.get(ENTRY_HOSTS_KIND, "host-1") != null);
+        Thread.sleep(500);
+        long later = WallClock.nowMicros();
+        store.put(
+                ENTRY_HOSTS_KIND,
+                "host-1",
+                "{\"incarnation\":%d,\"zone\":\"z1\",\"peer\":\"1.1.1.1:1\",\"front\":\"1.1.1.1:2\"}".formatted(later));
+        program.stop();
+        programs.remove(program);
+        assertEquals(store.get(ENTRY_HOSTS_KIND, "host-1").path("incarnation").asLong(), later);
+    }
+
     @Test
     public void registersAgainWhenItsObjectIsDeleted() throws Exception {
         configure(1, "svc");
--- a/entry/src/test/java/org/hyssophitch/entry/FakeStore.java
+++ b/entry/src/test/java/org/hyssophitch/entry/FakeStore.java
@@ -201,11 +201,7 @@
                                             store(parts[0], parts[1], body.get("specification"))
                                                     .toString());
                 }
-                case "DELETE" -> {
-                    boolean exists = kinds.getOrDefault(parts[0], Map.of()).containsKey(parts[1]);
-                    remove(parts[0], parts[1]);
-                    yield HttpReply.json(exists ? 200 : 404, "{}");
-                }
+                case "DELETE" -> delete(parts[0], parts[1], q.parameter("revision", 0L));
                 default -> HttpReply.empty(405);
             };
         } catch (IOException e) {
@@ -213,6 +209,18 @@
         }
     }
 
+    private HttpReply delete(String kind, String name, long expected) {
+        ObjectNode known = kinds.getOrDefault(kind, Map.of()).get(name);
+        if (known == null) {
+            return HttpReply.json(404, "{}");
+        }
+        if (expected != 0 && known.path("metadata").path("revision").asLong() != expected) {
+            return HttpReply.json(409, "{}");
+        }
+        remove(kind, name);
+        return HttpReply.json(200, "{}");
+    }
+
     private ObjectNode store(String kind, String name, JsonNode specification) {
         revision++;
         ObjectNode object = JSON.createObjectNode();
