Trust a refusal without an id only where no other can be in store

A refusal without an id was taken for the answer to whatever waited on its connection. A server that wrote an earlier one once more, at the point where the next answer is due, refused a request that ran: its caller was told 503, or it was retried and ran twice. The same held for the refusal of a load probe, which has no id at all.

A connection that delivers a refusal without an id, to a request or to a probe, is closed after it. On a connection that has carried a refusal with an id, or an answer to another request, one without an id isn't trusted; the attempt counts as lost. A refusal with the request's id keeps its connection, as servers refuse often under load and connections to them are priced; servers that leave the id out cost a connection for each refusal.

A 421 without an id and without Not-Executed was dropped as the answer to another request, and the call waited for its timeout (504). By its status it says that the request was not run, so it is handled as the other refusals without an id: the call goes to another server at once.

--- a/entry/src/test/java/org/hyssophitch/entry/LateCopyTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/LateCopyTest.java
@@ -3,7 +3,10 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -15,6 +18,8 @@
 public class LateCopyTest {
 
     private static final int CALLS = 20;
+    /** One for the requests, one for their retries, and two for load probes beside them. */
+    private static final int MAX_KEPT_CONNECTIONS = 4;
 
     /** Refuses the first attempt of each request, and writes the refusal once more before the answer to the second. */
     private static final class RepeatedRefusal implements ScriptedServer.Script {
@@ -62,4 +67,118 @@
             }
         }
     }
+
+    @DataProvider
+    Object[][] refusals() {
+        String unidentified = "HTTP/1.1 503 X\r\nHyssophitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        String misdirected = "HTTP/1.1 421 X\r\nHyssophitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        String unproven = "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n";
+        return new Object[][] {{unidentified}, {misdirected}, {unproven}};
+    }
+
+    /** A refusal without an id that a server writes once more must not refuse the next request on its connection. */
+    @Test(dataProvider = "refusals")
+    public void refusalWithoutAnIdIsNotTakenForTheAnswerToALaterRequest(String refusal) throws Exception {
+        Set<String> refused = ConcurrentHashMap.newKeySet();
+        Set<Socket> repeating = ConcurrentHashMap.newKeySet();
+        ScriptedServer.Script script = (r, c) -> {
+            if (repeating.contains(c)) {
+                ScriptedServer.write(c, refusal);
+            } else if (refused.add(r.id())) {
+                repeating.add(c);
+                ScriptedServer.write(c, refusal);
+                return true;
+            }
+            return ScriptedServer.ok("own-" + r.id()).respond(r, c);
+        };
+        try (ScriptedServer a = new ScriptedServer(script);
+                ScriptedServer b = new ScriptedServer(script);
+                DataPath path = new DataPath(DataPath.LIMITS, a, b)) {
+            for (int i = 0; i < CALLS; i++) {
+                String response = path.exchange(DataPath.post("/u/x", "id-" + i, "x"), 1);
+                assertEquals(runs(a, b, "id-" + i, refused), response.endsWith("own-id-" + i) ? 1 : 0, response);
+            }
+        }
+    }
+
+    /** A load probe has no id, and neither has its refusal; a late copy of it must not refuse a request. */
+    @Test
+    public void refusalOfALoadProbeIsNotTakenForTheAnswerToARequest() throws Exception {
+        String refusal = "HTTP/1.1 503 X\r\nHyssophitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        Set<Socket> repeating = ConcurrentHashMap.newKeySet();
+        AtomicInteger probes = new AtomicInteger();
+        try (ScriptedServer s = new ScriptedServer((r, c) -> {
+                    if (repeating.contains(c)) {
+                        ScriptedServer.write(c, refusal);
+                    }
+                    return ScriptedServer.ok("own-" + r.id()).respond(r, c);
+                });
+                DataPath path = new DataPath(DataPath.LIMITS, s)) {
+            s.setProbeScript((r, c) -> {
+                boolean isRefused = probes.incrementAndGet() % 3 == 0;
+                if (isRefused) {
+                    repeating.add(c);
+                }
+                ScriptedServer.write(
+                        c,
+                        isRefused
+                                ? refusal
+                                : "HTTP/1.1 200 X\r\nHyssophitch-Server-Load: 0,0,3,100\r\nContent-Length: 0\r\n\r\n");
+                return true;
+            });
+            for (int i = 0; i < CALLS * 2; i++) {
+                String id = "id-" + i;
+                String response = path.exchange(DataPath.post("/u/x", id, "x"), 1);
+                long runs = s.requests().stream().filter(r -> r.id().equals(id)).count();
+                assertEquals(runs, response.endsWith("own-" + id) ? 1 : 0, response);
+            }
+            assertTrue(!repeating.isEmpty(), "a probe was refused");
+        }
+    }
+
+    /** A server that is full refuses many requests; each of them would cost a connection. */
+    @Test
+    public void refusalWithTheRequestsIdKeepsItsConnection() throws Exception {
+        try (ScriptedServer s = new ScriptedServer((r, c) -> {
+                    ScriptedServer.write(
+                            c,
+                            ScriptedServer.head(r, 503) + "Hyssophitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+                    return true;
+                });
+                DataPath path = new DataPath(DataPath.LIMITS, s)) {
+            for (int i = 0; i < CALLS; i++) {
+                String response = path.exchange(DataPath.post("/u/x", "id-" + i, "x"), 1);
+                assertTrue(response.startsWith("HTTP/1.1 503"), response);
+            }
+            assertTrue(s.connections() <= MAX_KEPT_CONNECTIONS, s.connections() + " connections");
+        }
+    }
+
+    /** A server that answers 421 without an id has not run the request; the call must not wait for its timeout. */
+    @Test
+    public void misdirectedRequestWithoutAnIdIsRetriedAtOnce() throws Exception {
+        try (ScriptedServer other = new ScriptedServer((r, c) -> {
+                    ScriptedServer.write(c, "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n");
+                    return true;
+                });
+                ScriptedServer own = new ScriptedServer(ScriptedServer.ok("own"));
+                DataPath path = new DataPath(DataPath.LIMITS, other, own)) {
+            own.setLoad("1,0,3,100");
+            for (int i = 0; i < CALLS; i++) {
+                String response = path.exchange(DataPath.post("/u/x", "id-" + i, "x"), 1);
+                assertTrue(response.endsWith("own"), response);
+            }
+            assertEquals(own.requests().size(), CALLS);
+            assertTrue(!other.requests().isEmpty(), "the other server got a request");
+        }
+    }
+
+    /** Returns how often servers ran a request, which they refused at the first attempt. */
+    private static long runs(ScriptedServer a, ScriptedServer b, String id, Set<String> refused) {
+        long attempts = Stream.of(a, b)
+                .flatMap(s -> s.requests().stream())
+                .filter(r -> r.id().equals(id))
+                .count();
+        return refused.contains(id) ? attempts - 1 : attempts;
+    }
 }
--- a/entry/src/test/java/org/hyssophitch/entry/ScriptedServer.java
+++ b/entry/src/test/java/org/hyssophitch/entry/ScriptedServer.java
@@ -40,6 +40,7 @@
     private final AtomicInteger open = new AtomicInteger();
     private final AtomicInteger abortedConnections = new AtomicInteger();
     private volatile Script script;
+    private volatile Script probeScript = this::respondToProbe;
     private volatile String load = "0,0,3,100";
     private volatile int healthStatus = 200;
 
@@ -80,6 +81,11 @@
         out.flush();
     }
 
+    /** Sets the script that responds to load probes. */
+    void setProbeScript(Script value) {
+        probeScript = value;
+    }
+
     void setScript(Script value) {
         script = value;
     }
@@ -129,6 +135,14 @@
         socket.close();
     }
 
+    private boolean respondToProbe(Request probe, Socket connection) throws IOException {
+        write(
+                connection,
+                "HTTP/1.1 " + healthStatus + " X\r\nContent-Length: 0\r\n"
+                        + (load.isEmpty() ? "" : "Hyssophitch-Server-Load: " + load + "\r\n") + "\r\n");
+        return true;
+    }
+
     private void accept() {
         while (!socket.isClosed()) {
             try {
@@ -153,10 +167,7 @@
                 }
                 if (r.line().startsWith("GET /health ")) {
                     probes.incrementAndGet();
-                    write(
-                            connection,
-                            "HTTP/1.1 " + healthStatus + " X\r\nContent-Length: 0\r\n"
-                                    + (load.isEmpty() ? "" : "Hyssophitch-Server-Load: " + load + "\r\n") + "\r\n");
+                    isKept = probeScript.respond(r, connection);
                     continue;
                 }
                 requests.add(r);
--- a/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
@@ -105,10 +105,22 @@
     }
 
     @Override
-    public boolean isExpectedResponse(HttpResponse candidate) {
-        return action.isForward()
-                ? dispatcher.headerConventions().isForwardResponseTo(candidate.headers(), exchange.requestId())
-                : dispatcher.headerConventions().isResponseTo(candidate.headers(), exchange.requestId());
+    public ResponseMatch match(HttpResponse candidate) {
+        HeaderConventions conventions = dispatcher.headerConventions();
+        if (action.isForward()) {
+            return conventions.isForwardResponseTo(candidate.headers(), exchange.requestId())
+                    ? ResponseMatch.ANSWER
+                    : ResponseMatch.FOREIGN;
+        }
+        int code = candidate.status().code();
+        if (conventions.isUnidentifiedRefusal(code, candidate.headers())) {
+            return ResponseMatch.UNIDENTIFIED_REFUSAL;
+        }
+        if (!conventions.isResponseTo(candidate.headers(), exchange.requestId())) {
+            return ResponseMatch.FOREIGN;
+        }
+        boolean isRefusal = conventions.notRunCause(code, candidate.headers()).isPresent();
+        return isRefusal ? ResponseMatch.REFUSAL : ResponseMatch.ANSWER;
     }
 
     @Override
--- a/http/src/main/java/org/hyssophitch/http/BackendConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendConnection.java
@@ -46,7 +46,10 @@
     private boolean isClosing;
     private boolean isInputEnded;
     private boolean isInputLost;
-    private boolean isMalformed;
+    private boolean isUnusable;
+    /** Whether a late copy of a refusal may still arrive, because an earlier response was one or was foreign. */
+    private boolean mayHoldRefusal;
+
     private boolean isRequestWritten;
     private boolean isRejected;
     private long receivedBytes;
@@ -153,7 +156,7 @@
     }
 
     private void onUnusable(DecoderResult result) {
-        isMalformed |= result.isFailure();
+        isUnusable |= result.isFailure();
         if (exchange == null && !isClosing) {
             reject(AnswerFault.UNSOLICITED);
         } else if (exchange != null && !isInputEnded && !isInputLost) {
@@ -166,13 +169,22 @@
             isDiscarding = true;
             return;
         }
-        isDiscarding = !exchange.isExpectedResponse(head);
+        ResponseMatch match = exchange.match(head);
+        hasResponseHead |= match != ResponseMatch.FOREIGN;
+        if (match == ResponseMatch.UNIDENTIFIED_REFUSAL && mayHoldRefusal) {
+            reject(AnswerFault.UNTRUSTED_REFUSAL);
+            isUnusable = true;
+            isDiscarding = true;
+            channel.close();
+            return;
+        }
+        mayHoldRefusal |= match != ResponseMatch.ANSWER;
+        isClosing |= match == ResponseMatch.UNIDENTIFIED_REFUSAL || match == ResponseMatch.FOREIGN;
+        isDiscarding = match == ResponseMatch.FOREIGN;
         if (isDiscarding) {
-            isClosing = true;
             reject(AnswerFault.FOREIGN);
             return;
         }
-        hasResponseHead = true;
         isClosing |= !HttpUtil.isKeepAlive(head);
         readIdleTimeout(head);
         exchange.onResponseHead(head);
@@ -185,7 +197,7 @@
             return;
         }
         boolean isLast = content instanceof LastHttpContent;
-        if (isLast && (isInputLost || isMalformed)) {
+        if (isLast && (isInputLost || isUnusable)) {
             content.release();
             return;
         }
@@ -237,7 +249,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        isMalformed = true;
+        isUnusable = true;
         Logger.debug("connection to server {} failed: {}", pool.serverName(), cause.toString());
         context.close();
     }
--- a/http/src/main/java/org/hyssophitch/http/BackendExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendExchange.java
@@ -13,7 +13,7 @@
     String requestId();
 
     /** Returns whether a response belongs to this exchange; other responses are discarded. */
-    boolean isExpectedResponse(HttpResponse head);
+    ResponseMatch match(HttpResponse head);
 
     /** Called when the connection is available; the request must be written before this method returns. */
     void onConnected(BackendConnection connection);
--- a/http/src/main/java/org/hyssophitch/http/HeaderConventions.java
+++ b/http/src/main/java/org/hyssophitch/http/HeaderConventions.java
@@ -49,6 +49,11 @@
     /** Returns whether a response carries a request id. */
     boolean hasRequestId(HttpHeaders response);
 
+    /** Returns whether a response refuses a request without the id that tells which one. */
+    default boolean isUnidentifiedRefusal(int status, HttpHeaders response) {
+        return false;
+    }
+
     /** Returns why the request was not run if the response proves that it was not; otherwise empty. */
     Optional<NotRunCause> notRunCause(int status, HttpHeaders response);
 
--- a/http/src/main/java/org/hyssophitch/http/LoadProber.java
+++ b/http/src/main/java/org/hyssophitch/http/LoadProber.java
@@ -74,8 +74,13 @@
 
         /** A response with a request id belongs to an earlier request, because a probe is sent without an id. */
         @Override
-        public boolean isExpectedResponse(HttpResponse head) {
-            return !headerConventions.hasRequestId(head.headers());
+        public ResponseMatch match(HttpResponse head) {
+            if (headerConventions.hasRequestId(head.headers())) {
+                return ResponseMatch.FOREIGN;
+            }
+            return headerConventions.isUnidentifiedRefusal(head.status().code(), head.headers())
+                    ? ResponseMatch.UNIDENTIFIED_REFUSAL
+                    : ResponseMatch.ANSWER;
         }
 
         @Override
