A stopping host takes only requests that it can finish

Callers lost requests that they had sent 3.1 s after the SIGTERM and that had been passed on: a host took requests for 0.55 of the grace period and ended at 0.95 of it, whatever their timeouts and their servers' work.

The decision stands where the call is made, so an upload is judged when its body is in, or has exceeded the size that is buffered.

Ruled out: a stricter rule for uploads that are still arriving; it would refuse all large uploads in the time in which most callers still have the host's address.

--- a/core/src/main/java/org/hyssophitch/core/call/Reason.java
+++ b/core/src/main/java/org/hyssophitch/core/call/Reason.java
@@ -17,6 +17,8 @@
     HEAD_TIMEOUT(Outcome.NOT_RUN, 408),
     BODY_TOO_LARGE(Outcome.NOT_RUN, 413),
     NO_CONFIGURATION(Outcome.NOT_RUN, 503),
+    /** This host stops and may end before the request's answer. */
+    HOST_STOPPING(Outcome.NOT_RUN, 503),
     QUEUE_FULL(Outcome.NOT_RUN, 503),
     /** No server had capacity while the call could still wait for it. */
     NO_ROOM(Outcome.NOT_RUN, 503),
@@ -51,6 +53,9 @@
     TICKET_ISSUER_GONE(Outcome.UNKNOWN, 410),
     CALLER_GONE(Outcome.UNKNOWN, 499);
 
+    /** Delay in milliseconds after which to retry at another host, which can take the request now. */
+    public static final long RETRY_ELSEWHERE_MILLIS = 1;
+
     private final Outcome outcome;
     private final int status;
 
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -22,6 +22,7 @@
 import org.hyssophitch.core.entry.EntrySettings;
 import org.hyssophitch.core.entry.RequestRouter;
 import org.hyssophitch.core.entry.ServiceDefaults;
+import org.hyssophitch.core.entry.StopPlan;
 import org.hyssophitch.core.store.KindWatcher;
 import org.hyssophitch.core.store.ObjectStore;
 import org.hyssophitch.core.team.Team;
@@ -223,15 +224,16 @@
 
     /** Shuts down gracefully: reports not ready and deregisters, then ends the front and leaves the other hosts. */
     void stop() {
-        GracefulStop stop = new GracefulStop(loop, front, log);
+        StopPlan plan = new StopPlan(WallClock.nowMicros(), settings.bounds().gracePeriodMillis());
         isStopping = true;
-        runOnLoop(this::beginStop);
-        stop.awaitEnd(settings.bounds().gracePeriodMillis());
+        runOnLoop(() -> beginStop(plan));
+        new GracefulStop(loop, front, log, plan).awaitEnd();
         runOnLoop(() -> {
             peers.leave();
             recordStage("stopped");
         });
         Pause.millis(LEAVE_MILLIS);
+        EventLoops.close(group);
     }
 
     /** Applies the bounds of changed settings; changes to host, zone and addresses require a restart. */
@@ -251,9 +253,9 @@
         recordStage("settings applied");
     }
 
-    private void beginStop() {
+    private void beginStop(StopPlan plan) {
         recordStage("stopping");
-        front.beginStop();
+        front.beginStop(plan);
         peers.refreshReadiness();
         registration.stop();
     }
--- a/entry/src/main/java/org/hyssophitch/entry/GracefulStop.java
+++ b/entry/src/main/java/org/hyssophitch/entry/GracefulStop.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
+import org.hyssophitch.core.entry.StopPlan;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.core.timeline.EventRecorder;
 import org.hyssophitch.http.FrontListener;
@@ -11,37 +12,37 @@
 import org.hyssophitch.wire.net.EventLoops;
 
 /**
- * Ends the front of an entry host within its grace period: still accepts requests for callers that have this host's
- * address cached, then stops listening and waits for in-flight requests. Runs on a thread that may block.
+ * Ends the front of an entry host by the plan of its stop: still listens for callers that have this host's address
+ * cached, then waits for in-flight requests. Runs on a thread that may block.
  */
 final class GracefulStop {
 
-    /** Fraction of the grace period during which a stopping host still accepts new requests. */
-    private static final double ACCEPT_FRACTION = 0.55;
-    /** Fraction of the grace period after which the process exits even if requests are still in flight. */
-    private static final double FORCED_EXIT_FRACTION = 0.95;
-
     private static final long DRAIN_POLL_MILLIS = 50;
 
     private final EventLoop loop;
     private final FrontListener front;
     private final EventRecorder log;
-    private final long startNanos = System.nanoTime();
+    private final StopPlan plan;
 
-    GracefulStop(EventLoop loop, FrontListener front, EventRecorder log) {
+    GracefulStop(EventLoop loop, FrontListener front, EventRecorder log, StopPlan plan) {
         this.loop = loop;
         this.front = front;
         this.log = log;
+        this.plan = plan;
     }
 
     /** Blocks until nothing is left to be cut off, or the grace period is nearly over. */
-    void awaitEnd(long gracePeriodMillis) {
-        Pause.millis((long) (gracePeriodMillis * ACCEPT_FRACTION));
+    void awaitEnd() {
+        Pause.millis(TimeUnit.MICROSECONDS.toMillis(plan.listenUntilMicros() - WallClock.nowMicros()));
         EventLoops.run(loop, front::stopListening);
-        while (EventLoops.call(loop, front::isBusy) && elapsedMillis() < gracePeriodMillis * FORCED_EXIT_FRACTION) {
+        awaitUntil(plan.exitMicros());
+        EventLoops.run(loop, this::reportEnd);
+    }
+
+    private void awaitUntil(long endMicros) {
+        while (EventLoops.call(loop, front::isBusy) && WallClock.nowMicros() < endMicros) {
             Pause.millis(DRAIN_POLL_MILLIS);
         }
-        EventLoops.run(loop, this::reportEnd);
     }
 
     private void reportEnd() {
@@ -54,6 +55,6 @@
     }
 
     private long elapsedMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        return TimeUnit.MICROSECONDS.toMillis(WallClock.nowMicros() - plan.startMicros());
     }
 }
--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
@@ -0,0 +1,98 @@
+package org.hyssophitch.entry;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.hyssophitch.wire.net.Addresses;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Tests that a planned stop cuts off no request that was passed on. All times are milliseconds since the stop began. */
+public class PlannedStopTest extends EntryProgramFixture {
+
+    private static final String LONG = "long";
+    private static final String SHORT = "short";
+    private static final String STREAMED = "streamed";
+    /** Longer than the grace period, so that the answer never comes. */
+    private static final int ENDLESS_WORK_MILLIS = 2 * GRACE_MILLIS;
+
+    private static final int PART_BYTES = 100_000;
+    private static final int SMALL_RECEIVE_BUFFER_BYTES = 4_096;
+
+    private CompletableFuture<Void> stop;
+    private long stopNanos;
+
+    @DataProvider
+    Object[][] lateRequests() {
+        String get = DataPath.get("/s/x", LONG);
+        String post = DataPath.post("/s/x", LONG, "body");
+        return new Object[][] {{"", get}, {post.substring(0, post.length() - 2), post.substring(post.length() - 2)}};
+    }
+
+    /** A request that arrives late, or whose body does, was passed on and cut off at the end of the grace period. */
+    @Test(dataProvider = "lateRequests")
+    public void requestThatArrivesLateIsAnsweredOrNotPassedOn(String early, String late) throws Exception {
+        startWith(work(LONG, 900));
+        try (Socket c = connect()) {
+            beginStop();
+            sleepUntil(600);
+            write(c, early);
+            sleepUntil(740);
+            String response = DataPath.send(c, late, 1);
+            boolean isPassedOn = first.requests().stream().anyMatch(r -> r.id().equals(LONG));
+            assertEquals(response.endsWith(LONG), isPassedOn, response);
+            assertTrue(isPassedOn || response.startsWith("HTTP/1.1 503"), response);
+        }
+        awaitStop();
+    }
+
+    private static ScriptedServer.Script work(String id, int millis) {
+        return (r, c) -> {
+            if (r.id().equals(id)) {
+                Thread.sleep(millis);
+            }
+            return ScriptedServer.ok(r.id()).respond(r, c);
+        };
+    }
+
+    private void startWith(ScriptedServer.Script script) throws InterruptedException {
+        first.setScript(script);
+        configure(1, "svc");
+        register("i-1", first, "svc", "ready");
+        start(settings);
+        await(() -> ready(settings) == 200);
+    }
+
+    private InetSocketAddress front() {
+        return Addresses.parse(settings.addresses().front());
+    }
+
+    private Socket connect() throws IOException {
+        return new Socket(front().getAddress(), front().getPort());
+    }
+
+    private static void write(Socket c, String text) throws IOException {
+        c.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private void beginStop() {
+        EntryProgram program = programs.remove(0);
+        stopNanos = System.nanoTime();
+        stop = CompletableFuture.runAsync(program::stop, threads);
+    }
+
+    private void awaitStop() throws Exception {
+        stop.get(2 * GRACE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void sleepUntil(long millis) throws InterruptedException {
+        Thread.sleep(Math.max(0, millis - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stopNanos)));
+    }
+}
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -28,8 +28,10 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.configuration.CallerLimits;
+import org.hyssophitch.core.timeline.EventBody.RequestAtStop;
 import org.tinylog.Logger;
 
 /**
@@ -183,6 +185,17 @@
         exchange.dispatchWhenReady();
     }
 
+    /** Returns whether a call may be passed on; if the stop of this host forbids it, the request gets its refusal. */
+    boolean takes(CallerExchange exchange, CallRequest call) {
+        boolean isTaken = listener.takes(call);
+        if (!isTaken) {
+            int position = List.copyOf(exchanges).indexOf(exchange) + 1;
+            listener.onStopped(exchange, RequestAtStop.State.REFUSED, position);
+            exchange.refuse(Reason.HOST_STOPPING, listener.retryAfterMillis(Reason.HOST_STOPPING), "");
+        }
+        return isTaken;
+    }
+
     private void onMalformed(Throwable cause) {
         boolean isTooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
         Reason reason = isTooLong ? Reason.HEAD_TOO_LARGE : Reason.BAD_REQUEST;
--- a/http/src/main/java/org/hyssophitch/http/CallerExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerExchange.java
@@ -23,6 +23,7 @@
 import io.netty.util.ReferenceCountUtil;
 import org.hyssophitch.core.call.CallAction;
 import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.timeline.EventBody.RequestAtStop;
@@ -126,17 +127,19 @@
         return accepted != null;
     }
 
-    /** Passes the call to the engine once its body is complete or too large to be buffered. */
+    /** Passes the call to the engine, or refuses it, once its body is complete or too large to be buffered. */
     void dispatchWhenReady() {
         if (isDispatched || isAnswered || accepted == null || !body.isComplete() && !body.exceedsReplayLimit()) {
             return;
         }
-        isDispatched = true;
         String fingerprint = request.method().name() + ' ' + target + '#' + Long.toHexString(body.checksum());
+        CallRequest call = accepted.callFactory().create(callId, body.isReplayable(), fingerprint, arrivedMicros);
+        if (!connection.takes(this, call)) {
+            return;
+        }
+        isDispatched = true;
         dispatcher.register(this);
-        dispatcher.handle(new CallEvent.CallArrived(
-                WallClock.nowMicros(),
-                accepted.callFactory().create(callId, body.isReplayable(), fingerprint, arrivedMicros)));
+        dispatcher.handle(new CallEvent.CallArrived(WallClock.nowMicros(), call));
     }
 
     void startAttempt(CallAction.StartAttempt action, BackendPools pools) {
--- a/http/src/main/java/org/hyssophitch/http/FrontListener.java
+++ b/http/src/main/java/org/hyssophitch/http/FrontListener.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -17,7 +18,9 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.Reason;
+import org.hyssophitch.core.entry.StopPlan;
 import org.hyssophitch.core.timeline.EventBody.RequestAtStop;
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.net.Binding;
@@ -38,6 +41,7 @@
     private Channel channel;
     private boolean isStopping;
     private long stopMicros;
+    private Optional<StopPlan> stopPlan = Optional.empty();
     private int refusedAtStop;
     private int unfinishedAtStop;
 
@@ -73,12 +77,19 @@
         channel = Binding.bind(bootstrap, local);
     }
 
-    /** Announces in each response from now on that its connection will be closed. */
+    /** Announces from now on with the last response of each connection that it will be closed. */
     public void beginStop() {
         isStopping = true;
         stopMicros = WallClock.nowMicros();
     }
 
+    /** Begins a stop as {@link #beginStop()} does, and refuses from now on the requests that the plan doesn't take. */
+    public void beginStop(StopPlan plan) {
+        isStopping = true;
+        stopMicros = plan.startMicros();
+        stopPlan = Optional.of(plan);
+    }
+
     /** Stops accepting connections and closes idle ones; the others close after their last response. */
     public void stopListening() {
         isStopping = true;
@@ -134,8 +145,17 @@
         return isStopping;
     }
 
+    /** Returns whether a call that is ready may be passed on. */
+    boolean takes(CallRequest call) {
+        return stopPlan.map(p -> p.takes(call, WallClock.nowMicros())).orElse(true);
+    }
+
     long retryAfterMillis(Reason reason) {
-        return reason == Reason.NO_CONFIGURATION ? NO_CONFIGURATION_RETRY_MILLIS : 0;
+        return switch (reason) {
+            case NO_CONFIGURATION -> NO_CONFIGURATION_RETRY_MILLIS;
+            case HOST_STOPPING -> Reason.RETRY_ELSEWHERE_MILLIS;
+            default -> 0;
+        };
     }
 
     void onOpen(CallerConnection connection) {
