--- a/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
@@ -73,8 +73,7 @@
             .register(registry);
     private final Counter requestsAtStop = Counter.builder()
             .name("hyssophitch_stop_requests_total")
-            .help(
-                    "requests refused because of the stop or left without a whole answer, by state")
+            .help("requests refused because of the stop or left without a whole answer, by state")
             .labelNames("state")
             .register(registry);
     private final BoundedLabels teams = new BoundedLabels(MAX_TEAMS);
--- a/proxy/src/main/java/org/hyssophitch/proxy/ProxyMetrics.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/ProxyMetrics.java
@@ -27,8 +27,7 @@
 
     private final Counter requestsAtStop = Counter.builder()
             .name("hyssophitch_stop_requests_total")
-            .help(
-                    "requests refused because of the stop or left without a whole answer, by state")
+            .help("requests refused because of the stop or left without a whole answer, by state")
             .labelNames("state")
             .register(registry);
 
