A host that ends gives each unfinished request a final answer

Callers that pipeline lost whole answers at a stop: answers leave in the order of their requests, and a host ended with an earlier request of the connection still at work, and with it answers behind it that had been there long before.

The answers behind it leave before the process ends.

Not covered: whole answers behind one that is being relayed and doesn't end in time; nothing else can be sent in its place.

--- a/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
@@ -172,6 +172,11 @@
         return mayHaveRun;
     }
 
+    /** Returns whether no attempt is in flight and none has run the request. */
+    boolean isUnsent() {
+        return attempts.isEmpty() && !mayHaveRun;
+    }
+
     /** Records that an attempt was lost, so that the request may have run. */
     void onLoss(Reason reason) {
         mayHaveRun = true;
--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -84,6 +84,7 @@
             case CallEvent.LeavingChanged e -> onLeavingChanged(e.servers(), e.source(), e.nowMicros());
             case CallEvent.SuspicionsReceived e -> onSuspicions(e.suspicions(), e.nowMicros());
             case CallEvent.TicketIssuersChanged e -> state.setIssuers(e.issuers());
+            case CallEvent.HostEnding e -> onHostEnding(e.nowMicros());
             case CallEvent.TimePassed e -> onTime(e.nowMicros());
         }
         return state.takeActions();
@@ -340,6 +341,12 @@
         startQueued(nowMicros);
     }
 
+    private void onHostEnding(long nowMicros) {
+        List.copyOf(state.calls().values()).stream()
+                .filter(c -> !c.isRelaying())
+                .forEach(c -> finisher.answer(c, c.isUnsent() ? Reason.HOST_STOPPING : Reason.HOST_STOPPED, nowMicros));
+    }
+
     private void onTime(long nowMicros) {
         while (!state.timers().isEmpty() && state.timers().peek().atMicros() <= nowMicros) {
             fire(state.timers().poll(), nowMicros);
@@ -370,8 +377,7 @@
     }
 
     private void onDeadline(ActiveCall call, long nowMicros) {
-        boolean isUnsent = call.attempts().isEmpty() && !call.mayHaveRun();
-        Reason reason = isUnsent ? Reason.DEADLINE_PASSED_WAITING : Reason.DEADLINE_PASSED;
+        Reason reason = call.isUnsent() ? Reason.DEADLINE_PASSED_WAITING : Reason.DEADLINE_PASSED;
         finisher.answer(call, reason, nowMicros);
         starter.startQueued(call.service(), nowMicros);
     }
--- a/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
@@ -157,6 +157,9 @@
     /** Membership changed, and with it the set of live processes that issue tickets. */
     record TicketIssuersChanged(long nowMicros, IssuerView issuers) implements CallEvent {}
 
+    /** This host ends; each call whose answer isn't being relayed gets a final answer. */
+    record HostEnding(long nowMicros) implements CallEvent {}
+
     /** Time passed; due timers fire. */
     record TimePassed(long nowMicros) implements CallEvent {}
 }
--- a/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallFinisher.java
@@ -92,6 +92,7 @@
             case QUEUE_FULL, DEADLINE_TOO_SHORT, DEADLINE_PASSED_WAITING, ATTEMPTS_REFUSED ->
                 Math.max(MIN_RETRY_AFTER_MILLIS, service.estimatedWaitMicros() / MICROS_PER_MILLI);
             case NO_ROOM -> NO_ROOM_RETRY_AFTER_MILLIS;
+            case HOST_STOPPING -> Reason.RETRY_ELSEWHERE_MILLIS;
             case NO_SERVER,
                     ZONES_EVACUATED,
                     SERVERS_UNREACHABLE,
--- a/core/src/main/java/org/hyssophitch/core/call/Reason.java
+++ b/core/src/main/java/org/hyssophitch/core/call/Reason.java
@@ -45,6 +45,8 @@
     CALLER_GONE_WAITING(Outcome.NOT_RUN, 499),
 
     DEADLINE_PASSED(Outcome.UNKNOWN, 504),
+    /** This host ended its stop before a server's answer. */
+    HOST_STOPPED(Outcome.UNKNOWN, 504),
     CONNECTION_LOST(Outcome.UNKNOWN, 502),
     ANSWER_BROKEN(Outcome.UNKNOWN, 502),
     TICKET_RUNNING(Outcome.UNKNOWN, 409),
--- a/core/src/test/java/org/hyssophitch/core/call/CallEngineTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/CallEngineTest.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import org.hyssophitch.core.configuration.AddressRule;
@@ -113,6 +115,23 @@
         assertEquals(reason.orElse(null), answer);
     }
 
+    /** Without its final answer a call holds up the whole answers behind it on its connection until the process ends. */
+    @Test
+    public void hostThatEndsTellsEachCallWhetherItMayHaveRun() {
+        CallEngine engine = engine(EngineFeature.all(), 2);
+        for (int i = 1; i <= 3; i++) {
+            engine.handle(new CallEvent.CallArrived(i, request(i, "bulk", false)));
+        }
+        engine.handle(new CallEvent.AnswerStarted(4, 1, 1, 200));
+
+        Map<Long, Reason> answers = engine.handle(new CallEvent.HostEnding(5)).stream()
+                .filter(CallAction.AnswerCaller.class::isInstance)
+                .map(CallAction.AnswerCaller.class::cast)
+                .collect(Collectors.toMap(CallAction.AnswerCaller::callId, CallAction.AnswerCaller::reason));
+
+        assertEquals(answers, Map.of(2L, Reason.HOST_STOPPED, 3L, Reason.HOST_STOPPING));
+    }
+
     private static void callChain(List<CallEngine> engines, int depth, boolean mayRetry, int[] attempts) {
         if (depth == engines.size()) {
             attempts[0]++;
--- a/entry/src/main/java/org/hyssophitch/entry/GracefulStop.java
+++ b/entry/src/main/java/org/hyssophitch/entry/GracefulStop.java
@@ -35,6 +35,8 @@
     void awaitEnd() {
         Pause.millis(TimeUnit.MICROSECONDS.toMillis(plan.listenUntilMicros() - WallClock.nowMicros()));
         EventLoops.run(loop, front::stopListening);
+        awaitUntil(plan.finalAnswersMicros());
+        EventLoops.run(loop, front::endCalls);
         awaitUntil(plan.exitMicros());
         EventLoops.run(loop, this::reportEnd);
     }
--- a/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
@@ -53,6 +53,21 @@
         awaitStop();
     }
 
+    /** The host ended with whole answers behind a request that was still at work, and these were lost with it. */
+    @Test
+    public void wholeAnswerBehindARequestStillAtWorkLeavesBeforeTheEnd() throws Exception {
+        startWith(work(LONG, ENDLESS_WORK_MILLIS));
+        try (Socket c = connect()) {
+            beginStop();
+            sleepUntil(100);
+            write(c, DataPath.get("/s/x", LONG) + DataPath.get("/s/x", SHORT));
+            awaitStop();
+            String response = DataPath.read(c, 2);
+            assertTrue(response.startsWith("HTTP/1.1 504"), response);
+            assertTrue(response.endsWith(SHORT), response);
+        }
+    }
+
     private static ScriptedServer.Script work(String id, int millis) {
         return (r, c) -> {
             if (r.id().equals(id)) {
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
@@ -302,12 +304,14 @@
         return !exchanges.isEmpty() || unsent != null && unsent.totalPendingWriteBytes() > 0;
     }
 
-    /** Reports the requests without a wholly written response. */
-    void reportUnfinished() {
+    /** Reports the requests without a wholly written response that are in one of the given states. */
+    void reportUnfinished(Set<RequestAtStop.State> states) {
         int position = 0;
         for (CallerExchange exchange : exchanges) {
             position++;
-            listener.onStopped(exchange, exchange.progress(), position);
+            if (states.contains(exchange.progress())) {
+                listener.onStopped(exchange, exchange.progress(), position);
+            }
         }
     }
 
@@ -333,7 +337,7 @@
         isClosing = true;
         context.flush();
         if (listener.isStopping()) {
-            reportUnfinished();
+            reportUnfinished(EnumSet.allOf(RequestAtStop.State.class));
         }
         cancelAll();
         if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
--- a/http/src/main/java/org/hyssophitch/http/FrontListener.java
+++ b/http/src/main/java/org/hyssophitch/http/FrontListener.java
@@ -1,6 +1,7 @@
 package org.hyssophitch.http;
 
 import java.net.InetSocketAddress;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -18,10 +19,12 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.entry.StopPlan;
 import org.hyssophitch.core.timeline.EventBody.RequestAtStop;
+import org.hyssophitch.core.timeline.EventBody.RequestAtStop.State;
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.net.Binding;
 
@@ -114,9 +117,18 @@
         return connections.size();
     }
 
+    /**
+     * Gives each request without a server's answer a final answer, so that whole answers behind it can leave before the
+     * process ends, and reports it.
+     */
+    public void endCalls() {
+        connections.forEach(c -> c.reportUnfinished(EnumSet.of(State.WAITING_FOR_SERVER, State.AT_SERVER)));
+        dispatcher.handle(new CallEvent.HostEnding(WallClock.nowMicros()));
+    }
+
     /** Reports the requests without a whole response, which are cut off if the process ends now. */
     public void reportUnfinished() {
-        connections.forEach(CallerConnection::reportUnfinished);
+        connections.forEach(c -> c.reportUnfinished(EnumSet.allOf(State.class)));
     }
 
     /** Returns the number of requests that were refused because of the stop. */
@@ -130,8 +142,8 @@
     }
 
     /** Records what became of a request during the stop. */
-    void onStopped(CallerExchange exchange, RequestAtStop.State state, int position) {
-        if (state == RequestAtStop.State.REFUSED) {
+    void onStopped(CallerExchange exchange, State state, int position) {
+        if (state == State.REFUSED) {
             refusedAtStop++;
         } else {
             unfinishedAtStop++;
