A connection whose close is announced takes no further request

A request that arrived while an answer with Connection: close was still being relayed was passed on; when that answer had left, the connection closed and the request was cancelled, although a backend server may have run it. This happened at a stop, behind a request that asks for the close, behind an answer that came before its upload, and behind an HTTP/1.0 request.

Announcing the close and taking further requests are one decision now: the head that announces the close, and a request that asks for it, end the taking of requests. Nothing is taken behind an HTTP/1.0 request that waits for its answer, because only the close may end that answer.

--- a/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
@@ -12,6 +12,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /** Tests that a planned stop cuts off no request that was passed on. All times are milliseconds since the stop began. */
@@ -23,6 +24,10 @@
     /** Longer than the grace period, so that the answer never comes. */
     private static final int ENDLESS_WORK_MILLIS = 2 * GRACE_MILLIS;
 
+    private static final long STOP_POLL_MILLIS = 5;
+    /** More than the head of an answer. */
+    private static final int HEAD_BYTES = 1_000;
+
     private static final int PART_BYTES = 100_000;
     private static final int SMALL_RECEIVE_BUFFER_BYTES = 4_096;
 
@@ -44,7 +49,7 @@
             beginStop();
             sleepUntil(600);
             write(c, early);
-            sleepUntil(740);
+            sleepUntil(725);
             String response = DataPath.send(c, late, 1);
             boolean isPassedOn = first.requests().stream().anyMatch(r -> r.id().equals(LONG));
             assertEquals(response.endsWith(LONG), isPassedOn, response);
@@ -68,6 +73,29 @@
         }
     }
 
+    /** A request behind an answer that announced the close was passed on, and cancelled when that answer had left. */
+    @Test
+    public void requestBehindAnAnnouncedCloseIsNotPassedOn() throws Exception {
+        startWith((r, c) -> {
+            ScriptedServer.write(c, ScriptedServer.head(r, 200) + "Content-Length: " + 2 * PART_BYTES + "\r\n\r\n");
+            ScriptedServer.write(c, "x".repeat(PART_BYTES));
+            Thread.sleep(400);
+            ScriptedServer.write(c, "x".repeat(PART_BYTES));
+            return true;
+        });
+        try (Socket c = connect()) {
+            beginStop();
+            sleepUntil(50);
+            write(c, DataPath.get("/s/x", STREAMED));
+            byte[] head = c.getInputStream().readNBytes(HEAD_BYTES);
+            String response = DataPath.send(c, DataPath.get("/s/x", SHORT), 2);
+            assertTrue(new String(head, StandardCharsets.ISO_8859_1).contains("connection: close"), "no close");
+            assertTrue(response.length() > PART_BYTES && response.endsWith("x"), "the answer isn't whole");
+            assertFalse(first.requests().stream().anyMatch(r -> r.id().equals(SHORT)), "passed on, not answered");
+        }
+        awaitStop();
+    }
+
     private static ScriptedServer.Script work(String id, int millis) {
         return (r, c) -> {
             if (r.id().equals(id)) {
@@ -97,10 +125,13 @@
         c.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    private void beginStop() {
-        EntryProgram program = programs.remove(0);
+    /** Begins the stop, and waits until it has begun on a busy machine too. */
+    private void beginStop() throws InterruptedException {
+        stop = CompletableFuture.runAsync(programs.remove(0)::stop, threads);
+        while (ready(settings) == 200) {
+            Thread.sleep(STOP_POLL_MILLIS);
+        }
         stopNanos = System.nanoTime();
-        stop = CompletableFuture.runAsync(program::stop, threads);
     }
 
     private void awaitStop() throws Exception {
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -64,7 +64,6 @@
     private boolean isClosing;
     private boolean acceptsRequests = true;
     private boolean isFlushing;
-    private boolean closesAfterResponse;
 
     CallerConnection(CallDispatcher dispatcher, RequestRules rules, FrontListener listener) {
         this.dispatcher = dispatcher;
@@ -102,7 +101,8 @@
             onMalformed(part.decoderResult().cause());
             return;
         }
-        if (part instanceof HttpRequest && !acceptsRequests && !exchanges.isEmpty()) {
+        if (part instanceof HttpRequest && isLastRequestPending()) {
+            acceptsRequests = false;
             ReferenceCountUtil.release(message);
             return;
         }
@@ -114,6 +114,16 @@
         }
     }
 
+    /** Returns whether the connection may close after the last pending response, so that none could follow it. */
+    private boolean isLastRequestPending() {
+        return !exchanges.isEmpty() && (!acceptsRequests || isHttp10(exchanges.peekLast()));
+    }
+
+    /** Returns whether the response may have to end with the connection, because its caller knows no chunks. */
+    private static boolean isHttp10(CallerExchange exchange) {
+        return !exchange.request().protocolVersion().isKeepAliveDefault();
+    }
+
     private void onHead(HttpRequest request) {
         stopTimer(headTimer);
         headTimer = null;
@@ -123,6 +133,7 @@
                 new CallerExchange(this, dispatcher, request, RequestTarget.of(request.uri()), requestId);
         exchanges.add(exchange);
         receiving = exchange;
+        acceptsRequests &= HttpUtil.isKeepAlive(request);
         if (exchanges.size() == MAX_PIPELINED_REQUESTS) {
             pauseReading();
         }
@@ -245,8 +256,9 @@
             }
             hasWritten = true;
             boolean isLast = first.isOutputComplete();
-            boolean closesConnection = part instanceof HttpResponse head && setConnectionHeaders(first, head);
-            closesAfterResponse |= closesConnection;
+            if (part instanceof HttpResponse head) {
+                setConnectionHeaders(first, head);
+            }
             context.write(part);
             if (isLast) {
                 onResponseWritten();
@@ -258,23 +270,21 @@
         }
     }
 
-    /** Sets the connection headers of a response; returns whether the connection closes after this response. */
-    private boolean setConnectionHeaders(CallerExchange exchange, HttpResponse head) {
-        boolean isRequestReceived = receiving != exchange || !exchange.hasBody();
-        boolean isStopping = (listener.isStopping() || !acceptsRequests) && exchanges.size() == 1;
-        boolean isKept = isRequestReceived && HttpUtil.isKeepAlive(exchange.request()) && !isStopping;
-        HttpUtil.setKeepAlive(head.headers(), exchange.request().protocolVersion(), isKept && !closesAfterResponse);
-        boolean isHttp10 = !exchange.request().protocolVersion().isKeepAliveDefault();
-        boolean isCloseDelimited = isHttp10 && HttpUtil.isTransferEncodingChunked(head);
+    /** Sets the connection headers of a response. Once they announce the close, no request is accepted any more. */
+    private void setConnectionHeaders(CallerExchange exchange, HttpResponse head) {
+        boolean isUnreceived = receiving == exchange && exchange.hasBody();
+        boolean isCloseDelimited = isHttp10(exchange) && HttpUtil.isTransferEncodingChunked(head);
         if (isCloseDelimited) {
             head.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
         }
-        return !isKept || isCloseDelimited;
+        boolean isLast = exchanges.size() == 1;
+        acceptsRequests &= !isUnreceived && !isCloseDelimited && !(listener.isStopping() && isLast);
+        HttpUtil.setKeepAlive(head.headers(), exchange.request().protocolVersion(), acceptsRequests || !isLast);
     }
 
     private void onResponseWritten() {
         exchanges.poll();
-        if (closesAfterResponse || !acceptsRequests && exchanges.isEmpty()) {
+        if (!acceptsRequests && exchanges.isEmpty()) {
             closeGracefully();
             return;
         }
