A closing connection delivers its response, and the process waits for it

A process ended some 50 ms after its last answer without regard for connections that were being closed. Bytes that a caller sent then turned the close into a reset, and a slow caller lost the end of its answer. Apart from stops, the 500 ms for which a closing connection still reads began before its output was flushed, so a caller that read slowly lost what was left after 500 ms.

GracefulClose flushes first, shuts down the output, and then lingers; a caller that reads nothing for the idle timeout is cut off. FrontListener.isBusy counts closing connections, bounded by the plan's exit.

--- a/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
@@ -96,6 +96,28 @@
         awaitStop();
     }
 
+    /** The process ended while a connection lingered; late bytes of its caller turned the close into a reset. */
+    @Test
+    public void lateBytesOfASlowCallerDontResetItsAnswerAtTheEnd() throws Exception {
+        startWith((r, c) -> {
+            Thread.sleep(800);
+            return ScriptedServer.ok("x".repeat(PART_BYTES)).respond(r, c);
+        });
+        try (Socket c = new Socket()) {
+            c.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
+            c.connect(front());
+            beginStop();
+            sleepUntil(50);
+            write(c, DataPath.get("/s/x", LONG));
+            sleepUntil(1_150);
+            write(c, DataPath.get("/s/x", SHORT));
+            String response = DataPath.read(c, 2);
+            assertTrue(response.length() > PART_BYTES, "only " + response.length() + " bytes arrived");
+            assertFalse(response.endsWith("<reset>"), "the connection was reset");
+        }
+        awaitStop();
+    }
+
     private static ScriptedServer.Script work(String id, int millis) {
         return (r, c) -> {
             if (r.id().equals(id)) {
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -12,8 +12,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -45,11 +43,6 @@
 
     /** Maximum number of requests of one connection that are processed concurrently. */
     private static final int MAX_PIPELINED_REQUESTS = 16;
-    /**
-     * Time in milliseconds for which a closing connection still reads, because unread bytes would turn the close into a
-     * reset.
-     */
-    private static final long LINGER_MILLIS = 500;
 
     private final CallDispatcher dispatcher;
     private final RequestRules rules;
@@ -310,8 +303,12 @@
 
     /** Returns whether this connection has unanswered requests or unsent responses. */
     boolean isBusy() {
-        ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
-        return !exchanges.isEmpty() || unsent != null && unsent.totalPendingWriteBytes() > 0;
+        return !exchanges.isEmpty() || GracefulClose.unsentBytes(context.channel()) > 0;
+    }
+
+    /** Returns whether this connection is being closed; the end of a response may still be on its way. */
+    boolean isClosing() {
+        return isClosing;
     }
 
     /** Reports the requests without a wholly written response that are in one of the given states. */
@@ -342,21 +339,13 @@
         }
     }
 
-    /** Shuts down the output first and keeps reading for a while, so that a reset doesn't discard the last response. */
     private void closeGracefully() {
         isClosing = true;
-        context.flush();
         if (listener.isStopping()) {
             reportUnfinished(EnumSet.allOf(RequestAtStop.State.class));
         }
         cancelAll();
-        if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
-            context.channel().config().setAutoRead(true);
-            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> socket.shutdownOutput());
-            context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
-        } else {
-            context.close();
-        }
+        GracefulClose.start(context.channel(), rules.limits().idleTimeoutMillis());
     }
 
     private void startIdleTimer() {
--- a/http/src/main/java/org/hyssophitch/http/FrontListener.java
+++ b/http/src/main/java/org/hyssophitch/http/FrontListener.java
@@ -102,9 +102,14 @@
         List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
-    /** Returns whether calls are active or responses unsent, which would be cut off if the process ended now. */
+    /**
+     * Returns whether calls are active, responses unsent or connections being closed, which would be cut off if the
+     * process ended now.
+     */
     public boolean isBusy() {
-        return dispatcher.activeCalls() > 0 || busyConnections() > 0;
+        return dispatcher.activeCalls() > 0
+                || busyConnections() > 0
+                || connections.stream().anyMatch(CallerConnection::isClosing);
     }
 
     /** Returns the number of connections with an unanswered request or an unsent response. */
