--- a/core/src/main/java/org/hyssophitch/core/call/Reason.java
+++ b/core/src/main/java/org/hyssophitch/core/call/Reason.java
@@ -17,6 +17,8 @@
     HEAD_TIMEOUT(Outcome.NOT_RUN, 408),
     BODY_TOO_LARGE(Outcome.NOT_RUN, 413),
     NO_CONFIGURATION(Outcome.NOT_RUN, 503),
+    /** This host stops and may end before the request's answer. */
+    HOST_STOPPING(Outcome.NOT_RUN, 503),
     QUEUE_FULL(Outcome.NOT_RUN, 503),
     /** No server had capacity while the call could still wait for it. */
     NO_ROOM(Outcome.NOT_RUN, 503),
@@ -43,6 +45,8 @@
     CALLER_GONE_WAITING(Outcome.NOT_RUN, 499),
 
     DEADLINE_PASSED(Outcome.UNKNOWN, 504),
+    /** This host ended its stop before a server's answer. */
+    HOST_STOPPED(Outcome.UNKNOWN, 504),
     CONNECTION_LOST(Outcome.UNKNOWN, 502),
     ANSWER_BROKEN(Outcome.UNKNOWN, 502),
     TICKET_RUNNING(Outcome.UNKNOWN, 409),
@@ -51,6 +55,9 @@
     TICKET_ISSUER_GONE(Outcome.UNKNOWN, 410),
     CALLER_GONE(Outcome.UNKNOWN, 499);
 
+    /** Delay in milliseconds after which to retry at another host, which can take the request now. */
+    public static final long RETRY_ELSEWHERE_MILLIS = 1;
+
     private final Outcome outcome;
     private final int status;
 
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
@@ -10,8 +12,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -28,8 +28,10 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.configuration.CallerLimits;
+import org.hyssophitch.core.timeline.EventBody.RequestAtStop;
 import org.tinylog.Logger;
 
 /**
@@ -41,11 +43,6 @@
 
     /** Maximum number of requests of one connection that are processed concurrently. */
     private static final int MAX_PIPELINED_REQUESTS = 16;
-    /**
-     * Time in milliseconds for which a closing connection still reads, because unread bytes would turn the close into a
-     * reset.
-     */
-    private static final long LINGER_MILLIS = 500;
 
     private final CallDispatcher dispatcher;
     private final RequestRules rules;
@@ -60,7 +57,6 @@
     private boolean isClosing;
     private boolean acceptsRequests = true;
     private boolean isFlushing;
-    private boolean closesAfterResponse;
 
     CallerConnection(CallDispatcher dispatcher, RequestRules rules, FrontListener listener) {
         this.dispatcher = dispatcher;
@@ -98,7 +94,8 @@
             onMalformed(part.decoderResult().cause());
             return;
         }
-        if (part instanceof HttpRequest && !acceptsRequests && !exchanges.isEmpty()) {
+        if (part instanceof HttpRequest && isLastRequestPending()) {
+            acceptsRequests = false;
             ReferenceCountUtil.release(message);
             return;
         }
@@ -110,6 +107,16 @@
         }
     }
 
+    /** Returns whether the connection may close after the last pending response, so that none could follow it. */
+    private boolean isLastRequestPending() {
+        return !exchanges.isEmpty() && (!acceptsRequests || isHttp10(exchanges.peekLast()));
+    }
+
+    /** Returns whether the response may have to end with the connection, because its caller knows no chunks. */
+    private static boolean isHttp10(CallerExchange exchange) {
+        return !exchange.request().protocolVersion().isKeepAliveDefault();
+    }
+
     private void onHead(HttpRequest request) {
         stopTimer(headTimer);
         headTimer = null;
@@ -119,6 +126,7 @@
                 new CallerExchange(this, dispatcher, request, RequestTarget.of(request.uri()), requestId);
         exchanges.add(exchange);
         receiving = exchange;
+        acceptsRequests &= HttpUtil.isKeepAlive(request);
         if (exchanges.size() == MAX_PIPELINED_REQUESTS) {
             pauseReading();
         }
@@ -183,6 +191,17 @@
         exchange.dispatchWhenReady();
     }
 
+    /** Returns whether a call may be passed on; if the stop of this host forbids it, the request gets its refusal. */
+    boolean takes(CallerExchange exchange, CallRequest call) {
+        boolean isTaken = listener.takes(call);
+        if (!isTaken) {
+            int position = List.copyOf(exchanges).indexOf(exchange) + 1;
+            listener.onStopped(exchange, RequestAtStop.State.REFUSED, position);
+            exchange.refuse(Reason.HOST_STOPPING, listener.retryAfterMillis(Reason.HOST_STOPPING), "");
+        }
+        return isTaken;
+    }
+
     private void onMalformed(Throwable cause) {
         boolean isTooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
         Reason reason = isTooLong ? Reason.HEAD_TOO_LARGE : Reason.BAD_REQUEST;
@@ -230,8 +249,9 @@
             }
             hasWritten = true;
             boolean isLast = first.isOutputComplete();
-            boolean closesConnection = part instanceof HttpResponse head && setConnectionHeaders(first, head);
-            closesAfterResponse |= closesConnection;
+            if (part instanceof HttpResponse head) {
+                setConnectionHeaders(first, head);
+            }
             context.write(part);
             if (isLast) {
                 onResponseWritten();
@@ -243,23 +263,21 @@
         }
     }
 
-    /** Sets the connection headers of a response; returns whether the connection closes after this response. */
-    private boolean setConnectionHeaders(CallerExchange exchange, HttpResponse head) {
-        boolean isRequestReceived = receiving != exchange || !exchange.hasBody();
-        boolean isStopping = (listener.isStopping() || !acceptsRequests) && exchanges.size() == 1;
-        boolean isKept = isRequestReceived && HttpUtil.isKeepAlive(exchange.request()) && !isStopping;
-        HttpUtil.setKeepAlive(head.headers(), exchange.request().protocolVersion(), isKept && !closesAfterResponse);
-        boolean isHttp10 = !exchange.request().protocolVersion().isKeepAliveDefault();
-        boolean isCloseDelimited = isHttp10 && HttpUtil.isTransferEncodingChunked(head);
+    /** Sets the connection headers of a response. Once they announce the close, no request is accepted any more. */
+    private void setConnectionHeaders(CallerExchange exchange, HttpResponse head) {
+        boolean isUnreceived = receiving == exchange && exchange.hasBody();
+        boolean isCloseDelimited = isHttp10(exchange) && HttpUtil.isTransferEncodingChunked(head);
         if (isCloseDelimited) {
             head.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
         }
-        return !isKept || isCloseDelimited;
+        boolean isLast = exchanges.size() == 1;
+        acceptsRequests &= !isUnreceived && !isCloseDelimited && !(listener.isStopping() && isLast);
+        HttpUtil.setKeepAlive(head.headers(), exchange.request().protocolVersion(), acceptsRequests || !isLast);
     }
 
     private void onResponseWritten() {
         exchanges.poll();
-        if (closesAfterResponse || !acceptsRequests && exchanges.isEmpty()) {
+        if (!acceptsRequests && exchanges.isEmpty()) {
             closeGracefully();
             return;
         }
@@ -285,16 +303,22 @@
 
     /** Returns whether this connection has unanswered requests or unsent responses. */
     boolean isBusy() {
-        ChannelOutboundBuffer unsent = context.channel().unsafe().outboundBuffer();
-        return !exchanges.isEmpty() || unsent != null && unsent.totalPendingWriteBytes() > 0;
+        return !exchanges.isEmpty() || GracefulClose.unsentBytes(context.channel()) > 0;
+    }
+
+    /** Returns whether this connection is being closed; the end of a response may still be on its way. */
+    boolean isClosing() {
+        return isClosing;
     }
 
-    /** Reports the requests without a wholly written response. */
-    void reportUnfinished() {
+    /** Reports the requests without a wholly written response that are in one of the given states. */
+    void reportUnfinished(Set<RequestAtStop.State> states) {
         int position = 0;
         for (CallerExchange exchange : exchanges) {
             position++;
-            listener.onStopped(exchange, exchange.progress(), position);
+            if (states.contains(exchange.progress())) {
+                listener.onStopped(exchange, exchange.progress(), position);
+            }
         }
     }
 
@@ -315,21 +339,13 @@
         }
     }
 
-    /** Shuts down the output first and keeps reading for a while, so that a reset doesn't discard the last response. */
     private void closeGracefully() {
         isClosing = true;
-        context.flush();
         if (listener.isStopping()) {
-            reportUnfinished();
+            reportUnfinished(EnumSet.allOf(RequestAtStop.State.class));
         }
         cancelAll();
-        if (context.channel() instanceof SocketChannel socket && socket.isActive()) {
-            context.channel().config().setAutoRead(true);
-            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> socket.shutdownOutput());
-            context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
-        } else {
-            context.close();
-        }
+        GracefulClose.start(context.channel(), rules.limits().idleTimeoutMillis());
     }
 
     private void startIdleTimer() {
--- a/http/src/main/java/org/hyssophitch/http/FrontListener.java
+++ b/http/src/main/java/org/hyssophitch/http/FrontListener.java
@@ -1,8 +1,10 @@
 package org.hyssophitch.http;
 
 import java.net.InetSocketAddress;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -17,8 +19,12 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.hyssophitch.core.call.CallEvent;
+import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.Reason;
+import org.hyssophitch.core.entry.StopPlan;
 import org.hyssophitch.core.timeline.EventBody.RequestAtStop;
+import org.hyssophitch.core.timeline.EventBody.RequestAtStop.State;
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.net.Binding;
 
@@ -38,6 +44,7 @@
     private Channel channel;
     private boolean isStopping;
     private long stopMicros;
+    private Optional<StopPlan> stopPlan = Optional.empty();
     private int refusedAtStop;
     private int unfinishedAtStop;
 
@@ -73,12 +80,19 @@
         channel = Binding.bind(bootstrap, local);
     }
 
-    /** Announces in each response from now on that its connection will be closed. */
+    /** Announces from now on with the last response of each connection that it will be closed. */
     public void beginStop() {
         isStopping = true;
         stopMicros = WallClock.nowMicros();
     }
 
+    /** Begins a stop as {@link #beginStop()} does, and refuses from now on the requests that the plan doesn't take. */
+    public void beginStop(StopPlan plan) {
+        isStopping = true;
+        stopMicros = plan.startMicros();
+        stopPlan = Optional.of(plan);
+    }
+
     /** Stops accepting connections and closes idle ones; the others close after their last response. */
     public void stopListening() {
         isStopping = true;
@@ -88,9 +102,14 @@
         List.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
-    /** Returns whether calls are active or responses unsent, which would be cut off if the process ended now. */
+    /**
+     * Returns whether calls are active, responses unsent or connections being closed, which would be cut off if the
+     * process ended now.
+     */
     public boolean isBusy() {
-        return dispatcher.activeCalls() > 0 || busyConnections() > 0;
+        return dispatcher.activeCalls() > 0
+                || busyConnections() > 0
+                || connections.stream().anyMatch(CallerConnection::isClosing);
     }
 
     /** Returns the number of connections with an unanswered request or an unsent response. */
@@ -103,9 +122,18 @@
         return connections.size();
     }
 
+    /**
+     * Gives each request without a server's answer a final answer, so that whole answers behind it can leave before the
+     * process ends, and reports it.
+     */
+    public void endCalls() {
+        connections.forEach(c -> c.reportUnfinished(EnumSet.of(State.WAITING_FOR_SERVER, State.AT_SERVER)));
+        dispatcher.handle(new CallEvent.HostEnding(WallClock.nowMicros()));
+    }
+
     /** Reports the requests without a whole response, which are cut off if the process ends now. */
     public void reportUnfinished() {
-        connections.forEach(CallerConnection::reportUnfinished);
+        connections.forEach(c -> c.reportUnfinished(EnumSet.allOf(State.class)));
     }
 
     /** Returns the number of requests that were refused because of the stop. */
@@ -119,8 +147,8 @@
     }
 
     /** Records what became of a request during the stop. */
-    void onStopped(CallerExchange exchange, RequestAtStop.State state, int position) {
-        if (state == RequestAtStop.State.REFUSED) {
+    void onStopped(CallerExchange exchange, State state, int position) {
+        if (state == State.REFUSED) {
             refusedAtStop++;
         } else {
             unfinishedAtStop++;
@@ -134,8 +162,17 @@
         return isStopping;
     }
 
+    /** Returns whether a call that is ready may be passed on. */
+    boolean takes(CallRequest call) {
+        return stopPlan.map(p -> p.takes(call, WallClock.nowMicros())).orElse(true);
+    }
+
     long retryAfterMillis(Reason reason) {
-        return reason == Reason.NO_CONFIGURATION ? NO_CONFIGURATION_RETRY_MILLIS : 0;
+        return switch (reason) {
+            case NO_CONFIGURATION -> NO_CONFIGURATION_RETRY_MILLIS;
+            case HOST_STOPPING -> Reason.RETRY_ELSEWHERE_MILLIS;
+            default -> 0;
+        };
     }
 
     void onOpen(CallerConnection connection) {
