Refuse an answer that its server began anew in its head

A server that stops in the head of an answer and begins it anew on the same connection made one head of both: a caller got a success whose signature was the beginning of the first one with a status line behind it, or had two ids and two signatures (MIXED). The first id was compared and matched.

A response to a request or a probe that has more than one id, signature, instance, load report or content type is malformed: it isn't relayed, its connection closes and the attempt counts as lost.

--- a/entry/src/test/java/org/hyssophitch/entry/LateCopyTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/LateCopyTest.java
@@ -181,4 +181,32 @@
                 .count();
         return refused.contains(id) ? attempts - 1 : attempts;
     }
+
+    @DataProvider
+    Object[][] beginnings() {
+        return new Object[][] {
+            {"HTTP/1.1 200 X\r\nHyssophitch-Response-Signature: s1"},
+            {"HTTP/1.1 200 X\r\nHyssophitch-Request-Id: ID\r\nHyssophitch-Response-Signature: s1"},
+            {"HTTP/1.1 200 X\r\nHyssophitch-Request-Id: ID\r\nHyssophitch-Response-Signature: s1.2\r\nServer: a"},
+            {"HTTP/1.1 200 X\r\nHyssophitch-Request-Id: ID\r\nContent-Type: text"},
+        };
+    }
+
+    /** An answer that a server begins anew in its head has headers of both beginnings; a caller must not get them. */
+    @Test(dataProvider = "beginnings")
+    public void answerThatIsBegunAnewInItsHeadIsNotTaken(String beginning) throws Exception {
+        try (ScriptedServer s = new ScriptedServer((r, c) -> {
+                    ScriptedServer.write(
+                            c,
+                            beginning.replace("ID", r.id()) + "HTTP/1.1 200 X\r\nHyssophitch-Request-Id: " + r.id()
+                                    + "\r\nHyssophitch-Response-Signature: s1.2\r\nContent-Type: text/plain\r\n"
+                                    + "Content-Length: 3\r\n\r\nown");
+                    return true;
+                });
+                DataPath path = new DataPath(DataPath.LIMITS, s)) {
+            String response = path.exchange(DataPath.post("/u/x", "id-1", "x"), 1);
+            assertTrue(response.startsWith("HTTP/1.1 502"), response);
+            assertEquals(s.requests().size(), 1);
+        }
+    }
 }
--- a/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
@@ -112,6 +112,9 @@
                     ? ResponseMatch.ANSWER
                     : ResponseMatch.FOREIGN;
         }
+        if (!conventions.isWellFormed(candidate.headers())) {
+            return ResponseMatch.MALFORMED;
+        }
         int code = candidate.status().code();
         if (conventions.isUnidentifiedRefusal(code, candidate.headers())) {
             return ResponseMatch.UNIDENTIFIED_REFUSAL;
--- a/http/src/main/java/org/hyssophitch/http/BackendConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendConnection.java
@@ -171,8 +171,9 @@
         }
         ResponseMatch match = exchange.match(head);
         hasResponseHead |= match != ResponseMatch.FOREIGN;
-        if (match == ResponseMatch.UNIDENTIFIED_REFUSAL && mayHoldRefusal) {
-            reject(AnswerFault.UNTRUSTED_REFUSAL);
+        boolean isUntrusted = match == ResponseMatch.UNIDENTIFIED_REFUSAL && mayHoldRefusal;
+        if (isUntrusted || match == ResponseMatch.MALFORMED) {
+            reject(isUntrusted ? AnswerFault.UNTRUSTED_REFUSAL : AnswerFault.MALFORMED);
             isUnusable = true;
             isDiscarding = true;
             channel.close();
--- a/http/src/main/java/org/hyssophitch/http/HeaderConventions.java
+++ b/http/src/main/java/org/hyssophitch/http/HeaderConventions.java
@@ -46,6 +46,11 @@
         return !hasRequestId(response) || isResponseTo(response, requestId);
     }
 
+    /** Returns whether a response has no more than one value of each header that must have a single one. */
+    default boolean isWellFormed(HttpHeaders response) {
+        return true;
+    }
+
     /** Returns whether a response carries a request id. */
     boolean hasRequestId(HttpHeaders response);
 
--- a/http/src/main/java/org/hyssophitch/http/LoadProber.java
+++ b/http/src/main/java/org/hyssophitch/http/LoadProber.java
@@ -75,6 +75,9 @@
         /** A response with a request id belongs to an earlier request, because a probe is sent without an id. */
         @Override
         public ResponseMatch match(HttpResponse head) {
+            if (!headerConventions.isWellFormed(head.headers())) {
+                return ResponseMatch.MALFORMED;
+            }
             if (headerConventions.hasRequestId(head.headers())) {
                 return ResponseMatch.FOREIGN;
             }
--- a/http/src/main/java/org/hyssophitch/http/ResponseMatch.java
+++ b/http/src/main/java/org/hyssophitch/http/ResponseMatch.java
@@ -12,5 +12,7 @@
      */
     UNIDENTIFIED_REFUSAL,
     /** It belongs to another request. */
-    FOREIGN
+    FOREIGN,
+    /** Its head contradicts itself, as when a server stops in a head and begins the response anew. */
+    MALFORMED
 }
