Check the values of a registration where it is decoded

A host name was resolved by the connect call, which blocks the event loop. A name with a line break or beyond ASCII went into a header that can't carry it.

RegistrationRules tells which registrations can be used. Numbers are taken only in their range; a text with a surrogate alone, which has no encoding for other hosts, isn't taken at all. Missing and null optional fields, negative warm-up times and a start time with a fraction are accepted as before.

--- a/wire/src/main/java/org/hyssophitch/wire/codec/RelayedRegistrationCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/RelayedRegistrationCodec.java
@@ -57,9 +57,14 @@
         return new RegistrationNotice(name, value, 0);
     }
 
+    /** A relay of an earlier release checks no values. */
+    private static boolean isValid(RegisteredServer r) {
+        return RegistrationRules.invalidField(r).isEmpty();
+    }
+
     private static List<StoredObject<RegisteredServer>> objects(Wire.RelayedObjects m) {
         return RegistrationCodec.decodeNotices(m.getRegistrationsList()).stream()
-                .map(n -> new StoredObject<>(n.server(), 0, n.registration()))
+                .map(n -> new StoredObject<>(n.server(), 0, n.registration().filter(RelayedRegistrationCodec::isValid)))
                 .toList();
     }
 }
--- a/wire/src/main/java/org/hyssophitch/wire/json/Json.java
+++ b/wire/src/main/java/org/hyssophitch/wire/json/Json.java
@@ -112,21 +112,50 @@
 
     /** Returns the value of a required field with a whole number. */
     public static long number(JsonNode node, String field) {
-        JsonNode value = node.path(field);
-        if (!value.isNumber()) {
-            throw new FieldException(field);
-        }
-        return value.longValue();
+        return wholeNumber(node.path(field), field);
     }
 
     /** Returns the value of a whole number. */
     public static long wholeNumber(JsonNode value) {
+        return wholeNumber(value, "whole number");
+    }
+
+    /** Returns the value of a field with a whole number, or the default value if it is missing. */
+    public static long optionalWholeNumber(JsonNode node, String field, long defaultValue) {
+        JsonNode value = node.path(field);
+        return isAbsent(value) ? defaultValue : wholeNumber(value, field);
+    }
+
+    private static long wholeNumber(JsonNode value, String field) {
         if (!value.isIntegralNumber() || !value.canConvertToLong()) {
-            throw new FieldException("whole number");
+            throw new FieldException(field);
         }
         return value.longValue();
     }
 
+    /** Returns the value of a required field with a number in the range of an {@code int}; drops a fraction. */
+    public static int integer(JsonNode node, String field) {
+        return intValue(node.path(field), field);
+    }
+
+    /** Returns the value of a field with a number as {@link #integer}, or the default value if it is missing. */
+    public static int optionalInteger(JsonNode node, String field, int defaultValue) {
+        JsonNode value = node.path(field);
+        return isAbsent(value) ? defaultValue : intValue(value, field);
+    }
+
+    /** Returns whether a field is missing or null. */
+    public static boolean isAbsent(JsonNode value) {
+        return value.isMissingNode() || value.isNull();
+    }
+
+    private static int intValue(JsonNode value, String field) {
+        if (!value.isNumber() || !value.canConvertToInt()) {
+            throw new FieldException(field);
+        }
+        return value.intValue();
+    }
+
     /** Returns the value of a required field with a number. */
     public static double decimal(JsonNode node, String field) {
         JsonNode value = node.path(field);
@@ -136,10 +165,10 @@
         return value.doubleValue();
     }
 
-    /** Returns the value of a field with a number, or the default value if it is missing. */
+    /** Returns the value of a field with a number as {@link #integer}, or the default if it is no number. */
     public static int integer(JsonNode node, String field, int defaultValue) {
         JsonNode value = node.path(field);
-        return value.isNumber() ? value.intValue() : defaultValue;
+        return value.isNumber() ? intValue(value, field) : defaultValue;
     }
 
     /** Returns the text of a field; empty when it is missing or not a string. */
--- a/wire/src/main/java/org/hyssophitch/wire/net/Addresses.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/Addresses.java
@@ -24,6 +24,47 @@
         return colon > 0 && NetUtil.isValidIpV4Address(text.substring(0, colon)) && isPort(text.substring(colon + 1));
     }
 
+    /** Returns whether a string consists of an IPv4 address or an IPv6 address in brackets, a colon and a port. */
+    public static boolean isLiteral(String text) {
+        int colon = text.lastIndexOf(':');
+        return colon > 0 && isLiteralHost(text.substring(0, colon)) && isPort(text.substring(colon + 1));
+    }
+
+    /** Returns whether a string is an IPv4 address or an IPv6 address in brackets: no name has to be resolved. */
+    public static boolean isLiteralHost(String host) {
+        return NetUtil.isValidIpV4Address(host) || host.startsWith("[") && NetUtil.isValidIpV6Address(host);
+    }
+
+    /** Returns whether a number is a TCP port that can be connected to. */
+    public static boolean isPort(int port) {
+        return port >= 1 && port <= MAX_PORT;
+    }
+
+    /**
+     * Returns the host in an address that {@link #isLiteral}.
+     *
+     * @throws MalformedAddressException if it isn't
+     */
+    public static String host(String address) {
+        return address.substring(0, colon(address));
+    }
+
+    /**
+     * Returns the port in an address that {@link #isLiteral}.
+     *
+     * @throws MalformedAddressException if it isn't
+     */
+    public static int port(String address) {
+        return Integer.parseInt(address.substring(colon(address) + 1));
+    }
+
+    private static int colon(String address) {
+        if (!isLiteral(address)) {
+            throw new MalformedAddressException(address);
+        }
+        return address.lastIndexOf(':');
+    }
+
     /**
      * Parses an address without name resolution.
      *
--- a/wire/src/test/java/org/hyssophitch/wire/codec/RelayCodecTest.java
+++ b/wire/src/test/java/org/hyssophitch/wire/codec/RelayCodecTest.java
@@ -59,6 +59,21 @@
         assertEquals(registrations.decodeObjects(bytes).position(), POSITION);
     }
 
+    /** A relay of an earlier release passes on what it read, such as a port that no connection can be opened to. */
+    @Test
+    public void registrationWithAnUnusableValueNamesNoServer() throws Exception {
+        BackendServer b = new BackendServer("i-2@77", "10.0.0.1", 70_000, "z", 3, 220, false, "i-2");
+        StoredObject<RegisteredServer> unusable = stored("i-2", Optional.of(new RegisteredServer("s", b, 0, 1)));
+        StoredObject<RegisteredServer> good = stored("i-1", Optional.of(server()));
+        byte[] listed = registrations.encodeObjects(List.of(unusable, good), POSITION);
+        assertEquals(registrations.decodeObjects(listed).items(), List.of(stored("i-2", Optional.empty()), good));
+        byte[] changed = registrations.encodeChanges(
+                new StoreChanges<>(List.of(new Change<>(unusable, false), new Change<>(good, false)), POSITION));
+        assertEquals(
+                registrations.decodeChanges(changed).orElseThrow().changes(),
+                List.of(new Change<>(stored("i-2", Optional.empty()), true), new Change<>(good, false)));
+    }
+
     @Test
     public void carriesAConfiguration() throws Exception {
         List<StoredObject<Configuration>> objects = List.of(stored("main", Optional.of(configuration(3))));
