--- a/core/src/test/java/org/hyssophitch/core/call/CallEngineTest.java
+++ b/core/src/test/java/org/hyssophitch/core/call/CallEngineTest.java
@@ -115,7 +115,7 @@
         assertEquals(reason.orElse(null), answer);
     }
 
-    /** Without its final answer a call holds up the whole answers behind it on its connection until the process ends. */
+    /** Without its final answer a call holds up the whole answers behind it until the process ends. */
     @Test
     public void hostThatEndsTellsEachCallWhetherItMayHaveRun() {
         CallEngine engine = engine(EngineFeature.all(), 2);
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -2,9 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.EnumSet;
 import java.util.List;
-import java.util.Set;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.Unpooled;
@@ -31,7 +30,6 @@
 import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.configuration.CallerLimits;
-import org.hyssophitch.core.timeline.EventBody.RequestAtStop;
 import org.tinylog.Logger;
 
 /**
@@ -193,13 +191,9 @@
 
     /** Returns whether a call may be passed on; if the stop of this host forbids it, the request gets its refusal. */
     boolean takes(CallerExchange exchange, CallRequest call) {
-        boolean isTaken = listener.takes(call);
-        if (!isTaken) {
-            int position = List.copyOf(exchanges).indexOf(exchange) + 1;
-            listener.onStopped(exchange, RequestAtStop.State.REFUSED, position);
-            exchange.refuse(Reason.HOST_STOPPING, listener.retryAfterMillis(Reason.HOST_STOPPING), "");
-        }
-        return isTaken;
+        Optional<StopState> refusing = listener.stop().filter(s -> !s.takes(call));
+        refusing.ifPresent(s -> s.refuse(exchange, pending()));
+        return refusing.isEmpty();
     }
 
     private void onMalformed(Throwable cause) {
@@ -271,7 +265,8 @@
             head.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
         }
         boolean isLast = exchanges.size() == 1;
-        acceptsRequests &= !isUnreceived && !isCloseDelimited && !(listener.isStopping() && isLast);
+        acceptsRequests &=
+                !isUnreceived && !isCloseDelimited && !(listener.stop().isPresent() && isLast);
         HttpUtil.setKeepAlive(head.headers(), exchange.request().protocolVersion(), acceptsRequests || !isLast);
     }
 
@@ -311,15 +306,9 @@
         return isClosing;
     }
 
-    /** Reports the requests without a wholly written response that are in one of the given states. */
-    void reportUnfinished(Set<RequestAtStop.State> states) {
-        int position = 0;
-        for (CallerExchange exchange : exchanges) {
-            position++;
-            if (states.contains(exchange.progress())) {
-                listener.onStopped(exchange, exchange.progress(), position);
-            }
-        }
+    /** Returns the requests without a wholly written response, in the order in which they were received. */
+    List<CallerExchange> pending() {
+        return List.copyOf(exchanges);
     }
 
     /** Resets the connection, so that an incomplete response can't look complete. */
@@ -341,9 +330,7 @@
 
     private void closeGracefully() {
         isClosing = true;
-        if (listener.isStopping()) {
-            reportUnfinished(EnumSet.allOf(RequestAtStop.State.class));
-        }
+        listener.stop().ifPresent(s -> s.reportUnfinished(pending()));
         cancelAll();
         GracefulClose.start(context.channel(), rules.limits().idleTimeoutMillis());
     }
@@ -370,7 +357,7 @@
     }
 
     private void cancelAll() {
-        List<CallerExchange> cancelled = List.copyOf(exchanges);
+        List<CallerExchange> cancelled = pending();
         exchanges.clear();
         cancelled.forEach(CallerExchange::onCallerGone);
     }
--- a/http/src/main/java/org/hyssophitch/http/FrontListener.java
+++ b/http/src/main/java/org/hyssophitch/http/FrontListener.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -20,10 +19,8 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.hyssophitch.core.call.CallEvent;
-import org.hyssophitch.core.call.CallRequest;
 import org.hyssophitch.core.call.Reason;
 import org.hyssophitch.core.entry.StopPlan;
-import org.hyssophitch.core.timeline.EventBody.RequestAtStop;
 import org.hyssophitch.core.timeline.EventBody.RequestAtStop.State;
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.net.Binding;
@@ -42,11 +39,7 @@
     private final RequestRules rules;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel channel;
-    private boolean isStopping;
-    private long stopMicros;
-    private Optional<StopPlan> stopPlan = Optional.empty();
-    private int refusedAtStop;
-    private int unfinishedAtStop;
+    private Optional<StopState> stop = Optional.empty();
 
     /**
      * Creates a listener that isn't open yet.
@@ -82,20 +75,19 @@
 
     /** Announces from now on with the last response of each connection that it will be closed. */
     public void beginStop() {
-        isStopping = true;
-        stopMicros = WallClock.nowMicros();
+        stop = Optional.of(new StopState(rules, Optional.empty()));
     }
 
     /** Begins a stop as {@link #beginStop()} does, and refuses from now on the requests that the plan doesn't take. */
     public void beginStop(StopPlan plan) {
-        isStopping = true;
-        stopMicros = plan.startMicros();
-        stopPlan = Optional.of(plan);
+        stop = Optional.of(new StopState(rules, Optional.of(plan)));
     }
 
     /** Stops accepting connections and closes idle ones; the others close after their last response. */
     public void stopListening() {
-        isStopping = true;
+        if (stop.isEmpty()) {
+            beginStop();
+        }
         if (channel != null) {
             channel.close();
         }
@@ -127,52 +119,33 @@
      * process ends, and reports it.
      */
     public void endCalls() {
-        connections.forEach(c -> c.reportUnfinished(EnumSet.of(State.WAITING_FOR_SERVER, State.AT_SERVER)));
+        Set<State> withoutAnswer = EnumSet.of(State.WAITING_FOR_SERVER, State.AT_SERVER);
+        stop.ifPresent(s -> connections.forEach(c -> s.reportUnfinished(c.pending(), withoutAnswer)));
         dispatcher.handle(new CallEvent.HostEnding(WallClock.nowMicros()));
     }
 
     /** Reports the requests without a whole response, which are cut off if the process ends now. */
     public void reportUnfinished() {
-        connections.forEach(c -> c.reportUnfinished(EnumSet.allOf(State.class)));
+        stop.ifPresent(s -> connections.forEach(c -> s.reportUnfinished(c.pending())));
     }
 
     /** Returns the number of requests that were refused because of the stop. */
     public int refusedAtStop() {
-        return refusedAtStop;
+        return stop.map(StopState::refused).orElse(0);
     }
 
     /** Returns the number of requests that were reported as left without a whole response. */
     public int unfinishedAtStop() {
-        return unfinishedAtStop;
-    }
-
-    /** Records what became of a request during the stop. */
-    void onStopped(CallerExchange exchange, State state, int position) {
-        if (state == State.REFUSED) {
-            refusedAtStop++;
-        } else {
-            unfinishedAtStop++;
-        }
-        long takenMillis = TimeUnit.MICROSECONDS.toMillis(exchange.arrivedMicros() - stopMicros);
-        rules.onStopped(
-                exchange.requestId(), new RequestAtStop(state, takenMillis, exchange.attemptsStarted(), position));
-    }
-
-    boolean isStopping() {
-        return isStopping;
+        return stop.map(StopState::unfinished).orElse(0);
     }
 
-    /** Returns whether a call that is ready may be passed on. */
-    boolean takes(CallRequest call) {
-        return stopPlan.map(p -> p.takes(call, WallClock.nowMicros())).orElse(true);
+    /** Returns the stop that has begun; empty before. */
+    Optional<StopState> stop() {
+        return stop;
     }
 
     long retryAfterMillis(Reason reason) {
-        return switch (reason) {
-            case NO_CONFIGURATION -> NO_CONFIGURATION_RETRY_MILLIS;
-            case HOST_STOPPING -> Reason.RETRY_ELSEWHERE_MILLIS;
-            default -> 0;
-        };
+        return reason == Reason.NO_CONFIGURATION ? NO_CONFIGURATION_RETRY_MILLIS : 0;
     }
 
     void onOpen(CallerConnection connection) {
--- a/http/src/test/java/org/hyssophitch/http/GracefulCloseTest.java
+++ b/http/src/test/java/org/hyssophitch/http/GracefulCloseTest.java
@@ -34,7 +34,7 @@
         return new Object[][] {{10_000, true}, {100, false}};
     }
 
-    /** The time for late bytes began before the output was flushed, so that a slow caller lost the end of a response. */
+    /** The time for late bytes began before the output was flushed, so that a slow caller lost a response's end. */
     @Test(dataProvider = "stalls")
     public void slowCallerGetsTheWholeResponse(int maxStallMillis, boolean isWhole) throws Exception {
         EventLoopGroup group = EventLoops.create(1);
