SIGHUP during a start is kept until the settings can be reloaded

Seen by reading: SIGHUP ended a process in the first moments of its start, before SettingsReloader handled it. Two faults beside it: an exception while settings were applied ended the periodic reading for good, and those settings counted as in force.

The first statement of main now takes the signal, and the start of the reloader handles it. The reading is a RepeatedTask, and settings count as in force once they are applied.

Evidence: signalBeforeTheStartIsHandledByTheStart and settingsWhoseApplicationFailedAreAppliedAgain fail on a copy without the two changes, pass here. What remains: the time that the runtime takes before main, in which SIGHUP still ends the process; no code of ours runs there.

--- a/entry/src/main/java/org/hyssophitch/entry/EntryMain.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMain.java
@@ -23,6 +23,7 @@
 
     /** Runs the entry host until SIGTERM or SIGINT. */
     public static void main(String[] arguments) {
+        SettingsReloader.holdSignals();
         System.setProperty("tinylog.configuration", "tinylog-entry.properties");
         Path path = PlatformSettings.path();
         try {
--- a/entry/src/main/java/org/hyssophitch/entry/SettingsReloader.java
+++ b/entry/src/main/java/org/hyssophitch/entry/SettingsReloader.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
 import org.hyssophitch.core.entry.EntrySettings;
@@ -28,6 +29,8 @@
         PERIOD
     }
 
+    private static final AtomicBoolean SIGNALLED_EARLY = new AtomicBoolean();
+
     private final Path path;
     private final int metricsPort;
     private final Consumer<EntrySettings> onChange;
@@ -45,10 +48,19 @@
         this.onChange = onChange;
     }
 
+    /** Keeps signals from ending the process before {@link #start}, which handles them. */
+    static void holdSignals() {
+        Signal.handle(new Signal(RELOAD_SIGNAL), s -> SIGNALLED_EARLY.set(true));
+    }
+
     void start() {
-        Signal.handle(new Signal(RELOAD_SIGNAL), s -> executor.execute(() -> reload(Cause.SIGNAL)));
-        executor.scheduleWithFixedDelay(
-                () -> reload(Cause.PERIOD), POLL_INTERVAL_SECONDS, POLL_INTERVAL_SECONDS, TimeUnit.SECONDS);
+        RepeatedTask onSignal = new RepeatedTask("reload on a signal", () -> reload(Cause.SIGNAL));
+        RepeatedTask onPeriod = new RepeatedTask("reload of the settings", () -> reload(Cause.PERIOD));
+        Signal.handle(new Signal(RELOAD_SIGNAL), s -> executor.execute(onSignal));
+        if (SIGNALLED_EARLY.getAndSet(false)) {
+            executor.execute(onSignal);
+        }
+        executor.scheduleWithFixedDelay(onPeriod, POLL_INTERVAL_SECONDS, POLL_INTERVAL_SECONDS, TimeUnit.SECONDS);
     }
 
     private void reload(Cause cause) {
@@ -62,8 +74,8 @@
     /** Applies settings that were read; returns the line to log, none after a periodic read without changes. */
     Optional<String> apply(EntrySettings loaded, Cause cause) {
         if (!loaded.equals(current)) {
-            current = loaded;
             onChange.accept(loaded);
+            current = loaded;
             return Optional.of("settings changed; reloaded on " + cause.name().toLowerCase(Locale.ROOT));
         }
         return cause == Cause.SIGNAL ? Optional.of("settings reloaded on signal; no changes") : Optional.empty();
--- a/entry/src/test/java/org/hyssophitch/entry/SettingsReloaderTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/SettingsReloaderTest.java
@@ -5,12 +5,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import org.hyssophitch.core.entry.EntrySettings;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import sun.misc.Signal;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 
 /** What is applied and logged when the settings file is read again. */
 public class SettingsReloaderTest {
@@ -47,6 +50,36 @@
         };
     }
 
+    /** SIGHUP in the first moments of a start ended the process. */
+    @Test
+    public void signalBeforeTheStartIsHandledByTheStart() throws Exception {
+        List<EntrySettings> received = new CopyOnWriteArrayList<>();
+        try (CostFleet fleet = new CostFleet(1)) {
+            Path path = fleet.writeSettings();
+            SettingsReloader.holdSignals();
+            Signal.raise(new Signal("HUP"));
+            Thread.sleep(500);
+            new SettingsReloader(path, 1, SETTINGS, received::add).start();
+            // Sooner than the first periodic reading of the file.
+            EntryProgramFixture.await(() -> !received.isEmpty(), 3_000);
+        }
+    }
+
+    /** Settings that couldn't be applied were taken for those in force and never applied. */
+    @Test
+    public void settingsWhoseApplicationFailedAreAppliedAgain() {
+        List<EntrySettings> received = new ArrayList<>();
+        SettingsReloader reloader = new SettingsReloader(Path.of("unused"), 1, SETTINGS, s -> {
+            received.add(s);
+            if (received.size() == 1) {
+                throw new IllegalStateException("simulated");
+            }
+        });
+        assertThrows(IllegalStateException.class, () -> reloader.apply(CHANGED, SettingsReloader.Cause.PERIOD));
+        reloader.apply(CHANGED, SettingsReloader.Cause.PERIOD);
+        assertEquals(received, List.of(CHANGED, CHANGED));
+    }
+
     @Test(dataProvider = "reloads")
     public void logsSignalsAndChanges(
             EntrySettings loaded, SettingsReloader.Cause cause, Optional<String> line, List<EntrySettings> applied) {
