The log writer goes on after any failure of a write

An exception other than an IOException, or an OutOfMemoryError, ended the thread that writes the log lines; the queue then filled and all later lines were lost. They now count as lost lines, as those of an IOException do.

Evidence: linesAreWrittenAfterAFailure fails for IllegalStateException and OutOfMemoryError with the former writer and passes here; for IOException it passes with both.

--- a/wire/src/main/java/org/hyssophitch/wire/report/JsonLineWriter.java
+++ b/wire/src/main/java/org/hyssophitch/wire/report/JsonLineWriter.java
@@ -124,7 +124,7 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException | OutOfMemoryError e) {
                 DROPPED.add(batch.size());
             }
             batch.clear();
