--- a/entry/src/test/java/org/hyssophitch/entry/DutyFailureTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DutyFailureTest.java
@@ -131,7 +131,7 @@
         configure(1, "svc");
         HttpClient http =
                 new HttpClient(loop, new InetSocketAddress("127.0.0.1", storePort), (int) MAX_WAIT_MILLIS, c -> {});
-        PlatformStore platformStore = new PlatformStore(http, e -> {});
+        PlatformStore platformStore = new PlatformStore(http, e -> {}, o -> {});
         AtomicReference<StoreResult<StorePage<String>>> result = new AtomicReference<>();
         EventLoops.run(loop, () -> platformStore.list(new LargeKind(), "", false, result::set));
         await(() -> result.get() != null, MAX_WAIT_MILLIS);
@@ -205,7 +205,7 @@
         }
 
         @Override
-        public Optional<String> decode(String objectName, byte[] value) {
+        public String decode(String objectName, byte[] value) {
             throw new OutOfMemoryError("simulated");
         }
 
