The idle timeout doesn't end a request whose head has begun

The idle timer ran on until a head was complete, so a connection whose caller had sent the first bytes of a request in time was closed without an answer. The header timeout bounds such a request; the idle timeout now leaves it alone.

--- a/entry/src/test/java/org/hyssophitch/entry/DataPathTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPathTest.java
@@ -282,6 +282,23 @@
         }
     }
 
+    /** The idle timeout closed a connection on which a request's head was on its way, so that it got no answer. */
+    @Test
+    public void idleTimeoutDoesNotEndARequestWhoseHeadHasBegun() throws Exception {
+        CallerLimits limits = new CallerLimits(2_048, 4_000_000, 2_000, 700);
+        try (ScriptedServer s = new ScriptedServer(ScriptedServer.ok("x"));
+                DataPath path = new DataPath(limits, s);
+                Socket c = path.connect()) {
+            DataPath.send(c, DataPath.get("/s/a", "1"), 1);
+            String head = DataPath.get("/s/a", "2");
+            Thread.sleep(500);
+            c.getOutputStream().write(head.substring(0, 20).getBytes(StandardCharsets.ISO_8859_1));
+            Thread.sleep(500);
+            String response = DataPath.send(c, head.substring(20), 1);
+            assertTrue(response.startsWith("HTTP/1.1 200"), response);
+        }
+    }
+
     @Test
     public void sendsNoRequestOnAConnectionWithAnUnfinishedBody() throws Exception {
         CallerLimits limits = new CallerLimits(2_048, 40_000_000, 300, 2_000);
--- a/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
@@ -15,7 +15,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-/** Tests that a planned stop cuts off no request that was passed on. All times are milliseconds since the stop began. */
+/** Tests that a planned stop cuts off no request that was passed on. Times are milliseconds since the stop began. */
 public class PlannedStopTest extends EntryProgramFixture {
 
     private static final String LONG = "long";
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -346,7 +346,7 @@
     private void onIdleTimeout() {
         long timeoutMillis = Math.max(idleTimeoutMillis, rules.limits().idleTimeoutMillis());
         long remainingMillis = timeoutMillis - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSinceNanos);
-        if (!exchanges.isEmpty() || receiving != null || isClosing) {
+        if (!exchanges.isEmpty() || receiving != null || headTimer != null || isClosing) {
             return;
         }
         if (remainingMillis > 0) {
