An entry host with an unusable address no longer ends the heartbeats of all

Another writer left an object among the entry hosts whose peer address had the port 99999. No host that read it came to know another one, the directory named only the host that was asked, and its stop failed: membership merged the object as a live member, and sending to it threw, in the periodic task of the heartbeats, which ends a periodic task for good, and in the list of the hosts, which was never repeated. A host name as address was resolved on the event loop.

Members that peers pass on are checked likewise, since a host of an earlier build passes on what the store lists, and a datagram to a malformed address is dropped.

--- a/entry/src/main/java/org/hyssophitch/entry/MemberRecords.java
+++ b/entry/src/main/java/org/hyssophitch/entry/MemberRecords.java
@@ -29,6 +29,11 @@
                 0);
     }
 
+    /** Returns whether a host has addresses to which this host can send without resolving a name. */
+    static boolean hasUsableAddresses(Member m) {
+        return Addresses.isLiteral(m.agentAddress()) && Addresses.isLiteral(m.proxyAddress());
+    }
+
     /** Returns the address at which a host takes calls in place of a backend server. */
     static BackendServer forwardingHost(Member m) {
         InetSocketAddress front = Addresses.parse(m.proxyAddress());
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -334,13 +334,14 @@
     private void onDatagram(Wire.AgentDatagram datagram) {
         long now = WallClock.nowMicros();
         AgentMessage message = AgentMessageCodec.decode(datagram);
-        if (message.sender().host().isEmpty()) {
-            Logger.warn("dropped a peer datagram that names no sender host");
+        if (message.sender().host().isEmpty() || !MemberRecords.hasUsableAddresses(message.sender())) {
+            Logger.warn("dropped a peer datagram that names no sender host or no address of it");
             return;
         }
         membership.merge(message.sender(), now);
         membership.refreshSender(message.sender());
-        message.members().forEach(m -> membership.merge(m, now));
+        // A host of an earlier build passes on members as the store lists them.
+        message.members().stream().filter(MemberRecords::hasUsableAddresses).forEach(m -> membership.merge(m, now));
         message.storeReachableMicros().ifPresent(t -> localHost.onStoreReachedSince(now - t));
         receiveSuspicions(message.suspicions(), now);
         sendMissingSuspicions(message, now);
--- a/entry/src/test/java/org/hyssophitch/entry/FakeStore.java
+++ b/entry/src/test/java/org/hyssophitch/entry/FakeStore.java
@@ -16,6 +16,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.util.RawValue;
 import io.netty.channel.EventLoopGroup;
 import org.hyssophitch.wire.net.EventLoops;
 import org.hyssophitch.wire.net.HttpEndpoint;
@@ -115,6 +116,11 @@
         }
     }
 
+    /** Writes an object whose content needn't be JSON, as another writer would. */
+    synchronized void putRaw(String kind, String name, String content) {
+        store(kind, name, JSON.getNodeFactory().rawValueNode(new RawValue(content)));
+    }
+
     synchronized void remove(String kind, String name) {
         ObjectNode object = kinds.getOrDefault(kind, Map.of()).get(name);
         if (object != null) {
--- a/wire/src/main/java/org/hyssophitch/wire/net/Addresses.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/Addresses.java
@@ -46,7 +46,7 @@
      * @throws MalformedAddressException if it isn't
      */
     public static String host(String address) {
-        return address.substring(0, colon(address));
+        return literal(address).substring(0, address.lastIndexOf(':'));
     }
 
     /**
@@ -55,24 +55,29 @@
      * @throws MalformedAddressException if it isn't
      */
     public static int port(String address) {
-        return Integer.parseInt(address.substring(colon(address) + 1));
+        return Integer.parseInt(literal(address).substring(address.lastIndexOf(':') + 1));
     }
 
-    private static int colon(String address) {
+    /**
+     * Returns an address that {@link #isLiteral}.
+     *
+     * @throws MalformedAddressException if it isn't
+     */
+    public static String literal(String address) {
         if (!isLiteral(address)) {
             throw new MalformedAddressException(address);
         }
-        return address.lastIndexOf(':');
+        return address;
     }
 
     /**
-     * Parses an address without name resolution.
+     * Parses an address. A host that is no IP address is resolved, which may block.
      *
-     * @throws MalformedAddressException when the string has no colon after its first character
+     * @throws MalformedAddressException when the string has no colon after its first character, or no port after it
      */
     public static InetSocketAddress parse(String text) {
         int colon = text.lastIndexOf(':');
-        if (colon <= 0) {
+        if (colon <= 0 || !isPort(text.substring(colon + 1))) {
             throw new MalformedAddressException(text);
         }
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
--- a/wire/src/main/java/org/hyssophitch/wire/net/DatagramEndpoint.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/DatagramEndpoint.java
@@ -39,11 +39,18 @@
         channel = Binding.bind(bootstrap, local);
     }
 
-    /** Sends a datagram without guarantee of delivery. */
+    /** Sends a datagram without guarantee of delivery; one to a malformed address is dropped. */
     public void send(String address, Wire.AgentDatagram datagram) {
+        InetSocketAddress to;
+        try {
+            to = Addresses.parse(address);
+        } catch (MalformedAddressException e) {
+            Logger.debug("dropped a datagram: {}", e.getMessage());
+            return;
+        }
         byte[] bytes = datagram.toByteArray();
         bytesSent.add(bytes.length);
-        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), Addresses.parse(address)));
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
     }
 
     /** Returns the number of payload bytes sent so far. */
