An interim response keeps its place among the responses

A caller that pipelines a request with Expect: 100-continue got the interim response before the answer to its earlier request, or not at all if that answer was being relayed: the response was written past the queue of the connection, and the encoder refuses a head in the middle of a body. The caller then waits, and its request ends without an answer. The interim response is output of its exchange now.

--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -6,20 +6,18 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -130,8 +128,7 @@
         }
         evaluate(exchange, request);
         if (exchange.isAccepted() && HttpUtil.is100ContinueExpected(request)) {
-            context.writeAndFlush(new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            exchange.sendContinue();
         }
     }
 
@@ -243,7 +240,7 @@
             }
             hasWritten = true;
             boolean isLast = first.isOutputComplete();
-            if (part instanceof HttpResponse head) {
+            if (part instanceof HttpResponse head && head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
                 setConnectionHeaders(first, head);
             }
             context.write(part);
--- a/http/src/main/java/org/hyssophitch/http/CallerExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerExchange.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -127,6 +128,12 @@
         return accepted != null;
     }
 
+    /** Asks the caller for the body, once earlier responses of the connection have left. */
+    void sendContinue() {
+        add(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        connection.flushOutput();
+    }
+
     /** Passes the call to the engine, or refuses it, once its body is complete or too large to be buffered. */
     void dispatchWhenReady() {
         if (isDispatched || isAnswered || accepted == null || !body.isComplete() && !body.exceedsReplayLimit()) {
