A signal during the start of a host is a stop from then on

The hook for SIGTERM was installed after the front had opened: a signal in between ended the process at once and cut off what it had taken. The hook comes first now; a stop that begins before the front is open keeps it closed and ends without the wait for callers. A failed start halts, because the hook would replace exit code 69.

The window itself (from the bind to the hook) was found by reading and is not shown; PlannedStopTest.hostThatIsStoppedDuringItsStartTakesNoRequest guards what the new order makes possible: without the check a stopped host opens its front.

--- a/entry/src/main/java/org/hyssophitch/entry/EntryMain.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMain.java
@@ -29,8 +29,9 @@
             EntrySettings settings = PlatformSettings.read(path, METRICS_PORT);
             EntryProgram program = new EntryProgram(settings);
             new SettingsReloader(path, METRICS_PORT, settings, program::onSettings).start();
-            program.start();
+            // A signal must not end the process at once while the front is open, so this comes first.
             Lifecycle.stopOnSignal(program::stop);
+            program.start();
             Lifecycle.awaitTermination();
         } catch (PlatformSettings.SettingsException e) {
             exitWithError(e, EXIT_INVALID_SETTINGS);
@@ -39,9 +40,10 @@
         }
     }
 
+    /** Ends the process without the stop on a signal, which would replace the exit code. */
     private static void exitWithError(Exception cause, int exitCode) {
         Logger.error(cause, "entry host failed to start");
         Lifecycle.shutDownLogging();
-        System.exit(exitCode);
+        Runtime.getRuntime().halt(exitCode);
     }
 }
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -92,6 +92,7 @@
     private final StoreRelay storeRelay;
     private final Registration registration;
     private volatile boolean isStopping;
+    private boolean isFrontOpen;
     private volatile boolean isConfigured;
     private boolean hasQuotas;
 
@@ -185,12 +186,28 @@
                     new CallEvent.ColdBoundChanged(WallClock.nowMicros(), EngineLimits.cold(settings.bounds())));
         });
         awaitInitialState();
-        front.open(group, Addresses.parse(a.front()));
-        runOnLoop(() -> {
-            recordStage("started");
-            peers.refreshReadiness();
-            registration.start();
-        });
+        if (openFront()) {
+            runOnLoop(() -> {
+                recordStage("started");
+                peers.refreshReadiness();
+                registration.start();
+            });
+        }
+    }
+
+    /** Opens the front unless the stop has begun; returns whether it is open. */
+    private synchronized boolean openFront() {
+        if (!isStopping) {
+            front.open(group, Addresses.parse(settings.addresses().front()));
+            isFrontOpen = true;
+        }
+        return isFrontOpen;
+    }
+
+    /** Begins the stop, after which the front isn't opened any more; returns whether it was opened before. */
+    private synchronized boolean setStopping() {
+        isStopping = true;
+        return isFrontOpen;
     }
 
     private void registerGauges() {
@@ -216,22 +233,22 @@
 
     /** Delays opening the front, because requests that arrive before the first store response would be rejected. */
     private void awaitInitialState() {
-        long startNanos = System.nanoTime();
-        while (!hasInitialState() && elapsedMillis(startNanos) < MAX_STORE_WAIT_MILLIS) {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_STORE_WAIT_MILLIS);
+        while (!hasInitialState() && System.nanoTime() < endNanos) {
             Pause.millis(STORE_POLL_MILLIS);
         }
     }
 
-    /** Shuts down gracefully: reports not ready and deregisters, then ends the front and leaves the other hosts. */
+    /** Shuts down gracefully; may be called while {@link #start} runs. */
     void stop() {
         StopPlan plan = new StopPlan(WallClock.nowMicros(), settings.bounds().gracePeriodMillis());
-        isStopping = true;
+        boolean hasCallers = setStopping();
         runOnLoop(() -> beginStop(plan));
-        new GracefulStop(loop, front, log, plan).awaitEnd();
-        runOnLoop(() -> {
-            peers.leave();
-            recordStage("stopped");
-        });
+        if (hasCallers) {
+            new GracefulStop(loop, front, log, plan).awaitEnd();
+        }
+        runOnLoop(peers::leave);
+        runOnLoop(() -> recordStage("stopped"));
         Pause.millis(LEAVE_MILLIS);
         EventLoops.close(group);
     }
@@ -342,10 +359,6 @@
         EventLoops.run(loop, task);
     }
 
-    private static long elapsedMillis(long startNanos) {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
-    }
-
     /** What the other hosts are told of this one, and what they tell it. */
     private final class LocalHostView implements LocalHost {
 
--- a/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
@@ -1,6 +1,7 @@
 package org.hyssophitch.entry;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -13,6 +14,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 /** Tests that a planned stop cuts off no request that was passed on. Times are milliseconds since the stop began. */
@@ -118,6 +120,18 @@
         awaitStop();
     }
 
+    /** A stop that began during the start was forgotten: the process ended at once after it had opened its front. */
+    @Test
+    public void hostThatIsStoppedDuringItsStartTakesNoRequest() throws Exception {
+        store.setFailureMode(FakeStore.FailureMode.UNRESPONSIVE);
+        CompletableFuture<EntryProgram> started = CompletableFuture.supplyAsync(() -> start(settings), threads);
+        await(() -> !store.calls().isEmpty());
+        programs.remove(0).stop();
+        store.setFailureMode(FakeStore.FailureMode.NONE);
+        started.get(GRACE_MILLIS, TimeUnit.MILLISECONDS);
+        assertThrows(ConnectException.class, this::connect);
+    }
+
     private static ScriptedServer.Script work(String id, int millis) {
         return (r, c) -> {
             if (r.id().equals(id)) {
