A load report with a number out of range is none

A slowdown of NaN, 0 or less made its score meaningless.

LoadReportParser takes counts from 0 to 10^9 and a positive, finite slowdown; anything else counts as no report, as malformed values did.

The statements of servers (StatementParser) were bounded by pattern and range already.

--- a/core/src/main/java/org/hyssophitch/core/load/LoadReportParser.java
+++ b/core/src/main/java/org/hyssophitch/core/load/LoadReportParser.java
@@ -15,24 +15,34 @@
     private static final int QUEUED_INDEX = 1;
     private static final int SLOWDOWN_INDEX = 3;
 
+    /** Highest number of requests that is plausible; the sum of two fits into an {@code int}. */
+    private static final int MAX_REQUESTS = 1_000_000_000;
+
     private LoadReportParser() {}
 
     /**
-     * Parses a load report; empty if it is malformed.
+     * Parses a load report; empty if it is malformed or a number is out of its range.
      *
      * @param server name of the server that answered
      */
     public static Optional<LoadReport> parse(String server, String value, long nowMicros) {
         String[] fields = value.split(",");
         try {
-            int inFlight =
-                    Integer.parseInt(fields[RUNNING_INDEX].trim()) + Integer.parseInt(fields[QUEUED_INDEX].trim());
+            int running = Integer.parseInt(fields[RUNNING_INDEX].trim());
+            int queued = Integer.parseInt(fields[QUEUED_INDEX].trim());
             double slowdown = fields.length > SLOWDOWN_INDEX
                     ? Double.parseDouble(fields[SLOWDOWN_INDEX].trim()) / USUAL_SLOWDOWN_PERCENT
                     : 1;
-            return Optional.of(new LoadReport(server, inFlight, nowMicros, false, slowdown));
+            boolean isPlausible = isCount(running) && isCount(queued) && slowdown > 0 && Double.isFinite(slowdown);
+            return isPlausible
+                    ? Optional.of(new LoadReport(server, running + queued, nowMicros, false, slowdown))
+                    : Optional.empty();
         } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
             return Optional.empty();
         }
     }
+
+    private static boolean isCount(int requests) {
+        return requests >= 0 && requests <= MAX_REQUESTS;
+    }
 }
