A configuration with a field of another type is no configuration

A list of teams, keys, services or routes that wasn't an array passed for an empty one, so that the version replaced the one in force without them: no authentication, or 404 for every route. The store accepts only valid configurations; another writer of the same store needn't.

--- a/wire/src/main/java/org/hyssophitch/wire/json/Json.java
+++ b/wire/src/main/java/org/hyssophitch/wire/json/Json.java
@@ -177,6 +177,20 @@
         return value.isTextual() ? Optional.of(text(node, field)) : Optional.empty();
     }
 
+    /** Returns the elements of a required field with an array. */
+    public static Stream<JsonNode> array(JsonNode node, String field) {
+        JsonNode value = node.path(field);
+        if (!value.isArray()) {
+            throw new FieldException(field);
+        }
+        return elements(value);
+    }
+
+    /** Returns the elements of a field with an array; none when it is missing. */
+    public static Stream<JsonNode> optionalArray(JsonNode node, String field) {
+        return isAbsent(node.path(field)) ? Stream.empty() : array(node, field);
+    }
+
     /** Returns the elements of an array; none when the node is not an array. */
     public static Stream<JsonNode> elements(JsonNode list) {
         return list.isArray() ? StreamSupport.stream(list.spliterator(), false) : Stream.empty();
