Soak: more ways in which servers answer twice or break off

Servers also turn a request away without its id and write the refusal once more, as another operator reported, and break off within chunks. Uploads are more frequent. The report counts the outcomes of all requests.

--- a/entry/src/test/java/org/hyssophitch/entry/soak/HostHistory.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/HostHistory.java
@@ -34,7 +34,7 @@
         return switch (c.change()) {
             case PAUSED, RESUMED -> true;
             case SIGKILL -> !isAfterGracePeriod(c.millis());
-            case EXITED -> lastTermination(c.millis()).isEmpty() || !isStopping(c.millis());
+            case EXITED -> !isExpected(c);
             default -> false;
         };
     }
@@ -53,10 +53,9 @@
         return term.isPresent() && millis >= term.getAsLong() + HostSettings.GRACE_MILLIS;
     }
 
-    /** Returns whether the last signal before a moment was a SIGTERM to the process that ran then. */
-    private boolean isStopping(long millis) {
-        return changes.stream()
-                .filter(c -> c.millis() <= millis)
+    /** Returns whether the last signal before an exit was one that ends the process which ran then. */
+    private boolean isExpected(Event.HostChanged exit) {
+        return changes.subList(0, changes.indexOf(exit)).stream()
                 .filter(c -> c.change() == HostChange.SIGTERM
                         || c.change() == HostChange.SIGKILL
                         || c.change() == HostChange.STARTED)
@@ -68,7 +67,7 @@
     /** Returns the moments at which the process ended without a signal. */
     List<Event.HostChanged> unexpectedExits() {
         return changes.stream()
-                .filter(c -> c.change() == HostChange.EXITED && !isStopping(c.millis()))
+                .filter(c -> c.change() == HostChange.EXITED && !isExpected(c))
                 .toList();
     }
 }
--- a/entry/src/test/java/org/hyssophitch/entry/soak/JudgeTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/JudgeTest.java
@@ -192,6 +192,10 @@
                 Run.withoutStop().sent(5_000, 0).worked(5_001, 5_100, 0).worked(5_200, 5_300, 0)
             },
             {"refused without a run", Run.withoutStop().sent(5_000, 0, false).refused(5_100, 0, 503)},
+            {
+                "starts in the millisecond in which it ended",
+                Run.withStop().host(15_700, HostChange.EXITED).host(15_700, HostChange.STARTED)
+            },
             {"ends on SIGTERM", Run.withStop().host(15_700, HostChange.EXITED)},
             {"three unanswered requests", unanswered(3)},
         };
--- a/entry/src/test/java/org/hyssophitch/entry/soak/ServerBehaviour.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/ServerBehaviour.java
@@ -22,12 +22,16 @@
         ERROR_TWICE(false),
         /** Turns the request away without running it. */
         SHED(true),
+        /** Turns the request away without naming its id, and writes a copy of the refusal a moment later. */
+        SHED_TWICE(true),
         /** Answers, and writes a copy of the answer a moment later. */
         LATE_COPY(true),
         /** Answers, and writes a copy of the answer while the next request of the connection may be under way. */
         LATER_COPY(true),
         /** Writes half of an answer without a length, then resets the connection. */
         RESET_WITHOUT_LENGTH(false),
+        /** Writes an answer in chunks, then closes the connection before the last one. */
+        CLOSE_IN_CHUNKS(false),
         /** Writes half of an answer with a length, then closes the connection. */
         CLOSE_IN_BODY(false),
         /** Closes the connection instead of an answer. */
@@ -46,6 +50,11 @@
             return this == ANSWER_EARLY || this == RESET_EARLY;
         }
 
+        /** Returns whether the server turns the request away. */
+        boolean isRefusal() {
+            return this == SHED || this == SHED_TWICE;
+        }
+
         /** Returns whether the server sends a whole answer with which its request is over. */
         boolean isAnswerWhole() {
             return isAnswerWhole;
--- a/entry/src/test/java/org/hyssophitch/entry/soak/ServerConnection.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/ServerConnection.java
@@ -38,6 +38,16 @@
         write(head("HTTP/1.1 " + status + " X", id) + "Hyssophitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
     }
 
+    /** Turns a request away, in the way that a fault prescribes. */
+    void refuse(String id, ServerBehaviour.Fault fault) throws IOException {
+        if (fault == ServerBehaviour.Fault.SHED_TWICE) {
+            writeNotExecuted("", 503);
+            writeLater(() -> writeNotExecuted("", 503), LATE_COPY_MILLIS);
+        } else {
+            writeNotExecuted(id, 503);
+        }
+    }
+
     /** Answers a request that has run, in the way that a fault prescribes. */
     void answer(String id, ServerBehaviour.Fault fault) throws IOException, InterruptedException {
         switch (fault) {
@@ -60,6 +70,14 @@
                 write(Arrays.copyOf(body, body.length / 2));
                 socket.close();
             }
+            case CLOSE_IN_CHUNKS -> {
+                byte[] body = ServerAnswer.body(server, id);
+                write(successHead(id) + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length)
+                        + "\r\n");
+                write(body);
+                write("\r\n");
+                socket.close();
+            }
             case BREAK_OFF -> socket.close();
             case HANG -> {
                 Thread.sleep(HANG_MILLIS);
--- a/entry/src/test/java/org/hyssophitch/entry/soak/SoakCaller.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/SoakCaller.java
@@ -48,7 +48,7 @@
         pauseMillis = 5 + random.nextInt(150);
         // A caller that pipelines sends safe requests only, as the users' callers do.
         unsafeShare = depth == 1 ? 0.5 : 0;
-        uploadShare = number % 3 == 0 ? 0.2 : 0;
+        uploadShare = number % 3 == 0 ? 0.4 : 0;
     }
 
     /** Sends requests until a moment, then waits for the answers. */
--- a/entry/src/test/java/org/hyssophitch/entry/soak/SoakPlanner.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/SoakPlanner.java
@@ -55,7 +55,7 @@
         SoakPlan.Site site = random.nextBoolean() ? SoakPlan.Site.SHORT : SoakPlan.Site.LONG;
         int callers = 20 + random.nextInt(16);
         int stops = Math.max(2, (int) (durationMillis / 6_000));
-        int others = Math.max(3, (int) (durationMillis / 4_000));
+        int others = Math.max(3, (int) (durationMillis / 2_500));
         Stream<SoakPlan.Timed> all = Stream.concat(
                 Stream.generate(() -> at(stop())).limit(stops),
                 Stream.generate(() -> at(other())).limit(others));
--- a/entry/src/test/java/org/hyssophitch/entry/soak/SoakReport.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/SoakReport.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /** Text of a soak: its verdict, its plan, the changes of its hosts, and the whole story of each broken rule. */
@@ -27,7 +29,7 @@
                 .map(c -> "%d ms %s %s".formatted(c.millis(), c.host(), c.change()));
         Stream<String> stories = result.violations().stream().limit(MAX_STORIES).flatMap(v -> story(v).stream());
         return Stream.of(
-                        Stream.of(result.verdict(), "", "Plan, since the first requests:"),
+                        Stream.of(result.verdict(), outcomes(), "", "Plan, since the first requests:"),
                         plan,
                         Stream.of("", "Hosts:"),
                         changes,
@@ -36,6 +38,21 @@
                 .toList();
     }
 
+    private String outcomes() {
+        return Story.of(events).stream()
+                .map(s -> s.outcome().map(SoakReport::kind).orElse("none"))
+                .collect(Collectors.groupingBy(k -> k, TreeMap::new, Collectors.counting()))
+                .toString();
+    }
+
+    private static String kind(Event outcome) {
+        return switch (outcome) {
+            case Event.Answered a -> Integer.toString(a.answer().status());
+            case Event.Unanswered u -> u.end().toString();
+            default -> "";
+        };
+    }
+
     private List<String> story(Violation v) {
         List<String> lines = new ArrayList<>();
         lines.add("");
--- a/entry/src/test/java/org/hyssophitch/entry/soak/StandInServer.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/StandInServer.java
@@ -124,7 +124,9 @@
         String expected = head.header("Hyssophitch-Expected-Instance");
         if (!expected.isEmpty() && !expected.equals(name)) {
             connection.writeNotExecuted(id, 421);
-        } else if (fault == ServerBehaviour.Fault.SHED || waiting.get() >= slots * QUEUED_PER_SLOT) {
+        } else if (fault.isRefusal()) {
+            connection.refuse(id, fault);
+        } else if (waiting.get() >= slots * QUEUED_PER_SLOT) {
             connection.writeNotExecuted(id, 503);
         } else {
             run(head, id, fault, connection);
