--- a/entry/src/test/java/org/hyssophitch/entry/soak/SoakPlanner.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/SoakPlanner.java
@@ -19,6 +19,10 @@
     private static final int LARGE_FLEET_EVERY = 8;
 
     private static final int SERVERS = 30;
+    /** Few, so that a request often meets the connection that carried a spoiled answer. */
+    private static final int FAULTY_SERVERS = 6;
+
+    private static final double FAULTY_SHARE = 0.5;
     private static final long FIRST_MILLIS = 1_000;
     /** Part of the time after which no disruption starts, so that the run sees its end. */
     private static final double LAST_START = 0.75;
@@ -51,6 +55,20 @@
         return new SoakPlanner(seed, 3, durationMillis).draw(seed, durationMillis);
     }
 
+    /** Returns the plan of a soak without stops, in which all servers spoil half of their answers in one way. */
+    static SoakPlan faultPlan(Fault fault, long durationMillis) {
+        List<Integer> servers = IntStream.range(0, FAULTY_SERVERS).boxed().toList();
+        Disruption faults = new Disruption.Faults(servers, fault, FAULTY_SHARE, durationMillis);
+        return new SoakPlan(
+                fault.ordinal(),
+                1,
+                FAULTY_SERVERS,
+                FAULTY_SERVERS * 2,
+                SoakPlan.Site.SHORT,
+                durationMillis,
+                List.of(new SoakPlan.Timed(0, faults)));
+    }
+
     private SoakPlan draw(long seed, long durationMillis) {
         SoakPlan.Site site = random.nextBoolean() ? SoakPlan.Site.SHORT : SoakPlan.Site.LONG;
         int callers = 20 + random.nextInt(16);
