Runs of the soak reserve their loopback addresses

Runs took their range of addresses from the process id modulo 128, so that two at the same time could have the same one; that these two did isn't shown. A run now holds its range by a listening socket.

--- a/entry/src/test/java/org/hyssophitch/entry/soak/HostSettings.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/HostSettings.java
@@ -24,7 +24,7 @@
 
     /** Returns a number for the addresses of this process, so that runs side by side don't share addresses. */
     static int networkOfThisProcess() {
-        return 64 + (int) (ProcessHandle.current().pid() % 128);
+        return LoopbackNetwork.OF_THIS_PROCESS.number();
     }
 
     String name() {
