--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -49,7 +49,6 @@
 import org.hyssophitch.wire.net.HttpEndpoint;
 import org.hyssophitch.wire.net.HttpQuery;
 import org.hyssophitch.wire.net.HttpReply;
-import org.hyssophitch.wire.report.JsonLineWriter;
 import org.hyssophitch.wire.report.MetricsText;
 import org.tinylog.Logger;
 
@@ -144,7 +143,12 @@
         evacuations = evacuationWatcher(store, timers);
         registration = new Registration(
                 store, new EntryHostKind(), settings.host(), timers, peers, this::onStoreRecovered, random.split());
-        registerGauges();
+        new EntryGauges(metrics, dispatcher, front, router).register();
+        metrics.registerGauge(
+                "hyssophitch_evacuated_zones",
+                "availability zones to whose backend servers nothing is sent",
+                () -> evacuations.map(EvacuationWatcher::count).orElse(0));
+        storeRelay.registerGauges(metrics);
     }
 
     /** Returns the watcher of evacuations, where the operator's bounds say that there may be any. */
@@ -212,28 +216,6 @@
         return isFrontOpen;
     }
 
-    private void registerGauges() {
-        metrics.registerGauge(
-                "hyssophitch_log_lines_lost", "log lines lost because their ring was full", JsonLineWriter::dropped);
-        metrics.registerGauge(
-                "hyssophitch_calls_in_flight", "requests without a final answer", dispatcher::activeCalls);
-        metrics.registerGauge(
-                "hyssophitch_backend_connections", "connections to backend servers", dispatcher::backendConnections);
-        metrics.registerGauge("hyssophitch_quotas_owned", "teams whose quota this host owns", dispatcher::ownedQuotas);
-        metrics.registerGauge("hyssophitch_caller_connections", "connections of callers", front::connections);
-        metrics.registerGauge(
-                "hyssophitch_evacuated_zones",
-                "availability zones to whose backend servers nothing is sent",
-                () -> evacuations.map(EvacuationWatcher::count).orElse(0));
-        metrics.registerGauge(
-                "hyssophitch_cold_servers",
-                "backend servers that are limited while they are cold",
-                dispatcher::coldServers);
-        metrics.registerGauge(
-                "hyssophitch_configuration_version", "version of the configuration in force", router::version);
-        storeRelay.registerGauges(metrics);
-    }
-
     /** Delays opening the front, because requests that arrive before the first store response would be rejected. */
     private void awaitInitialState() {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_STORE_WAIT_MILLIS);
