End an attempt at once when a late answer comes beside a HEAD request

The decoder pairs answers with requests by their order. A late answer to an earlier request used up the pairing of a HEAD request, whose own answer was then read as one with a body: the call waited for that body until its timeout (504). With an earlier HEAD request it is the other way round. On a connection that has carried a HEAD request, an answer to another request now closes the connection, and the call is retried.

No caller got wrong bytes: the encoder leaves out the body of an answer to HEAD.

--- a/entry/src/test/java/org/hyssophitch/entry/LateCopyTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/LateCopyTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -18,6 +19,7 @@
 public class LateCopyTest {
 
     private static final int CALLS = 20;
+    private static final int PAUSE_MILLIS = 50;
     /** One for the requests, one for their retries, and two for load probes beside them. */
     private static final int MAX_KEPT_CONNECTIONS = 4;
 
@@ -209,4 +211,47 @@
             assertEquals(s.requests().size(), 1);
         }
     }
+
+    @DataProvider
+    Object[][] methods() {
+        return new Object[][] {{"GET", "HEAD"}, {"HEAD", "GET"}, {"HEAD", "HEAD"}};
+    }
+
+    /**
+     * The decoder takes a late answer for the one to the request in flight, and so reads the real one as if it had a
+     * body, or none. The call must not wait for the rest until its timeout.
+     */
+    @Test(dataProvider = "methods")
+    public void lateAnswerBesideAHeadRequestEndsTheAttemptAtOnce(String first, String second) throws Exception {
+        AtomicInteger copies = new AtomicInteger();
+        ScriptedServer.Script stuttering = (r, c) -> {
+            if (r.id().equals("second") && copies.getAndIncrement() == 0) {
+                String length = first.equals("HEAD") ? "3" : "0";
+                ScriptedServer.write(
+                        c, "HTTP/1.1 200 X\r\nHyssophitch-Request-Id: first\r\nContent-Length: " + length + "\r\n\r\n");
+            }
+            String head = ScriptedServer.head(r, 200) + "Content-Length: 3\r\n\r\n";
+            ScriptedServer.write(c, r.line().startsWith("HEAD ") ? head : head + "own");
+            return true;
+        };
+        try (ScriptedServer s = new ScriptedServer(stuttering);
+                DataPath path = new DataPath(DataPath.LIMITS, s)) {
+            exchange(path, first, "first");
+            Thread.sleep(PAUSE_MILLIS);
+            long start = System.nanoTime();
+            AnswerReader.Answer answer = exchange(path, second, "second");
+            long millis = (System.nanoTime() - start) / 1_000_000;
+            assertEquals(answer.status(), 200, answer.toString());
+            assertEquals(answer.body(), second.equals("HEAD") ? "" : "own");
+            assertTrue(millis < DataPath.ROUTE_TIMEOUT_MILLIS / 2, answer + " after " + millis + " ms");
+        }
+    }
+
+    private static AnswerReader.Answer exchange(DataPath path, String method, String id) throws IOException {
+        String request = DataPath.get("/s/x", id).replaceFirst("GET", method);
+        try (Socket s = path.connect()) {
+            s.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            return new AnswerReader(s.getInputStream()).read(method.equals("HEAD"));
+        }
+    }
 }
--- a/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -104,6 +105,11 @@
         return exchange.requestId();
     }
 
+    @Override
+    public boolean isHead() {
+        return HttpMethod.HEAD.equals(exchange.request().method());
+    }
+
     @Override
     public ResponseMatch match(HttpResponse candidate) {
         HeaderConventions conventions = dispatcher.headerConventions();
--- a/http/src/main/java/org/hyssophitch/http/BackendConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendConnection.java
@@ -1,5 +1,6 @@
 package org.hyssophitch.http;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
@@ -50,6 +51,9 @@
     /** Whether a late copy of a refusal may still arrive, because an earlier response was one or was foreign. */
     private boolean mayHoldRefusal;
 
+    /** Whether the connection has carried a HEAD request, whose late answer the decoder reads as one with a body. */
+    private boolean hasCarriedHead;
+
     private boolean isRequestWritten;
     private boolean isRejected;
     private long receivedBytes;
@@ -75,6 +79,7 @@
         isRejected = false;
         receivedBytes = 0;
         requests++;
+        hasCarriedHead |= newExchange.isHead();
         recentRequests.add(newExchange.requestId());
         newExchange.onConnected(this);
     }
@@ -141,7 +146,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-        if (exchange == null || message.decoderResult().isFailure()) {
+        if (exchange == null || isUnusable || message.decoderResult().isFailure()) {
             ReferenceCountUtil.release(message);
             onUnusable(message.decoderResult());
             context.close();
@@ -170,20 +175,19 @@
             return;
         }
         ResponseMatch match = exchange.match(head);
-        hasResponseHead |= match != ResponseMatch.FOREIGN;
-        boolean isUntrusted = match == ResponseMatch.UNIDENTIFIED_REFUSAL && mayHoldRefusal;
-        if (isUntrusted || match == ResponseMatch.MALFORMED) {
-            reject(isUntrusted ? AnswerFault.UNTRUSTED_REFUSAL : AnswerFault.MALFORMED);
+        Optional<AnswerFault> fault = fault(match);
+        fault.ifPresent(this::reject);
+        isDiscarding = fault.isPresent();
+        boolean isForeign = match == ResponseMatch.FOREIGN;
+        boolean mayAnswerFollow = isForeign && !hasCarriedHead;
+        hasResponseHead |= !mayAnswerFollow;
+        mayHoldRefusal |= match != ResponseMatch.ANSWER;
+        isClosing |= isForeign || match == ResponseMatch.UNIDENTIFIED_REFUSAL;
+        if (isDiscarding && !mayAnswerFollow) {
             isUnusable = true;
-            isDiscarding = true;
             channel.close();
-            return;
         }
-        mayHoldRefusal |= match != ResponseMatch.ANSWER;
-        isClosing |= match == ResponseMatch.UNIDENTIFIED_REFUSAL || match == ResponseMatch.FOREIGN;
-        isDiscarding = match == ResponseMatch.FOREIGN;
         if (isDiscarding) {
-            reject(AnswerFault.FOREIGN);
             return;
         }
         isClosing |= !HttpUtil.isKeepAlive(head);
@@ -191,6 +195,16 @@
         exchange.onResponseHead(head);
     }
 
+    /** Returns why a response is not taken for an answer to the current request, or empty if it is one. */
+    private Optional<AnswerFault> fault(ResponseMatch match) {
+        return switch (match) {
+            case ANSWER, REFUSAL -> Optional.empty();
+            case UNIDENTIFIED_REFUSAL -> mayHoldRefusal ? Optional.of(AnswerFault.UNTRUSTED_REFUSAL) : Optional.empty();
+            case FOREIGN -> Optional.of(AnswerFault.FOREIGN);
+            case MALFORMED -> Optional.of(AnswerFault.MALFORMED);
+        };
+    }
+
     private void onContent(HttpContent content) {
         if (isDiscarding) {
             content.release();
--- a/http/src/main/java/org/hyssophitch/http/BackendExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendExchange.java
@@ -12,6 +12,9 @@
     /** Returns the id of the request; empty without one. */
     String requestId();
 
+    /** Returns whether the method is HEAD, whose responses have no body. */
+    boolean isHead();
+
     /** Returns whether a response belongs to this exchange; other responses are discarded. */
     ResponseMatch match(HttpResponse head);
 
--- a/http/src/main/java/org/hyssophitch/http/LoadProber.java
+++ b/http/src/main/java/org/hyssophitch/http/LoadProber.java
@@ -67,6 +67,11 @@
             this.timer = loop.schedule(this::onTimeout, PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }
 
+        @Override
+        public boolean isHead() {
+            return false;
+        }
+
         @Override
         public String requestId() {
             return "";
