Take a store's answer without a length as whole only after an orderly end

A response of the store or of a relay without a length that was reset on the way was taken as complete: the client closes the channel when the read fails, and the decoder takes that for the end of the response. The channel allows half-closure now, and the end of the input is recorded ahead of the decoder, as for connections to servers.

HttpClientTest.takesOnlyWholeResponses failed before for a reset without a length and passes now; resets and closes with a length or chunks, and connections that the server ends after an answer, held before.

--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpClient.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpClient.java
@@ -11,10 +11,12 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -116,11 +118,13 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
                         initializer.accept(c);
                         c.pipeline()
+                                .addLast(new InputEnd(connection))
                                 .addLast(new HttpClientCodec())
                                 .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
                                 .addLast(connection);
@@ -137,11 +141,46 @@
                 });
     }
 
+    /**
+     * Records how the input of a connection ends, before the decoder handles it: the decoder takes every end of the
+     * channel, also a reset, for the end of a response without a length.
+     */
+    private static final class InputEnd extends ChannelInboundHandlerAdapter {
+
+        private final Connection connection;
+
+        private InputEnd(Connection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                connection.isInputEnded = true;
+            }
+            context.fireUserEventTriggered(event);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            connection.isInputLost = !connection.isInputEnded;
+            context.fireExceptionCaught(cause);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            connection.isInputLost = !connection.isInputEnded;
+            context.fireChannelInactive();
+        }
+    }
+
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
         private Channel channel;
         private Consumer<Outcome> pending;
         private ScheduledFuture<?> timer;
+        private boolean isInputEnded;
+        private boolean isInputLost;
 
         @Override
         public void handlerAdded(ChannelHandlerContext context) {
@@ -156,11 +195,11 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            if (pending == null || response.decoderResult().isFailure()) {
+            if (pending == null || isInputLost || response.decoderResult().isFailure()) {
                 context.close();
                 return;
             }
-            boolean isKeepAlive = HttpUtil.isKeepAlive(response);
+            boolean isKeepAlive = HttpUtil.isKeepAlive(response) && !isInputEnded;
             Outcome outcome = new Outcome.Answered(
                     response.status().code(), response.headers(), ByteBufUtil.getBytes(response.content()));
             if (isKeepAlive) {
@@ -171,6 +210,14 @@
             finish(outcome);
         }
 
+        /** Closes the connection: after the orderly end of its input, no further response can arrive. */
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                context.close();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             idle.remove(this);
--- /dev/null
+++ b/wire/src/test/java/org/hyssophitch/wire/net/HttpClientTest.java
@@ -0,0 +1,104 @@
+package org.hyssophitch.wire.net;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** Tests which responses the client takes as complete. */
+public class HttpClientTest {
+
+    private static final int TIMEOUT_MILLIS = 2_000;
+    private static final int PAUSE_MILLIS = 50;
+    private static final int REQUEST_BYTES = 16_384;
+    private static final String HALF = "{\"items\":[]";
+
+    private EventLoopGroup group;
+    private ServerSocket server;
+    private HttpClient client;
+
+    @BeforeMethod
+    void start() throws IOException {
+        group = EventLoops.create(1);
+        server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        client = new HttpClient(
+                (EventLoop) group.next(),
+                new InetSocketAddress(server.getInetAddress(), server.getLocalPort()),
+                TIMEOUT_MILLIS,
+                c -> {});
+    }
+
+    @AfterMethod
+    void stop() throws IOException {
+        server.close();
+        EventLoops.close(group);
+    }
+
+    @DataProvider
+    Object[][] ends() {
+        return new Object[][] {
+            {"", true, false},
+            {"", false, true},
+            {"Content-Length: 100\r\n", true, false},
+            {"Content-Length: 100\r\n", false, false},
+            {"Transfer-Encoding: chunked\r\n", false, false},
+        };
+    }
+
+    /** A list of the store without a length that is reset on the way must not pass for the whole list. */
+    @Test(dataProvider = "ends")
+    public void takesOnlyWholeResponses(String framing, boolean isReset, boolean isWhole) throws Exception {
+        for (int i = 0; i < 3; i++) {
+            serve(framing, isReset);
+            HttpClient.Outcome outcome = call();
+            assertEquals(outcome instanceof HttpClient.Outcome.Answered, isWhole, outcome.toString());
+        }
+    }
+
+    /** A server that has ended its output can't answer another request on the connection. */
+    @Test
+    public void usesANewConnectionAfterTheServerHasEndedItsOutput() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            serve("Content-Length: " + HALF.length() + "\r\n", false);
+            assertTrue(call() instanceof HttpClient.Outcome.Answered);
+            Thread.sleep(PAUSE_MILLIS * 2L);
+        }
+    }
+
+    private void serve(String framing, boolean isReset) {
+        Thread.startVirtualThread(() -> {
+            try (Socket s = server.accept()) {
+                s.getInputStream().read(new byte[REQUEST_BYTES]);
+                String response = "HTTP/1.1 200 OK\r\n" + framing + "\r\n" + HALF;
+                s.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
+                s.getOutputStream().flush();
+                Thread.sleep(PAUSE_MILLIS);
+                s.setSoLinger(isReset, 0);
+            } catch (IOException | InterruptedException e) {
+                // The test sees that the response is missing.
+            }
+        });
+    }
+
+    private HttpClient.Outcome call() throws Exception {
+        CompletableFuture<HttpClient.Outcome> outcome = new CompletableFuture<>();
+        group.next()
+                .execute(() ->
+                        client.call("GET", "/v1/objects/servers", new byte[0], TIMEOUT_MILLIS, outcome::complete));
+        return outcome.get(2L * TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+}
