--- a/wire/src/main/java/org/hyssophitch/wire/json/JsonSlice.java
+++ b/wire/src/main/java/org/hyssophitch/wire/json/JsonSlice.java
@@ -1,6 +1,7 @@
 package org.hyssophitch.wire.json;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -114,7 +115,7 @@
     }
 
     private boolean is(String literal) {
-        return equalsAscii(start, end, literal);
+        return equalsText(start, end, literal);
     }
 
     /** Returns the position of the first member or element. */
@@ -175,7 +176,7 @@
 
     /** Returns whether a member has a name; one with escape sequences is decoded. */
     private boolean isName(int from, int to, String name) {
-        if (equalsAscii(from + 1, to - 1, name)) {
+        if (equalsText(from + 1, to - 1, name)) {
             return true;
         }
         boolean hasEscape = false;
@@ -193,16 +194,9 @@
         }
     }
 
-    private boolean equalsAscii(int from, int to, String expected) {
-        if (to - from != expected.length()) {
-            return false;
-        }
-        for (int i = 0; i < expected.length(); i++) {
-            if (text[from + i] != expected.charAt(i)) {
-                return false;
-            }
-        }
-        return true;
+    private boolean equalsText(int from, int to, String expected) {
+        byte[] bytes = expected.getBytes(StandardCharsets.UTF_8);
+        return Arrays.equals(text, from, to, bytes, 0, bytes.length);
     }
 
     private static JsonSlice trimmed(byte[] text, int from, int to) {
