Settings that can't be applied no longer end their reloading

An exception from what applies them ended the task for good, and no later change of the file was taken.

--- a/entry/src/main/java/org/hyssophitch/entry/SettingsReloader.java
+++ b/entry/src/main/java/org/hyssophitch/entry/SettingsReloader.java
@@ -51,11 +51,14 @@
                 () -> reload(Cause.PERIOD), POLL_INTERVAL_SECONDS, POLL_INTERVAL_SECONDS, TimeUnit.SECONDS);
     }
 
-    private void reload(Cause cause) {
+    /** Reads the file and applies what has changed; a failure leaves the next reload due. */
+    void reload(Cause cause) {
         try {
             apply(PlatformSettings.read(path, metricsPort), cause).ifPresent(Logger::info);
         } catch (PlatformSettings.SettingsException e) {
             Logger.warn(e, "settings could not be read; keeping the previous ones");
+        } catch (RuntimeException e) {
+            Logger.error(e, "settings could not be applied");
         }
     }
 
--- a/entry/src/test/java/org/hyssophitch/entry/SettingsReloaderTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/SettingsReloaderTest.java
@@ -1,5 +1,6 @@
 package org.hyssophitch.entry;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -55,4 +56,27 @@
         assertEquals(reloader.apply(loaded, cause), line);
         assertEquals(received, applied);
     }
+
+    /** The executor ends a periodic task that throws: the host would never read its settings again. */
+    @Test
+    public void settingsThatCannotBeAppliedDoNotEndTheReloading() throws Exception {
+        Path file = Files.createTempFile("settings", ".json");
+        file.toFile().deleteOnExit();
+        Files.writeString(
+                file,
+                """
+                {"node":"host-1","ip_address":"127.0.0.1","zone":"z1","region":"r","zones":{"z1":"r"},
+                 "listen":{"front":"127.0.0.1:1","ready":"127.0.0.1:2","directory":"127.0.0.1:3"},
+                 "internal_ports":[4,4],"platform":{"address":"127.0.0.1:5"},
+                 "bounds":{"grace_period_s":1.0,"retry_budget_ratio":0.2,"budget_window_s":10,"budget_slack":200,
+                 "ttl_max_s":5,"probes_per_s":42}}
+                """);
+        List<EntrySettings> received = new ArrayList<>();
+        SettingsReloader reloader = new SettingsReloader(file, 1, SETTINGS, s -> {
+            received.add(s);
+            throw new ArithmeticException("not applicable");
+        });
+        reloader.reload(SettingsReloader.Cause.PERIOD);
+        assertEquals(received.size(), 1);
+    }
 }
