--- a/entry/src/test/java/org/hyssophitch/entry/StoreRelayTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/StoreRelayTest.java
@@ -70,6 +70,24 @@
         store.setFailureMode(FakeStore.FailureMode.NONE);
     }
 
+    /** Hosts behind a relay must neither lose a change beside an unusable object nor keep the server that it replaced. */
+    @Test
+    public void changesBesideUnusableObjectsReachAllHostsInTime() throws Exception {
+        List<EntrySettings> fleet = startFleet();
+        store.putRaw("servers", "i-2", "[".repeat(100_000) + "]".repeat(100_000));
+        store.putRaw("servers", "a-odd", "{\"slots\":" + "9".repeat(5_000) + "}");
+        store.putRaw("servers", "z-odd", "@ nope");
+        Thread.sleep(APPLY_DEADLINE_MILLIS);
+        second.requests().clear();
+        fleet.forEach(s -> assertTrue(request(s, "/s/x").endsWith("first"), s.host()));
+        assertEquals(second.requests(), List.of());
+
+        register("i-3", second, "svc", "ready");
+        store.remove("servers", "i-1");
+        Thread.sleep(APPLY_DEADLINE_MILLIS);
+        fleet.forEach(s -> assertTrue(request(s, "/s/x").endsWith("second"), s.host()));
+    }
+
     private List<EntrySettings> startFleet() throws InterruptedException {
         configure(1, "svc");
         register("i-1", first, "svc", "ready");
