A relay follows a change that it can't relay

The answer to a waiting host was encoded within the relay's own handling of the change. A failure to encode it kept the change from the relay itself and from all hosts behind it; since the watch recovers by itself, they learned of it from lists only. The waiting host is now turned away, as by a relay that has lost the store.

Evidence: hostFollowsAChangeThatItCannotRelay fails with the former class and passes here.

--- a/entry/src/main/java/org/hyssophitch/entry/RelayedKind.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RelayedKind.java
@@ -16,6 +16,7 @@
 import org.hyssophitch.core.store.Timers;
 import org.hyssophitch.wire.codec.RelayCodec;
 import org.hyssophitch.wire.net.HttpReply;
+import org.tinylog.Logger;
 
 /**
  * Answers other entry hosts that read one kind of objects through this host. Not thread-safe; confined to the event
@@ -84,7 +85,17 @@
     }
 
     private void answerWaiting() {
-        List.copyOf(waiting).stream().filter(this::answerIfChanged).forEach(waiting::remove);
+        List.copyOf(waiting).stream().filter(this::answerOrTurnAway).forEach(waiting::remove);
+    }
+
+    /** A failure to answer another host must not spoil the handling of the change in this one. */
+    private boolean answerOrTurnAway(Waiting w) {
+        try {
+            return answerIfChanged(w);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            Logger.warn("cannot answer a relayed watch: {}", e.toString());
+            return w.reply().complete(HttpReply.empty(UNAVAILABLE));
+        }
     }
 
     /** Answers a host that has missed changes or can't be told which; returns whether it was answered. */
