Heartbeat and registration go on after a failure inside them

An exception in one heartbeat ended all later ones: the executor doesn't repeat a task that throws. The others then took the host for dead while it said that it was ready, and it no longer noticed that its configuration was old. An exception while the hosts were listed, or a lost answer, ended the lists for good.

The heartbeat is a RepeatedTask; the steps of the registration run in a StepRunner with a deadline. QuotaMail schedules its next datagrams although the last run failed.

--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -114,7 +114,8 @@
 
     /** Starts the heartbeat timer. */
     void start() {
-        loop.scheduleWithFixedDelay(this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        RepeatedTask heartbeat = new RepeatedTask("heartbeat", this::tick);
+        loop.scheduleWithFixedDelay(heartbeat, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Returns this host's entry as it is registered in the store. */
--- a/entry/src/main/java/org/hyssophitch/entry/QuotaMail.java
+++ b/entry/src/main/java/org/hyssophitch/entry/QuotaMail.java
@@ -39,6 +39,7 @@
     private final EventLoop loop;
     private final Sender sender;
     private final Map<String, Batch> batches = new LinkedHashMap<>();
+    private boolean isFlushDue;
 
     QuotaMail(EventLoop loop, Sender sender) {
         this.loop = loop;
@@ -61,13 +62,15 @@
             batches.remove(host);
             sender.send(host, full.asks(), full.grants());
         }
-        if (batches.isEmpty()) {
+        if (!isFlushDue) {
             loop.execute(this::flush);
+            isFlushDue = true;
         }
         return batches.computeIfAbsent(host, h -> new Batch());
     }
 
     private void flush() {
+        isFlushDue = false;
         Map<String, Batch> due = new LinkedHashMap<>(batches);
         batches.clear();
         due.forEach((host, b) -> sender.send(host, b.asks(), b.grants()));
--- a/entry/src/main/java/org/hyssophitch/entry/Registration.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Registration.java
@@ -10,10 +10,11 @@
 import org.hyssophitch.core.retry.Backoff;
 import org.hyssophitch.core.store.ObjectKind;
 import org.hyssophitch.core.store.ObjectStore;
+import org.hyssophitch.core.store.StepRunner;
+import org.hyssophitch.core.store.StepRunner.Step;
 import org.hyssophitch.core.store.StorePage;
 import org.hyssophitch.core.store.StoreResult;
 import org.hyssophitch.core.store.StoredObject;
-import org.hyssophitch.core.store.Timers;
 import org.tinylog.Logger;
 
 /**
@@ -40,13 +41,16 @@
     private static final long INITIAL_BACKOFF_MILLIS = 100;
     private static final long MAX_BACKOFF_MILLIS = 1_500;
     private static final long MICROS_PER_MILLI = 1_000;
+    /** Interval in milliseconds at which the lists are checked for progress. */
+    private static final long CHECK_INTERVAL_MILLIS = 1_000;
 
     private final ObjectStore store;
     private final ObjectKind<EntryHost> kind;
     private final String host;
-    private final Timers timers;
+    private final EventLoopTimers timers;
     private final Peers peers;
     private final Backoff backoff;
+    private final StepRunner steps;
     private final Runnable onStoreRecovered;
     private Map<String, StoredObject<EntryHost>> listed = new HashMap<>();
     private int missingLists;
@@ -59,13 +63,12 @@
     private boolean needsCurrentList;
 
     private boolean hasFailed;
-    private boolean isStopped;
 
     Registration(
             ObjectStore store,
             ObjectKind<EntryHost> kind,
             String host,
-            Timers timers,
+            EventLoopTimers timers,
             Peers peers,
             Runnable onStoreRecovered,
             RandomGenerator random) {
@@ -76,11 +79,13 @@
         this.peers = peers;
         this.onStoreRecovered = onStoreRecovered;
         this.backoff = new Backoff(INITIAL_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS, random);
+        this.steps = new StepRunner(timers, random, () -> listHosts(""), this::onStepFailed);
     }
 
     /** Lists the other hosts and registers this one. */
     void start() {
-        listHosts("");
+        steps.run(() -> listHosts(""));
+        timers.every(CHECK_INTERVAL_MILLIS, "check of the registration", steps::checkProgress);
     }
 
     /**
@@ -89,7 +94,7 @@
      * another host or replaced by the successor.
      */
     void stop() {
-        isStopped = true;
+        steps.stop();
         if (ownRevision == 0) {
             Logger.info("the registration of {} is left to other hosts: its revision isn't known", host);
             return;
@@ -104,10 +109,8 @@
     }
 
     private void register() {
-        if (!isStopped) {
-            missingLists = 0;
-            store.create(kind, host, peers.self(), this::onWritten);
-        }
+        missingLists = 0;
+        store.create(kind, host, peers.self(), steps.begin(Step.WRITE, 0, this::onWritten));
     }
 
     /** Lists again soon: after a first start of all hosts, the first list lacks those that registered after it. */
@@ -117,7 +120,7 @@
                 ? d.value().revision()
                 : 0;
         needsCurrentList = !isRegistered;
-        timers.after(backoff.nextMillis() * MICROS_PER_MILLI, () -> listHosts(""));
+        steps.pause(backoff.nextMillis() * MICROS_PER_MILLI, () -> listHosts(""));
     }
 
     /**
@@ -128,15 +131,13 @@
         if (after.isEmpty()) {
             listed = new HashMap<>();
         }
-        if (!isStopped) {
-            store.list(kind, after, !needsCurrentList, this::onPage);
-        }
+        store.list(kind, after, !needsCurrentList, steps.begin(Step.LIST, 0, this::onPage));
     }
 
     private void onPage(StoreResult<StorePage<EntryHost>> result) {
         if (!(result instanceof StoreResult.Done<StorePage<EntryHost>> done)) {
             hasFailed = true;
-            timers.after(backoff.nextMillis() * MICROS_PER_MILLI, () -> listHosts(""));
+            steps.pause(backoff.nextMillis() * MICROS_PER_MILLI, () -> listHosts(""));
             return;
         }
         done.value().items().forEach(o -> listed.put(o.name(), o));
@@ -152,8 +153,9 @@
         peers.onListed(listed);
         deleteDeadHosts();
         checkOwnObjectListed();
+        steps.onHandled();
         if (isRegistered) {
-            timers.after(listIntervalMicros(), () -> listHosts(""));
+            steps.pause(listIntervalMicros(), () -> listHosts(""));
         } else {
             replaceOwnObject();
         }
@@ -186,10 +188,10 @@
         ownRevision = isOwn ? known.revision() : ownRevision;
         if (isOwn || !peers.raiseIncarnationAbove(incarnation)) {
             isRegistered = true;
-            timers.after(listIntervalMicros(), () -> listHosts(""));
+            steps.pause(listIntervalMicros(), () -> listHosts(""));
             return;
         }
-        store.replace(kind, host, peers.self(), known.revision(), this::onWritten);
+        store.replace(kind, host, peers.self(), known.revision(), steps.begin(Step.WRITE, 0, this::onWritten));
     }
 
     /** Deletes the objects of stopped processes; only the accepting host whose name sorts first does this. */
@@ -213,6 +215,10 @@
         }
     }
 
+    private void onStepFailed(Step step, String cause) {
+        Logger.warn("registration of {}: step {} failed and the hosts are listed again: {}", host, step, cause);
+    }
+
     private static String describe(StoreResult<?> result) {
         return result.getClass().getSimpleName();
     }
--- a/entry/src/test/java/org/hyssophitch/entry/DataPath.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -59,12 +60,16 @@
     private final int port;
 
     DataPath(CallerLimits limits, ScriptedServer... servers) throws IOException {
+        this(limits, new SplittableRandom(2), servers);
+    }
+
+    DataPath(CallerLimits limits, RandomGenerator random, ScriptedServer... servers) throws IOException {
         EntryMetrics metrics = new EntryMetrics();
         EventLog log = new EventLog(metrics);
         EngineSettings settings =
                 new EngineSettings("h1", "z1", 1).withFleetLimits(new FleetLimits(0.2, 1_000, 1_000_000, 10_000, 1));
         dispatcher = new CallDispatcher(
-                new CallEngine(settings, new SplittableRandom(2), log),
+                new CallEngine(settings, random, log),
                 loop,
                 new PlatformHeaders(),
                 CallDispatcher.RESPONSE_BUFFER_BYTES,
