The checks of the duties run with the heartbeat

Two timers of a second each woke an idle host twice more per second, where it wakes up some 12 times; the checks now run with the heartbeat, which wakes it anyway.

--- a/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
+++ b/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
@@ -135,7 +135,7 @@
         return timers.nowMicros() - heardMicros;
     }
 
-    /** Lists again if the current step is overdue; called about once a second. */
+    /** Lists again if the current step is overdue; called several times a second. */
     public void checkProgress() {
         steps.checkProgress();
     }
--- a/core/src/main/java/org/hyssophitch/core/store/StepRunner.java
+++ b/core/src/main/java/org/hyssophitch/core/store/StepRunner.java
@@ -115,7 +115,7 @@
     }
 
     /**
-     * Starts again if the current step is overdue. Called about once a second; the result of a step that seems late
+     * Starts again if the current step is overdue. Called several times a second; the result of a step that seems late
      * because the process was paused arrives before the second call.
      */
     public void checkProgress() {
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -179,11 +179,10 @@
         listen(a.peers(), storeRelay::handle);
         peers.open(group);
         runOnLoop(() -> {
-            peers.start();
+            peers.start(storeRelay::checkWatches, registration::checkProgress);
             configurationWatcher.start();
             serverWatcher.start();
             evacuations.ifPresent(e -> e.watcher().start());
-            storeRelay.startChecks();
             dispatcher.handle(
                     new CallEvent.ColdBoundChanged(WallClock.nowMicros(), EngineLimits.cold(settings.bounds())));
         });
--- a/entry/src/main/java/org/hyssophitch/entry/EventLoopTimers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EventLoopTimers.java
@@ -20,11 +20,6 @@
         return WallClock.nowMicros();
     }
 
-    /** Runs a task again and again; a run that fails is logged and doesn't end the repetition. */
-    void every(long millis, String name, Runnable task) {
-        loop.scheduleWithFixedDelay(new RepeatedTask(name, task), millis, millis, TimeUnit.MILLISECONDS);
-    }
-
     @Override
     public void after(long micros, Runnable step) {
         loop.schedule(step, micros, TimeUnit.MICROSECONDS);
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -75,6 +75,7 @@
     private DatagramEndpoint endpoint;
     private boolean isAccepting;
     private boolean wasBehind;
+    private List<Runnable> checks = List.of();
     private List<Member> lastLive = List.of();
     private long newestVersion;
     private final SettledFlag cutOff = new SettledFlag(CUT_OFF_SETTLING_MICROS, RETURN_SETTLING_MICROS);
@@ -112,8 +113,14 @@
         endpoint = new DatagramEndpoint(group, Addresses.parse(local), this::onDatagram);
     }
 
-    /** Starts the heartbeat timer. */
-    void start() {
+    /**
+     * Starts the heartbeat timer.
+     *
+     * @param newChecks checks of other duties that run with each heartbeat, as a timer of their own would wake the
+     *     process more often
+     */
+    void start(Runnable... newChecks) {
+        checks = List.of(newChecks);
         RepeatedTask heartbeat = new RepeatedTask("heartbeat", this::tick);
         loop.scheduleWithFixedDelay(heartbeat, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -228,6 +235,7 @@
     }
 
     private void tick() {
+        checks.forEach(Runnable::run);
         refreshReadiness();
         if (membership.self().configurationVersion() != localHost.configurationVersion()) {
             membership.updateSelfWithoutGossip(
--- a/entry/src/main/java/org/hyssophitch/entry/Registration.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Registration.java
@@ -15,6 +15,7 @@
 import org.hyssophitch.core.store.StorePage;
 import org.hyssophitch.core.store.StoreResult;
 import org.hyssophitch.core.store.StoredObject;
+import org.hyssophitch.core.store.Timers;
 import org.tinylog.Logger;
 
 /**
@@ -41,13 +42,10 @@
     private static final long INITIAL_BACKOFF_MILLIS = 100;
     private static final long MAX_BACKOFF_MILLIS = 1_500;
     private static final long MICROS_PER_MILLI = 1_000;
-    /** Interval in milliseconds at which the lists are checked for progress. */
-    private static final long CHECK_INTERVAL_MILLIS = 1_000;
 
     private final ObjectStore store;
     private final ObjectKind<EntryHost> kind;
     private final String host;
-    private final EventLoopTimers timers;
     private final Peers peers;
     private final Backoff backoff;
     private final StepRunner steps;
@@ -68,14 +66,13 @@
             ObjectStore store,
             ObjectKind<EntryHost> kind,
             String host,
-            EventLoopTimers timers,
+            Timers timers,
             Peers peers,
             Runnable onStoreRecovered,
             RandomGenerator random) {
         this.store = store;
         this.kind = kind;
         this.host = host;
-        this.timers = timers;
         this.peers = peers;
         this.onStoreRecovered = onStoreRecovered;
         this.backoff = new Backoff(INITIAL_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS, random);
@@ -85,7 +82,11 @@
     /** Lists the other hosts and registers this one. */
     void start() {
         steps.run(() -> listHosts(""));
-        timers.every(CHECK_INTERVAL_MILLIS, "check of the registration", steps::checkProgress);
+    }
+
+    /** Lists again if the current step is overdue. */
+    void checkProgress() {
+        steps.checkProgress();
     }
 
     /**
--- a/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
+++ b/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
@@ -18,6 +18,7 @@
 import org.hyssophitch.core.store.ObjectKind;
 import org.hyssophitch.core.store.ObjectStore;
 import org.hyssophitch.core.store.RelaySelector;
+import org.hyssophitch.core.store.Timers;
 import org.hyssophitch.core.store.WatchPacing;
 import org.hyssophitch.core.store.WatchPlan;
 import org.hyssophitch.wire.codec.RelayCodec;
@@ -31,14 +32,12 @@
 final class StoreRelay {
 
     private static final int MISDIRECTED = 421;
-    /** Interval in milliseconds at which the watches are checked for progress. */
-    private static final long CHECK_INTERVAL_MILLIS = 1_000;
 
     private static final double MICROS_PER_SECOND = 1_000_000.0;
 
     private final RelaySelector selector;
     private final RelayClients clients;
-    private final EventLoopTimers timers;
+    private final Timers timers;
     private final List<RelayedSource<?>> sources = new ArrayList<>();
     private final Map<String, RelayedKind<?>> served = new HashMap<>();
 
@@ -47,7 +46,7 @@
      *
      * @param live supplies the live members, including this host
      */
-    StoreRelay(EntrySettings settings, EventLoop loop, EventLoopTimers timers, Supplier<List<Member>> live) {
+    StoreRelay(EntrySettings settings, EventLoop loop, Timers timers, Supplier<List<Member>> live) {
         this.selector = new RelaySelector(settings.host(), settings.zone(), live);
         this.clients = new RelayClients(loop);
         this.timers = timers;
@@ -68,10 +67,9 @@
         served.put(kind, new RelayedKind<>(watcher, codec, this::isStoreReachable, timers));
     }
 
-    /** Starts the checks that let a watch whose current step is overdue list again. */
-    void startChecks() {
-        timers.every(CHECK_INTERVAL_MILLIS, "check of the watches", () -> served.values()
-                .forEach(k -> k.watcher().checkProgress()));
+    /** Lets each watch whose current step is overdue list again. */
+    void checkWatches() {
+        served.values().forEach(k -> k.watcher().checkProgress());
     }
 
     /** Registers gauges that tell for each kind how long ago the store was last heard. */
--- a/entry/src/test/java/org/hyssophitch/entry/DutyFailureTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DutyFailureTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -77,7 +78,7 @@
         };
         EventLog log = new EventLog(new EntryMetrics());
         Peers peers = new Peers(settings, 1, loop, new SplittableRandom(1), log, host);
-        EventLoops.run(loop, peers::start);
+        EventLoops.run(loop, () -> peers.start());
         await(() -> ticks.get() >= 4, MAX_WAIT_MILLIS);
     }
 
@@ -159,11 +160,12 @@
     @Test(dataProvider = "failures")
     public void repeatedTaskGoesOn(Throwable failure) throws InterruptedException {
         AtomicInteger runs = new AtomicInteger();
-        new EventLoopTimers(loop).every(10, "test", () -> {
+        RepeatedTask task = new RepeatedTask("test", () -> {
             if (runs.incrementAndGet() <= 3) {
                 throwUnchecked(failure);
             }
         });
+        loop.scheduleWithFixedDelay(task, 10, 10, TimeUnit.MILLISECONDS);
         await(() -> runs.get() >= 6, MAX_WAIT_MILLIS);
     }
 
@@ -178,7 +180,10 @@
                 peers,
                 onStoreRecovered,
                 new SplittableRandom(1));
-        EventLoops.run(loop, registration::start);
+        EventLoops.run(loop, () -> {
+            registration.start();
+            peers.start(registration::checkProgress);
+        });
     }
 
     private static boolean isSent(DataPath path) {
