A host that watches the store itself takes versions of a configuration one by one

Seen: with 13 hosts, 6,300 routes and versions 0.33 s apart a host waited 0.6 s between two watches; each answer then held several versions, which didn't fit the heap while they were decoded. Full collections held up the event loop for up to 10 s, and the host followed late.

Objects that change rarely have a pacing of their own in such hosts, as in relays: 0.2 s. It costs a call more per version only while versions come less than 0.6 s apart.

--- a/core/src/main/java/org/hyssophitch/core/store/WatchPacing.java
+++ b/core/src/main/java/org/hyssophitch/core/store/WatchPacing.java
@@ -4,6 +4,11 @@
 public enum WatchPacing {
     /** For a host that watches the store for itself alone: few calls, each of which has a price. */
     ALONE(8_000, 600_000),
+    /**
+     * For such a host and objects that change rarely but are large: several versions in an answer may not fit the
+     * heap.
+     */
+    ALONE_RARE(8_000, 200_000),
     /** For a host through which others watch: short waits prove to them that its view of the store is current. */
     RELAY(1_000, 200_000),
     /** For a relay of objects that change rarely, where the watch of another kind gives that proof. */
@@ -39,7 +44,7 @@
     /** Returns the pacing in the same role for objects that change rarely. */
     public WatchPacing forRareChanges() {
         return switch (this) {
-            case ALONE -> ALONE;
+            case ALONE, ALONE_RARE -> ALONE_RARE;
             case RELAY, RELAY_RARE -> RELAY_RARE;
             case RELAYED, RELAYED_RARE -> RELAYED_RARE;
         };
