Soak: runs side by side don't share addresses

Two runs whose process ids were equal modulo 128 shared their addresses, and one ended with "address already in use" (once, beside another run). Each process claims its network by a socket now.

--- a/entry/src/test/java/org/hyssophitch/entry/soak/SoakFleet.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/SoakFleet.java
@@ -20,7 +20,7 @@
     /** Hosts that start at the same time; more would hold each other up on a busy machine. */
     private static final int CONCURRENT_STARTS = 4;
 
-    private final int network = HostSettings.networkOfThisProcess();
+    private final int network = LoopbackNetwork.number();
     private final Journal journal = new Journal();
     private final int storePort = FreePorts.one();
     private final FakeStore store = new FakeStore(storePort);
