--- a/entry/src/test/java/org/hyssophitch/entry/soak/LoopbackNetwork.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/LoopbackNetwork.java
@@ -3,39 +3,47 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.util.Optional;
 import java.util.stream.IntStream;
 
-/**
- * A range of loopback addresses that no other run uses: it is held by a listening socket until the process ends.
- *
- * @param number second number of the addresses
- * @param reservation socket that holds the range
- */
-record LoopbackNetwork(int number, ServerSocket reservation) {
+/** The loopback addresses of this process: runs side by side on one machine must not share any. */
+final class LoopbackNetwork {
 
     private static final int FIRST = 64;
     private static final int COUNT = 128;
-    private static final int RESERVATION_PORT = 18_090;
+    private static final int CLAIM_PORT = 18_079;
 
-    static final LoopbackNetwork OF_THIS_PROCESS = reserve();
+    /** Listens as long as the process runs, which keeps the network from others. */
+    private static final ServerSocket CLAIM = claim();
 
-    private static LoopbackNetwork reserve() {
+    private LoopbackNetwork() {}
+
+    /** Returns the second number of the addresses. */
+    static int number() {
+        return Byte.toUnsignedInt(CLAIM.getInetAddress().getAddress()[1]);
+    }
+
+    private static ServerSocket claim() {
         int start = (int) (ProcessHandle.current().pid() % COUNT);
-        return IntStream.range(start, start + COUNT)
-                .mapToObj(i -> tryReserve(FIRST + i % COUNT))
-                .flatMap(Optional::stream)
+        return IntStream.range(0, COUNT)
+                .map(i -> FIRST + (start + i) % COUNT)
+                .mapToObj(LoopbackNetwork::claim)
+                .filter(ServerSocket::isBound)
                 .findFirst()
                 .orElseThrow();
     }
 
-    private static Optional<LoopbackNetwork> tryReserve(int number) {
+    /** Returns a socket that is unbound if another process has the network. */
+    private static ServerSocket claim(int number) {
         try {
             ServerSocket socket = new ServerSocket();
-            socket.bind(new InetSocketAddress("127." + number + ".255.41", RESERVATION_PORT));
-            return Optional.of(new LoopbackNetwork(number, socket));
+            try {
+                socket.bind(new InetSocketAddress("127." + number + ".0.41", CLAIM_PORT));
+            } catch (IOException e) {
+                socket.close();
+            }
+            return socket;
         } catch (IOException e) {
-            return Optional.empty();
+            throw new IllegalStateException(e);
         }
     }
 }
