--- a/entry/src/test/java/org/hyssophitch/entry/StoreRelayTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/StoreRelayTest.java
@@ -70,7 +70,7 @@
         store.setFailureMode(FakeStore.FailureMode.NONE);
     }
 
-    /** Hosts behind a relay must neither lose a change beside an unusable object nor keep the server that it replaced. */
+    /** Hosts behind a relay must neither lose a change beside an unusable object nor keep the server it replaced. */
     @Test
     public void changesBesideUnusableObjectsReachAllHostsInTime() throws Exception {
         List<EntrySettings> fleet = startFleet();
--- a/wire/src/main/java/org/hyssophitch/wire/json/JsonSlice.java
+++ b/wire/src/main/java/org/hyssophitch/wire/json/JsonSlice.java
@@ -83,21 +83,29 @@
         return elements;
     }
 
-    /** Returns whether this is the literal {@code null}. */
-    public boolean isNull() {
-        return is("null");
-    }
-
     /**
-     * Returns the value of a boolean.
+     * Returns the value of an object's member with a boolean; false if there is none.
      *
-     * @throws InvalidObjectException if this is no boolean
+     * @throws InvalidObjectException if it is no boolean
      */
-    public boolean isTrue() throws InvalidObjectException {
-        if (!is("true") && !is("false")) {
-            throw new InvalidObjectException("not a boolean");
+    public boolean flag(String name) throws InvalidObjectException {
+        Optional<JsonSlice> value = member(name);
+        if (value.isEmpty() || value.get().is("false")) {
+            return false;
+        }
+        if (!value.get().is("true")) {
+            throw new InvalidObjectException("missing or invalid field: " + name);
+        }
+        return true;
+    }
+
+    /** Returns the value of an object's member with a whole number, or the default value if it is unreadable. */
+    public long wholeNumber(String name, long defaultValue) {
+        try {
+            return required(name).decode(Json::wholeNumber);
+        } catch (InvalidObjectException e) {
+            return defaultValue;
         }
-        return is("true");
     }
 
     /** Returns a copy of this part of the text. */
