PlannedStopTest waits until its host reaches the server

At a load of 40 two tests failed in one of three runs: the service's request got 503 with a Retry-After of 1 s, the answer of a host that reaches no server, before the part that is tested. Readiness doesn't show that a server is reached, so the tests wait for one whole answer first. Their checks are unchanged.

--- a/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
@@ -141,12 +141,14 @@
         };
     }
 
+    /** Starts a host and waits until it reaches its server, because readiness doesn't show that. */
     private void startWith(ScriptedServer.Script script) throws InterruptedException {
-        first.setScript(script);
         configure(1, "svc");
         register("i-1", first, "svc", "ready");
         start(settings);
-        await(() -> ready(settings) == 200);
+        await(() -> ready(settings) == 200 && request(settings, "/s/x").startsWith("HTTP/1.1 200"));
+        first.requests().clear();
+        first.setScript(script);
     }
 
     private InetSocketAddress front() {
