Soak: each fleet claims addresses of its own

Runs ended with "address already in use" of a stand-in server: one setup of StopTest and two runs of bin/soak faults. In the second of these each process had addresses of its own, so fleets that one process starts after each other were in each other's way; sockets that are still closing are the likely cause. Each fleet claims a network by a socket now, and the next one takes another.

A refused request that may run only once is sent again with a new id: its late run counted as a second run of the next send (once, with refusals written twice).

--- a/entry/src/test/java/org/hyssophitch/entry/soak/HostSettings.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/HostSettings.java
@@ -22,11 +22,6 @@
     private static final int DIRECTORY_PORT = 18_082;
     private static final int PEER_PORT = 18_083;
 
-    /** Returns a number for the addresses of this process, so that runs side by side don't share addresses. */
-    static int networkOfThisProcess() {
-        return 64 + (int) (ProcessHandle.current().pid() % 128);
-    }
-
     String name() {
         return "front-" + number;
     }
--- a/entry/src/test/java/org/hyssophitch/entry/soak/Request.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/Request.java
@@ -25,6 +25,10 @@
 
     static final String HOST_NAME = "h.example";
 
+    Request withId(String value) {
+        return new Request(value, method, path, isIdempotent, timeoutMillis, deadlineMillis, bodyBytes);
+    }
+
     byte[] encode() {
         String length = bodyBytes > 0 || method.equals("POST") ? "Content-Length: " + bodyBytes + "\r\n" : "";
         String head = method + ' ' + path + " HTTP/1.1\r\nHost: " + HOST_NAME + "\r\nHyssophitch-Request-Id: " + id
--- a/entry/src/test/java/org/hyssophitch/entry/soak/SoakCaller.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/SoakCaller.java
@@ -137,9 +137,12 @@
         }
     }
 
+    /** Sends a request again, once. One that may run only once gets a new id, which keeps its runs apart. */
     private void resend(Request request) {
         if (resent.add(request.id())) {
-            resends.add(request);
+            Request again = request.isIdempotent() ? request : request.withId(request.id() + "-again");
+            resent.add(again.id());
+            resends.add(again);
         }
     }
 }
--- a/entry/src/test/java/org/hyssophitch/entry/soak/SoakFleet.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/SoakFleet.java
@@ -20,7 +20,7 @@
     /** Hosts that start at the same time; more would hold each other up on a busy machine. */
     private static final int CONCURRENT_STARTS = 4;
 
-    private final int network = HostSettings.networkOfThisProcess();
+    private final LoopbackNetwork network = LoopbackNetwork.claim();
     private final Journal journal = new Journal();
     private final int storePort = FreePorts.one();
     private final FakeStore store = new FakeStore(storePort);
@@ -35,7 +35,7 @@
     SoakFleet(int hostCount, Path directory) throws IOException {
         Files.createDirectories(directory);
         hosts = IntStream.rangeClosed(1, hostCount)
-                .mapToObj(i -> new HostProcess(new HostSettings(network, i, storePort), directory, journal))
+                .mapToObj(i -> new HostProcess(new HostSettings(network.number(), i, storePort), directory, journal))
                 .toList();
         for (HostProcess h : hosts) {
             Files.deleteIfExists(h.log());
@@ -62,7 +62,7 @@
     void addServers(int count, IntFunction<ServerBehaviour> behaviour) throws IOException {
         for (int i = 0; i < count; i++) {
             StandInServer server = new StandInServer(
-                    "127." + network + ".200." + (1 + i),
+                    "127." + network.number() + ".200." + (1 + i),
                     "server-" + (1 + i),
                     HostSettings.ZONES.get(i % HostSettings.ZONES.size()),
                     SLOTS,
@@ -102,15 +102,12 @@
     }
 
     @Override
-    public void close() {
+    public void close() throws IOException {
         hosts.forEach(HostProcess::close);
         store.close();
-        servers.forEach(s -> {
-            try {
-                s.close();
-            } catch (IOException e) {
-                // The process ends its sockets anyway.
-            }
-        });
+        for (StandInServer s : servers) {
+            s.close();
+        }
+        network.close();
     }
 }
--- a/entry/src/test/java/org/hyssophitch/entry/soak/StopTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/StopTest.java
@@ -58,7 +58,7 @@
     }
 
     @AfterMethod
-    public void tearDown() {
+    public void tearDown() throws IOException {
         connections.forEach(CallerConnection::close);
         fleet.close();
     }
