--- a/entry/src/test/java/org/hyssophitch/entry/soak/LoopbackNetwork.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/LoopbackNetwork.java
@@ -3,47 +3,50 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.util.stream.IntStream;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** The loopback addresses of this process: runs side by side on one machine must not share any. */
-final class LoopbackNetwork {
+/** The loopback addresses of one fleet, which no other fleet on this machine uses at the same time. */
+final class LoopbackNetwork implements AutoCloseable {
 
     private static final int FIRST = 64;
     private static final int COUNT = 128;
     private static final int CLAIM_PORT = 18_079;
 
-    /** Listens as long as the process runs, which keeps the network from others. */
-    private static final ServerSocket CLAIM = claim();
+    /** Each fleet of a process takes another network, because sockets of the last one may still be closing. */
+    private static final AtomicInteger NEXT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() % COUNT));
 
-    private LoopbackNetwork() {}
+    private final int number;
+    /** Listens as long as the network is in use, which keeps it from other processes. */
+    private final ServerSocket claim;
 
-    /** Returns the second number of the addresses. */
-    static int number() {
-        return Byte.toUnsignedInt(CLAIM.getInetAddress().getAddress()[1]);
-    }
-
-    private static ServerSocket claim() {
-        int start = (int) (ProcessHandle.current().pid() % COUNT);
-        return IntStream.range(0, COUNT)
-                .map(i -> FIRST + (start + i) % COUNT)
-                .mapToObj(LoopbackNetwork::claim)
-                .filter(ServerSocket::isBound)
-                .findFirst()
-                .orElseThrow();
+    private LoopbackNetwork(int number, ServerSocket claim) {
+        this.number = number;
+        this.claim = claim;
     }
 
-    /** Returns a socket that is unbound if another process has the network. */
-    private static ServerSocket claim(int number) {
-        try {
+    /** Returns a network that is free. */
+    static LoopbackNetwork claim() throws IOException {
+        for (int i = 0; i < COUNT; i++) {
+            int number = FIRST + Math.floorMod(NEXT.getAndIncrement(), COUNT);
             ServerSocket socket = new ServerSocket();
             try {
                 socket.bind(new InetSocketAddress("127." + number + ".0.41", CLAIM_PORT));
+                return new LoopbackNetwork(number, socket);
             } catch (IOException e) {
                 socket.close();
             }
-            return socket;
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
         }
+        throw new IOException("all loopback networks are in use");
+    }
+
+    /** Returns the second number of the addresses. */
+    int number() {
+        return number;
+    }
+
+    @Override
+    public void close() throws IOException {
+        claim.close();
     }
 }
