Platform: the number in a response's header is read by the HTTP client

The parsing of a header isn't the platform's; the two ways in which a response can't be decoded share one place. No change of behaviour.

--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpClient.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpClient.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -28,6 +29,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import org.tinylog.Logger;
 
 /**
  * Minimal HTTP client for one server, for processes whose memory limit is too low for a full-featured client. Not
@@ -42,7 +44,22 @@
     public sealed interface Outcome {
 
         /** The server responded. */
-        record Answered(int status, HttpHeaders headers, byte[] body) implements Outcome {}
+        record Answered(int status, HttpHeaders headers, byte[] body) implements Outcome {
+
+            /** Returns the value of a header that holds a whole number; empty if it is missing or malformed. */
+            public OptionalLong wholeNumber(String header) {
+                String value = headers.get(header);
+                if (value == null) {
+                    return OptionalLong.empty();
+                }
+                try {
+                    return OptionalLong.of(Long.parseLong(value.trim()));
+                } catch (NumberFormatException e) {
+                    Logger.warn("header {} is not a number: {}", header, value);
+                    return OptionalLong.empty();
+                }
+            }
+        }
 
         /** No complete response was received. */
         record Failed(Failure failure) implements Outcome {}
