Trust a refusal without an id on a connection's first request only

A server that answers a request and then refuses it without an id, where the next answer is due, refused the next request: it ran twice, or its caller was told 503 though it ran. Only an earlier refusal or a foreign answer on the connection was held against it; any earlier request is now, apart from load probes, whose connection isn't used again after a refusal.

The price: an honest refusal without an id on a kept connection counts as a lost attempt, so that a request that must not run twice gets 502.

--- a/entry/src/test/java/org/hyssophitch/entry/LateCopyTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/LateCopyTest.java
@@ -103,6 +103,27 @@
         }
     }
 
+    /** A server that refuses without an id what it has answered must not refuse the next request on its connection. */
+    @Test(dataProvider = "refusals")
+    public void refusalOfAnAnsweredRequestIsNotTakenForTheAnswerToALaterRequest(String refusal) throws Exception {
+        Set<Socket> used = ConcurrentHashMap.newKeySet();
+        ScriptedServer.Script script = (r, c) -> {
+            if (!used.add(c)) {
+                ScriptedServer.write(c, refusal);
+            }
+            return ScriptedServer.ok("own-" + r.id()).respond(r, c);
+        };
+        try (ScriptedServer a = new ScriptedServer(script);
+                ScriptedServer b = new ScriptedServer(script);
+                DataPath path = new DataPath(DataPath.LIMITS, a, b)) {
+            for (int i = 0; i < CALLS; i++) {
+                String response = path.exchange(DataPath.post("/u/x", "id-" + i, "x"), 1);
+                long runs = runs(a, b, "id-" + i, Set.of());
+                assertTrue(runs == 1 && !response.startsWith("HTTP/1.1 503"), runs + " runs: " + response);
+            }
+        }
+    }
+
     /** A load probe has no id, and neither has its refusal; a late copy of it must not refuse a request. */
     @Test
     public void refusalOfALoadProbeIsNotTakenForTheAnswerToARequest() throws Exception {
--- a/http/src/main/java/org/hyssophitch/http/BackendConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendConnection.java
@@ -48,8 +48,8 @@
     private boolean isInputEnded;
     private boolean isInputLost;
     private boolean isUnusable;
-    /** Whether a late copy of a refusal may still arrive, because an earlier response was one or was foreign. */
-    private boolean mayHoldRefusal;
+    /** Whether a further response has arrived for the request in flight, so that the next one may be another's. */
+    private boolean hasForeignResponse;
 
     /** Whether the connection has carried a HEAD request, whose late answer the decoder reads as one with a body. */
     private boolean hasCarriedHead;
@@ -181,7 +181,7 @@
         boolean isForeign = match == ResponseMatch.FOREIGN;
         boolean mayAnswerFollow = isForeign && !hasCarriedHead;
         hasResponseHead |= !mayAnswerFollow;
-        mayHoldRefusal |= match != ResponseMatch.ANSWER;
+        hasForeignResponse |= isForeign;
         isClosing |= isForeign || match == ResponseMatch.UNIDENTIFIED_REFUSAL;
         if (isDiscarding && !mayAnswerFollow) {
             isUnusable = true;
@@ -199,12 +199,21 @@
     private Optional<AnswerFault> fault(ResponseMatch match) {
         return switch (match) {
             case ANSWER, REFUSAL -> Optional.empty();
-            case UNIDENTIFIED_REFUSAL -> mayHoldRefusal ? Optional.of(AnswerFault.UNTRUSTED_REFUSAL) : Optional.empty();
+            case UNIDENTIFIED_REFUSAL ->
+                mayHoldAnotherAnswer() ? Optional.of(AnswerFault.UNTRUSTED_REFUSAL) : Optional.empty();
             case FOREIGN -> Optional.of(AnswerFault.FOREIGN);
             case MALFORMED -> Optional.of(AnswerFault.MALFORMED);
         };
     }
 
+    /**
+     * Returns whether a refusal without an id may be a second answer to an earlier request. One of a load probe is none
+     * that can be mistaken: the connection of a refused probe isn't used again.
+     */
+    private boolean mayHoldAnotherAnswer() {
+        return recentRequests.size() > 1 || hasForeignResponse;
+    }
+
     private void onContent(HttpContent content) {
         if (isDiscarding) {
             content.release();
--- a/http/src/main/java/org/hyssophitch/http/RecentRequests.java
+++ b/http/src/main/java/org/hyssophitch/http/RecentRequests.java
@@ -19,6 +19,11 @@
         }
     }
 
+    /** Returns the number of requests that were added; larger than those remembered after many of them. */
+    int size() {
+        return count;
+    }
+
     /** Returns whether a request may be among the latest ones; true also for another id with the same hash code. */
     boolean mayContain(String requestId) {
         int hash = requestId.hashCode();
