A request behind a response that keeps its connection is answered at a stop

A response that had begun before the stop had told its caller that the connection stays open. A request that arrived behind it after the host had stopped listening was dropped, and the connection closed without an answer. It is answered or refused like any other now, and its answer announces the close.

--- a/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
@@ -132,6 +132,28 @@
         assertThrows(ConnectException.class, this::connect);
     }
 
+    /** A request behind a response that had begun before the stop, and had announced no close, got no answer. */
+    @Test
+    public void requestBehindAResponseThatKeepsItsConnectionIsAnswered() throws Exception {
+        startWith((r, c) -> {
+            ScriptedServer.write(c, ScriptedServer.head(r, 200) + "Content-Length: " + 2 * PART_BYTES + "\r\n\r\n");
+            ScriptedServer.write(c, "x".repeat(PART_BYTES));
+            Thread.sleep(1_100);
+            ScriptedServer.write(c, "x".repeat(PART_BYTES));
+            return true;
+        });
+        try (Socket c = connect()) {
+            write(c, DataPath.get("/s/x", STREAMED));
+            byte[] head = c.getInputStream().readNBytes(HEAD_BYTES);
+            beginStop();
+            sleepUntil(900);
+            String response = DataPath.send(c, DataPath.get("/s/x", SHORT), 2);
+            assertFalse(new String(head, StandardCharsets.ISO_8859_1).contains("connection: close"), "a close");
+            assertTrue(response.contains("xHTTP/1.1 503"), response.substring(Math.max(0, response.length() - 200)));
+        }
+        awaitStop();
+    }
+
     private static ScriptedServer.Script work(String id, int millis) {
         return (r, c) -> {
             if (r.id().equals(id)) {
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -52,6 +52,7 @@
     private int idleTimeoutMillis;
     private boolean isClosing;
     private boolean acceptsRequests = true;
+    private boolean closesWhenIdle;
     private boolean isFlushing;
 
     CallerConnection(CallDispatcher dispatcher, RequestRules rules, FrontListener listener) {
@@ -269,7 +270,8 @@
 
     private void onResponseWritten() {
         exchanges.poll();
-        if (!acceptsRequests && exchanges.isEmpty()) {
+        boolean isLast = !acceptsRequests || closesWhenIdle && headTimer == null;
+        if (isLast && exchanges.isEmpty()) {
             closeGracefully();
             return;
         }
@@ -316,12 +318,15 @@
         channel.close();
     }
 
-    /** Accepts no further request, and closes the connection after the last response; immediately if none is due. */
+    /**
+     * Closes the connection when no response is due. A request that arrives before that still gets one: an earlier
+     * response may have told the caller that the connection stays open.
+     */
     void closeWhenIdle() {
         if (exchanges.isEmpty() && receiving == null && headTimer == null) {
             closeGracefully();
         } else {
-            acceptsRequests = false;
+            closesWhenIdle = true;
         }
     }
 
