A failure while a host deregisters doesn't end its stop

An exception in the tasks that tell the other hosts and the store of the stop ended it at once, and all requests in flight with it. They run as tasks of their own now, and their failure is logged.

--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -228,10 +228,12 @@
         StopPlan plan = new StopPlan(WallClock.nowMicros(), settings.bounds().gracePeriodMillis());
         boolean hasCallers = setStopping();
         runOnLoop(() -> beginStop(plan));
+        runEvenIfFailing(peers::refreshReadiness);
+        runEvenIfFailing(registration::stop);
         if (hasCallers) {
             new GracefulStop(loop, front, log, plan).awaitEnd();
         }
-        runOnLoop(peers::leave);
+        runEvenIfFailing(peers::leave);
         runOnLoop(() -> recordStage("stopped"));
         Pause.millis(LEAVE_MILLIS);
         EventLoops.close(group);
@@ -257,8 +259,15 @@
     private void beginStop(StopPlan plan) {
         recordStage("stopping");
         front.beginStop(plan);
-        peers.refreshReadiness();
-        registration.stop();
+    }
+
+    /** Runs a task of the stop whose failure must not keep the host from finishing what it has taken. */
+    private void runEvenIfFailing(Runnable task) {
+        try {
+            runOnLoop(task);
+        } catch (RuntimeException e) {
+            Logger.error(e, "a task of the stop failed");
+        }
     }
 
     private void listen(String address, Function<HttpQuery, CompletionStage<HttpReply>> handler) {
