A connection is read on after an upload that was refused

Callers whose upload above 64 KiB was refused got no answer to the next request on that connection: reading had paused until a server would take the body, and no server did. If the rest of the body lay in the bytes read before the pause, the answer kept the connection, and nothing resumed it.

One place now decides whether a connection reads: the pause for a body ends when the body has been received whole, and a body that isn't ends with an announced close, as before.

--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -46,6 +46,7 @@
     private final Deque<CallerExchange> exchanges = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private CallerExchange receiving;
+    private CallerExchange pausedBody;
     private ScheduledFuture<?> headTimer;
     private ScheduledFuture<?> idleTimer;
     private long idleSinceNanos;
@@ -124,9 +125,7 @@
         exchanges.add(exchange);
         receiving = exchange;
         acceptsRequests &= HttpUtil.isKeepAlive(request);
-        if (exchanges.size() == MAX_PIPELINED_REQUESTS) {
-            pauseReading();
-        }
+        updateReading();
         evaluate(exchange, request);
         if (exchange.isAccepted() && HttpUtil.is100ContinueExpected(request)) {
             exchange.sendContinue();
@@ -169,6 +168,7 @@
         boolean isLast = content instanceof LastHttpContent;
         if (isLast) {
             receiving = null;
+            updateReading();
         }
         if (exchange.isAnswered()) {
             content.release();
@@ -182,7 +182,7 @@
         if (isLast) {
             exchange.body().complete();
         } else if (exchange.body().exceedsReplayLimit()) {
-            pauseReading();
+            pauseBody(exchange);
         }
         exchange.dispatchWhenReady();
     }
@@ -275,20 +275,26 @@
             closeGracefully();
             return;
         }
-        if (exchanges.size() == MAX_PIPELINED_REQUESTS - 1) {
-            resumeReading();
-        }
+        updateReading();
         if (exchanges.isEmpty()) {
             startIdleTimer();
         }
     }
 
-    void pauseReading() {
-        context.channel().config().setAutoRead(false);
+    /** Stops reading while the rest of a request's body is due; a request that is received whole needs no pause. */
+    void pauseBody(CallerExchange exchange) {
+        pausedBody = exchange;
+        updateReading();
+    }
+
+    void resumeBody(CallerExchange exchange) {
+        pausedBody = pausedBody == exchange ? null : pausedBody;
+        updateReading();
     }
 
-    void resumeReading() {
-        context.channel().config().setAutoRead(true);
+    private void updateReading() {
+        boolean isPaused = pausedBody != null && pausedBody == receiving || exchanges.size() >= MAX_PIPELINED_REQUESTS;
+        context.channel().config().setAutoRead(isClosing || !isPaused);
     }
 
     void onAnswered(CallerExchange exchange, Reason reason, int status, long elapsedMicros) {
--- a/http/src/main/java/org/hyssophitch/http/CallerExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerExchange.java
@@ -176,16 +176,16 @@
             body.replayTo(attempt);
         } else {
             body.streamTo(attempt);
-            connection.resumeReading();
+            connection.resumeBody(this);
         }
     }
 
     void pauseBody() {
-        connection.pauseReading();
+        connection.pauseBody(this);
     }
 
     void resumeBody() {
-        connection.resumeReading();
+        connection.resumeBody(this);
     }
 
     void relay(int number) {
