--- a/core/src/main/java/org/hyssophitch/core/entry/StopPlan.java
+++ b/core/src/main/java/org/hyssophitch/core/entry/StopPlan.java
@@ -13,7 +13,7 @@
 
     /** Fraction of the grace period in which the host takes any request; the rest is left for their servers' work. */
     private static final double OPEN_FRACTION = 0.45;
-    /** Upper bound in milliseconds on that part: nothing that is sent later than 3 s may be cut off. */
+    /** Upper bound in milliseconds on that part, by which most callers have learned of the stop. */
     private static final long MAX_OPEN_MILLIS = 2_500;
     /** Fraction of the grace period during which the host listens. */
     private static final double LISTEN_FRACTION = 0.55;
