Fault: a body in small pieces fills the memory of a host, which then serves nobody

What callers saw: nothing any more. While 40 callers of three servers got answers in chunks of one byte (status 200, 404 or 500), or sent uploads in such chunks, a host with the memory of the deploy file threw OutOfMemoryError on its event loop, whose thread ended; the process stayed, and requests to it timed out, also after the servers were sound again.

Cause: what waits to be passed on was bounded in bytes (64 KiB of a request, 64 to 128 KiB of an answer) and kept piece by piece. One byte in a chunk costs an HttpContent, a slice and a share of the read buffer, some hundred bytes on the heap, so one answer could take 10 MB and more of 40.

What is relayed or streamed leaves once for each read, not for each piece.

--- a/entry/src/test/java/org/hyssophitch/entry/ScriptedServer.java
+++ b/entry/src/test/java/org/hyssophitch/entry/ScriptedServer.java
@@ -17,17 +17,17 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Backend server for tests that writes raw responses, so that they can violate the protocol. Thread-safe. */
-final class ScriptedServer implements AutoCloseable {
+public final class ScriptedServer implements AutoCloseable {
 
     /** A received request; header names are lower-case. */
-    record Request(String line, Map<String, String> headers, String body) {
-        String id() {
+    public record Request(String line, Map<String, String> headers, String body) {
+        public String id() {
             return headers.getOrDefault("hyssophitch-request-id", "");
         }
     }
 
     /** Responds to one request; returns whether the connection stays open. */
-    interface Script {
+    public interface Script {
         boolean respond(Request request, Socket connection) throws IOException, InterruptedException;
     }
 
@@ -44,7 +44,7 @@
     private volatile String load = "0,0,3,100";
     private volatile int healthStatus = 200;
 
-    ScriptedServer(Script script) throws IOException {
+    public ScriptedServer(Script script) throws IOException {
         this(script, DEFAULT_RECEIVE_BYTES);
     }
 
@@ -54,7 +54,7 @@
      * @param receiveBytes size in bytes of the receive buffer of its connections; with a small one, a sender of a long
      *     body has to wait soon
      */
-    ScriptedServer(Script script, int receiveBytes) throws IOException {
+    public ScriptedServer(Script script, int receiveBytes) throws IOException {
         this.script = script;
         socket = new ServerSocket();
         socket.setReceiveBufferSize(receiveBytes);
@@ -63,7 +63,7 @@
     }
 
     /** Returns a script that responds with status 200, the request's id and the given body. */
-    static Script ok(String body) {
+    public static Script ok(String body) {
         return (r, c) -> {
             write(c, head(r, 200) + "Content-Length: " + body.length() + "\r\n\r\n" + body);
             return true;
@@ -75,7 +75,7 @@
                 + "\r\nHyssophitch-Response-Signature: s\r\n";
     }
 
-    static void write(Socket connection, String text) throws IOException {
+    public static void write(Socket connection, String text) throws IOException {
         OutputStream out = connection.getOutputStream();
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
@@ -86,7 +86,7 @@
         probeScript = value;
     }
 
-    void setScript(Script value) {
+    public void setScript(Script value) {
         script = value;
     }
 
@@ -98,7 +98,7 @@
         healthStatus = value;
     }
 
-    int port() {
+    public int port() {
         return socket.getLocalPort();
     }
 
--- a/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
@@ -1,7 +1,5 @@
 package org.hyssophitch.http;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 
@@ -44,13 +42,12 @@
     private final CallerExchange exchange;
     private final CallAction.StartAttempt action;
     private final CallDispatcher dispatcher;
-    private final Deque<HttpContent> buffered = new ArrayDeque<>();
+    private final BodyBuffer buffered = new BodyBuffer();
     private BackendConnection connection;
     private StallDetector stallDetector = StallDetector.NONE;
     private HttpResponse head;
     private Optional<NotRunCause> notRunCause = Optional.empty();
     private long sentMicros;
-    private int bufferedBytes;
     private boolean isMisleadingStatus;
     private boolean isAnswerStarted;
     private boolean isRelaying;
@@ -71,7 +68,7 @@
     void cancel() {
         isEnded = true;
         stallDetector.stop();
-        releaseBuffered();
+        buffered.clear();
         if (connection != null && !isComplete) {
             connection.cancel();
         }
@@ -94,8 +91,8 @@
     void relay() {
         isRelaying = true;
         exchange.beginResponse(head, action.server());
-        while (!buffered.isEmpty()) {
-            exchange.relayContent(buffered.poll());
+        for (ByteBuf block = buffered.poll(); block != null; block = buffered.poll()) {
+            exchange.relayContent(block);
         }
         if (isComplete) {
             exchange.endResponse();
@@ -191,12 +188,19 @@
             piece.release();
             return;
         }
-        connection.channel().writeAndFlush(new DefaultHttpContent(piece));
+        connection.channel().write(new DefaultHttpContent(piece));
         if (!connection.channel().isWritable()) {
             exchange.pauseBody();
         }
     }
 
+    @Override
+    public void flush() {
+        if (!isEnded && connection != null) {
+            connection.channel().flush();
+        }
+    }
+
     @Override
     public void end() {
         if (!isEnded && connection != null) {
@@ -265,19 +269,25 @@
             return;
         }
         if (isRelaying) {
-            exchange.relayContent(content);
+            exchange.relayContent(content.content());
             return;
         }
-        buffered.add(content);
-        bufferedBytes += content.content().readableBytes();
-        if (bufferedBytes > dispatcher.responseBufferBytes() && !isAnswerStarted) {
+        buffered.add(content.content());
+        if (buffered.size() > dispatcher.responseBufferBytes() && !isAnswerStarted) {
             startAnswer();
         }
-        if (bufferedBytes > MAX_UNRELAYED_BYTES && !isRelaying) {
+        if (buffered.size() > MAX_UNRELAYED_BYTES && !isRelaying) {
             setAutoRead(false);
         }
     }
 
+    @Override
+    public void onReadComplete() {
+        if (isRelaying && !isEnded) {
+            exchange.flush();
+        }
+    }
+
     @Override
     public void onComplete() {
         isComplete = true;
@@ -332,7 +342,7 @@
         }
         isEnded = true;
         stallDetector.stop();
-        releaseBuffered();
+        buffered.clear();
         dispatcher.handle(endEvent(result));
         if (isRelaying) {
             // The engine no longer tracks an attempt whose buffered error response is relayed, so it won't request the
@@ -345,11 +355,6 @@
         return new CallEvent.AttemptEnded(WallClock.nowMicros(), action.callId(), action.attempt(), result);
     }
 
-    private void releaseBuffered() {
-        buffered.forEach(HttpContent::release);
-        buffered.clear();
-    }
-
     private HttpRequest requestHead(long remainingMillis) {
         HttpRequest original = exchange.request();
         DefaultHttpRequest copy =
--- a/http/src/main/java/org/hyssophitch/http/BackendConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendConnection.java
@@ -160,6 +160,13 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (exchange != null) {
+            exchange.onReadComplete();
+        }
+    }
+
     private void onUnusable(DecoderResult result) {
         isUnusable |= result.isFailure();
         if (exchange == null && !isClosing) {
--- a/http/src/main/java/org/hyssophitch/http/BackendExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendExchange.java
@@ -30,6 +30,9 @@
     /** Called with a piece of the response body, which the exchange must release. */
     void onContent(HttpContent content);
 
+    /** Called when all bytes that one read has returned were handled. */
+    default void onReadComplete() {}
+
     /** Called when the complete response was received. */
     void onComplete();
 
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -44,13 +44,11 @@
     private final RequestRules rules;
     private final FrontListener listener;
     private final Deque<CallerExchange> exchanges = new ArrayDeque<>();
+    private final IdleTimer idleTimer;
     private ChannelHandlerContext context;
     private CallerExchange receiving;
     private CallerExchange pausedBody;
     private ScheduledFuture<?> headTimer;
-    private ScheduledFuture<?> idleTimer;
-    private long idleSinceNanos;
-    private int idleTimeoutMillis;
     private boolean isClosing;
     private boolean acceptsRequests = true;
     private boolean closesWhenIdle;
@@ -60,6 +58,7 @@
         this.dispatcher = dispatcher;
         this.rules = rules;
         this.listener = listener;
+        this.idleTimer = new IdleTimer(() -> rules.limits().idleTimeoutMillis(), this::onIdleTimeout);
     }
 
     @Override
@@ -70,7 +69,7 @@
     @Override
     public void channelActive(ChannelHandlerContext active) {
         listener.onOpen(this);
-        startIdleTimer();
+        idleTimer.start(active.executor());
     }
 
     /** Starts the header timeout when the first bytes of a new request are received. */
@@ -105,6 +104,14 @@
         }
     }
 
+    /** Passes on what was received of a body that is streamed. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext c) {
+        if (receiving != null) {
+            receiving.body().flush();
+        }
+    }
+
     /** Returns whether the connection may close after the last pending response, so that none could follow it. */
     private boolean isLastRequestPending() {
         return !exchanges.isEmpty() && (!acceptsRequests || isHttp10(exchanges.peekLast()));
@@ -116,9 +123,8 @@
     }
 
     private void onHead(HttpRequest request) {
-        stopTimer(headTimer);
-        headTimer = null;
-        stopTimer(idleTimer);
+        stopHeadTimer();
+        idleTimer.stop();
         String requestId = dispatcher.headerConventions().requestId(request.headers());
         CallerExchange exchange =
                 new CallerExchange(this, dispatcher, request, RequestTarget.of(request.uri()), requestId);
@@ -277,7 +283,7 @@
         }
         updateReading();
         if (exchanges.isEmpty()) {
-            startIdleTimer();
+            idleTimer.start(context.executor());
         }
     }
 
@@ -343,23 +349,8 @@
         GracefulClose.start(context.channel(), rules.limits().idleTimeoutMillis());
     }
 
-    private void startIdleTimer() {
-        idleSinceNanos = System.nanoTime();
-        idleTimeoutMillis = rules.limits().idleTimeoutMillis();
-        stopTimer(idleTimer);
-        idleTimer = context.executor().schedule(this::onIdleTimeout, idleTimeoutMillis, TimeUnit.MILLISECONDS);
-    }
-
-    /** Callers may rely on the idle timeout at their last response or on the current one, so the longer one applies. */
     private void onIdleTimeout() {
-        long timeoutMillis = Math.max(idleTimeoutMillis, rules.limits().idleTimeoutMillis());
-        long remainingMillis = timeoutMillis - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSinceNanos);
-        if (!exchanges.isEmpty() || receiving != null || headTimer != null || isClosing) {
-            return;
-        }
-        if (remainingMillis > 0) {
-            idleTimer = context.executor().schedule(this::onIdleTimeout, remainingMillis, TimeUnit.MILLISECONDS);
-        } else {
+        if (exchanges.isEmpty() && receiving == null && headTimer == null && !isClosing) {
             closeGracefully();
         }
     }
@@ -370,9 +361,10 @@
         cancelled.forEach(CallerExchange::onCallerGone);
     }
 
-    private static void stopTimer(ScheduledFuture<?> timer) {
-        if (timer != null) {
-            timer.cancel(false);
+    private void stopHeadTimer() {
+        if (headTimer != null) {
+            headTimer.cancel(false);
+            headTimer = null;
         }
     }
 
@@ -392,8 +384,8 @@
     @Override
     public void channelInactive(ChannelHandlerContext c) {
         isClosing = true;
-        stopTimer(headTimer);
-        stopTimer(idleTimer);
+        stopHeadTimer();
+        idleTimer.stop();
         listener.onClose(this);
         cancelAll();
     }
--- a/http/src/main/java/org/hyssophitch/http/CallerExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerExchange.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -49,17 +50,20 @@
     private final long arrivedMicros = WallClock.nowMicros();
     private final RequestBody body = new RequestBody();
     private final Map<Integer, BackendAttempt> attempts = new HashMap<>();
-    private final Deque<HttpObject> output = new ArrayDeque<>();
+    /** Heads of responses that aren't written yet: interim ones, and the final one. */
+    private final Deque<HttpResponse> heads = new ArrayDeque<>();
+
+    private final BodyBuffer content = new BodyBuffer();
     private RequestRules.Verdict.Accepted accepted;
     private BackendAttempt relayed;
     private int attemptsStarted;
-    private int pendingBytes;
     private int status;
     private boolean isDispatched;
     private boolean isAnswered;
     private boolean isAborted;
     private boolean hasCallerLeft;
     private boolean isOutputComplete;
+    private boolean isEndWritten;
 
     CallerExchange(
             CallerConnection connection,
@@ -130,7 +134,8 @@
 
     /** Asks the caller for the body, once earlier responses of the connection have left. */
     void sendContinue() {
-        add(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        heads.add(
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         connection.flushOutput();
     }
 
@@ -207,24 +212,19 @@
             HttpUtil.setTransferEncodingChunked(copy, true);
         }
         dispatcher.headerConventions().prepareResponse(copy.headers(), requestId, server);
-        add(copy);
+        heads.add(copy);
     }
 
-    /** Relays a piece of a backend server's response. */
-    void relayContent(HttpContent content) {
-        boolean isLast = content instanceof LastHttpContent;
+    /** Relays a piece of a backend server's response, which leaves with the next {@link #flush}. */
+    void relayContent(ByteBuf piece) {
         if (isAborted || hasCallerLeft) {
-            content.release();
+            piece.release();
             return;
         }
-        pendingBytes += content.content().readableBytes();
-        if (!isLast || content.content().isReadable()) {
-            add(isLast ? new DefaultHttpContent(content.content()) : content);
-        }
-        if (pendingBytes > MAX_PENDING_BYTES) {
+        content.add(piece);
+        if (content.size() > MAX_PENDING_BYTES) {
             relayed.setAutoRead(false);
         }
-        connection.flushOutput();
     }
 
     /** Writes the available part of the response. */
@@ -303,18 +303,29 @@
 
     /** Returns the next part of the response to write, or null if there is none yet. */
     HttpObject pollOutput() {
-        HttpObject next = output.poll();
-        if (next instanceof HttpContent c && pendingBytes > 0) {
-            pendingBytes -= c.content().readableBytes();
-            if (relayed != null && pendingBytes <= MAX_PENDING_BYTES / 2) {
-                relayed.setAutoRead(true);
-            }
+        if (!heads.isEmpty()) {
+            return heads.poll();
+        }
+        if (!content.isEmpty()) {
+            return pollContent();
+        }
+        if (isOutputComplete && !isEndWritten) {
+            isEndWritten = true;
+            return LastHttpContent.EMPTY_LAST_CONTENT;
+        }
+        return null;
+    }
+
+    private HttpContent pollContent() {
+        HttpContent next = new DefaultHttpContent(content.poll());
+        if (relayed != null && content.size() <= MAX_PENDING_BYTES / 2) {
+            relayed.setAutoRead(true);
         }
         return next;
     }
 
     boolean isOutputComplete() {
-        return isOutputComplete && output.isEmpty();
+        return isEndWritten;
     }
 
     long arrivedMicros() {
@@ -340,30 +351,26 @@
         return dispatcher.isAtServer(callId) ? RequestAtStop.State.AT_SERVER : RequestAtStop.State.WAITING_FOR_SERVER;
     }
 
-    private void add(HttpObject part) {
-        output.add(part);
-    }
-
-    private void sendResponse(HttpHeaders headers, byte[] content, Reason reason) {
+    private void sendResponse(HttpHeaders headers, byte[] body, Reason reason) {
         isAnswered = true;
         DefaultHttpResponse response =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-        headers.set(HttpHeaderNames.CONTENT_LENGTH, content.length);
-        add(response);
-        if (content.length > 0 && !HttpMethod.HEAD.equals(request.method())) {
-            add(new DefaultHttpContent(Unpooled.wrappedBuffer(content)));
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        heads.add(response);
+        if (!HttpMethod.HEAD.equals(request.method())) {
+            content.add(Unpooled.wrappedBuffer(body));
         }
         finish(reason);
     }
 
     private void discardOutput() {
-        output.forEach(ReferenceCountUtil::release);
-        output.clear();
+        heads.forEach(ReferenceCountUtil::release);
+        heads.clear();
+        content.clear();
     }
 
     private void finish(Reason reason) {
         isOutputComplete = true;
-        add(LastHttpContent.EMPTY_LAST_CONTENT);
         body.release();
         attempts.values().stream().filter(a -> a != relayed).forEach(BackendAttempt::cancel);
         dispatcher.unregister(this);
--- a/http/src/main/java/org/hyssophitch/http/RequestBody.java
+++ b/http/src/main/java/org/hyssophitch/http/RequestBody.java
@@ -1,7 +1,5 @@
 package org.hyssophitch.http;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.zip.CRC32C;
 
 import io.netty.buffer.ByteBuf;
@@ -21,33 +19,44 @@
         /** Writes a piece, and releases it. */
         void write(ByteBuf piece);
 
+        /** Sends what was written. */
+        void flush();
+
         /** Called after the last piece. */
         void end();
     }
 
-    private final Deque<ByteBuf> pieces = new ArrayDeque<>();
+    private final BodyBuffer buffer = new BodyBuffer();
     private final CRC32C checksum = new CRC32C();
     private long size;
-    private long bufferedBytes;
     private boolean isComplete;
     private Sink sink;
 
-    /** Adds a piece and takes ownership of it. */
+    /** Adds a piece and takes ownership of it. A streamed body is passed on at the next {@link #flush} or before. */
     void add(ByteBuf piece) {
         size += piece.readableBytes();
-        if (sink != null) {
-            sink.write(piece);
-            return;
+        if (sink == null) {
+            checksum.update(piece.nioBuffer());
+        }
+        buffer.add(piece);
+        if (exceedsReplayLimit()) {
+            flush();
+        }
+    }
+
+    /** Passes on what has been added to a body that is streamed. */
+    void flush() {
+        if (sink != null && !buffer.isEmpty()) {
+            drain();
+            sink.flush();
         }
-        checksum.update(piece.nioBuffer());
-        bufferedBytes += piece.readableBytes();
-        pieces.add(piece);
     }
 
     /** Marks the body as complete. */
     void complete() {
         isComplete = true;
         if (sink != null) {
+            drain();
             sink.end();
         }
     }
@@ -67,7 +76,7 @@
 
     /** Returns whether more bytes are buffered than are kept for further attempts. */
     boolean exceedsReplayLimit() {
-        return bufferedBytes > MAX_REPLAY_BYTES;
+        return buffer.size() > MAX_REPLAY_BYTES;
     }
 
     long checksum() {
@@ -76,24 +85,28 @@
 
     /** Writes the buffered body to a sink, and keeps it for further attempts. */
     void replayTo(Sink target) {
-        pieces.forEach(p -> target.write(p.retainedDuplicate()));
+        buffer.blocks().forEach(b -> target.write(b.retainedDuplicate()));
         target.end();
     }
 
     /** Streams the buffered pieces and all later ones to a sink; the body can't be sent again. */
     void streamTo(Sink target) {
         sink = target;
-        pieces.forEach(target::write);
-        pieces.clear();
-        bufferedBytes = 0;
+        drain();
         if (isComplete) {
             target.end();
+        } else {
+            target.flush();
         }
     }
 
     void release() {
-        pieces.forEach(ByteBuf::release);
-        pieces.clear();
-        bufferedBytes = 0;
+        buffer.clear();
+    }
+
+    private void drain() {
+        for (ByteBuf block = buffer.poll(); block != null; block = buffer.poll()) {
+            sink.write(block);
+        }
     }
 }
