Fault: a server that sends small units without end starves the callers of other servers

What callers saw: while three servers of a service sent interim answers, foreign answers or bodies in chunks of one byte without end to 24 callers, a caller of another service at the same host waited 0.5 to 4.9 s for an answer, or got none within 5 s; the users measured 8 to 10 answers in 12 s in place of 182.

Cause: the event loop reads from one connection up to 16 times 64 KiB before the next one gets its turn. That is 1 MiB of heads, chunks or pieces for each of 24 connections, 40,000 and more of them each, decoded one by one; the calm caller waits for the sum. It isn't a matter of interim answers: what counts is the work for each byte. Ruled out: memory (80 to 100 MB in the users' run) and retries of the calm requests (none).

Change: FairReads lets a connection read 16 KiB in one turn, on all connections of our processes: servers, callers, the store, other hosts, agents. A peer that sends faster than it is decoded then slows itself down only.

--- a/entry/src/test/java/org/hyssophitch/entry/DataPath.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -7,7 +7,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -80,7 +80,8 @@
         Configuration c = configuration(limits);
         loop.submit(() -> {
             accept(c);
-            dispatcher.handle(new CallEvent.ServersRegistered(WallClock.nowMicros(), registered(servers)));
+            dispatcher.handle(
+                    new CallEvent.ServersRegistered(WallClock.nowMicros(), Map.of("svc", registered("svc", servers))));
             dispatcher.handle(new CallEvent.FleetChanged(WallClock.nowMicros(), Map.of("z1", 1)));
         });
         front.open(group, new InetSocketAddress("127.0.0.1", port));
@@ -100,6 +101,13 @@
         runOnLoop(() -> dispatcher.handle(new CallEvent.ServersRegistered(WallClock.nowMicros(), registered)));
     }
 
+    /** Registers servers of the main service, and one of the service behind the route {@code /calm/}. */
+    void registerBeside(ScriptedServer calm, ScriptedServer... servers) {
+        Map<String, List<RegisteredServer>> registered =
+                Map.of("svc", registered("svc", servers), "calm", registered("calm", calm));
+        runOnLoop(() -> dispatcher.handle(new CallEvent.ServersRegistered(WallClock.nowMicros(), registered)));
+    }
+
     /** Accepts a configuration that differs from the first one in its version and its teams. */
     void configure(long version, Team... teams) {
         Configuration c = configuration(LIMITS).withVersion(version).withTeams(List.of(teams));
@@ -224,23 +232,18 @@
     }
 
     private static Configuration configuration(CallerLimits limits) {
-        Service service = Service.builder("svc")
-                .routing(RoutingKind.ASKED_LOAD)
-                .retry(RetryRule.DEFAULT)
-                .queue(new QueueRule(100, 5_000, 0))
-                .healthPath("/health")
-                .build();
         return new Configuration(
                 1,
                 "r1",
                 1,
                 ProbeBudget.DEFAULT,
                 AddressRule.DEFAULT,
-                List.of(service),
+                List.of(service("svc"), service("calm")),
                 List.of(
                         route("/s/", true),
                         route("/u/", false),
                         patientRoute("/wait/"),
+                        calmRoute("/calm/"),
                         route("/open/", true).withAllowAnonymous(true)),
                 limits);
     }
@@ -251,6 +254,21 @@
                 prefix, "h.example", prefix, idempotent, ROUTE_TIMEOUT_MILLIS, TARGET_LATENCY_MILLIS, 2, 1, to);
     }
 
+    private static Service service(String name) {
+        return Service.builder(name)
+                .routing(RoutingKind.ASKED_LOAD)
+                .retry(RetryRule.DEFAULT)
+                .queue(new QueueRule(100, 5_000, 0))
+                .healthPath("/health")
+                .build();
+    }
+
+    /** Returns a route to the other service, whose servers fail no request. */
+    private static Route calmRoute(String prefix) {
+        List<Route.Destination> to = List.of(new Route.Destination("calm", 1));
+        return new Route(prefix, "h.example", prefix, true, PATIENT_MILLIS, PATIENT_MILLIS, 2, 1, to);
+    }
+
     /** Returns a route whose requests wait for a server until their timeout. */
     private static Route patientRoute(String prefix) {
         List<Route.Destination> to = List.of(new Route.Destination("svc", 1));
@@ -261,13 +279,10 @@
         return "i-" + server.port();
     }
 
-    private static Map<String, List<RegisteredServer>> registered(ScriptedServer... servers) {
-        List<RegisteredServer> all = new ArrayList<>();
-        for (ScriptedServer s : servers) {
-            String name = name(s);
-            BackendServer b = new BackendServer(name, "127.0.0.1", s.port(), "z1", 3, 100, false, name);
-            all.add(new RegisteredServer("svc", b, 0));
-        }
-        return Map.of("svc", all);
+    private static List<RegisteredServer> registered(String service, ScriptedServer... servers) {
+        return Arrays.stream(servers)
+                .map(s -> new BackendServer(name(s), "127.0.0.1", s.port(), "z1", 3, 100, false, name(s)))
+                .map(b -> new RegisteredServer(service, b, 0))
+                .toList();
     }
 }
--- a/http/src/main/java/org/hyssophitch/http/BackendPool.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendPool.java
@@ -21,6 +21,7 @@
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.wire.concurrent.WallClock;
+import org.hyssophitch.wire.net.FairReads;
 
 /**
  * Connection pool of one backend server. Not thread-safe; confined to one event loop.
@@ -118,6 +119,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, FairReads.allocator())
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
--- a/http/src/main/java/org/hyssophitch/http/FrontListener.java
+++ b/http/src/main/java/org/hyssophitch/http/FrontListener.java
@@ -24,6 +24,7 @@
 import org.hyssophitch.core.timeline.EventBody.RequestAtStop.State;
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.net.Binding;
+import org.hyssophitch.wire.net.FairReads;
 
 /**
  * Accepts connections from callers from {@link #open} until {@link #stopListening}. Not thread-safe except for
@@ -64,6 +65,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, FairReads.allocator())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel c) {
--- a/wire/src/main/java/org/hyssophitch/wire/net/FrameChannels.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/FrameChannels.java
@@ -51,6 +51,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, FairReads.allocator())
                 .childHandler(new Pipeline(receiver));
         return Binding.bind(bootstrap, local);
     }
@@ -64,6 +65,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, FairReads.allocator())
                 .handler(new Pipeline(receiver))
                 .connect(remote);
         connecting.addListener(f -> {
--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpClient.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpClient.java
@@ -136,6 +136,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, FairReads.allocator())
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpEndpoint.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpEndpoint.java
@@ -56,6 +56,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, FairReads.allocator())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel c) {
