Fault: a host whose event loop has ended stays, and answers nobody

Cause: an Error that reaches the loop's own code, such as OutOfMemoryError while it reads, ends its thread. Nothing noticed that; the other threads of the process went on.

Evidence: logs of SmallPiecesTest on ("Exception in thread multiThreadIoEventLoopGroup-2-1 java.lang.OutOfMemoryError", then only "reload of the settings failed" of another thread).

Not done for agent, proxy and console. To tell starvation from a lack of memory, hyssophitch_heartbeat_delay_seconds measures by how much heartbeats are late.

--- a/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
@@ -33,6 +33,12 @@
             .classicOnly()
             .classicUpperBounds(DURATION_BUCKETS_SECONDS)
             .register(registry);
+    private final Histogram heartbeatDelay = Histogram.builder()
+            .name("hyssophitch_heartbeat_delay_seconds")
+            .help("time by which the event loop ran a heartbeat late, because it was busy")
+            .classicOnly()
+            .classicUpperBounds(DURATION_BUCKETS_SECONDS)
+            .register(registry);
     private final Counter events = Counter.builder()
             .name("hyssophitch_events_total")
             .help("events of the time line by type")
@@ -123,6 +129,10 @@
         teamRefusals.labelValues(teamLabel(team), reason.wireName()).inc();
     }
 
+    void onHeartbeat(long lateMicros) {
+        heartbeatDelay.observe(lateMicros / MICROS_PER_SECOND);
+    }
+
     void onEvent(String type) {
         events.labelValues(type).inc();
     }
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -1,15 +1,10 @@
 package org.hyssophitch.entry;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
-import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -33,7 +28,6 @@
 import org.hyssophitch.platform.ConfigurationKind;
 import org.hyssophitch.platform.EntryHostKind;
 import org.hyssophitch.platform.EvacuationKind;
-import org.hyssophitch.platform.PlatformEndpoints;
 import org.hyssophitch.platform.PlatformHeaders;
 import org.hyssophitch.platform.PlatformStore;
 import org.hyssophitch.platform.ServerKind;
@@ -46,10 +40,6 @@
 import org.hyssophitch.wire.net.Addresses;
 import org.hyssophitch.wire.net.EventLoops;
 import org.hyssophitch.wire.net.HttpClient;
-import org.hyssophitch.wire.net.HttpEndpoint;
-import org.hyssophitch.wire.net.HttpQuery;
-import org.hyssophitch.wire.net.HttpReply;
-import org.hyssophitch.wire.report.MetricsText;
 import org.tinylog.Logger;
 
 /**
@@ -61,10 +51,6 @@
  */
 final class EntryProgram {
 
-    private static final int OK = 200;
-    private static final int UNAVAILABLE = 503;
-    /** TTL in seconds of a directory response; the settings may lower it. */
-    private static final int ADDRESS_TTL_SECONDS = 2;
     /** Time in milliseconds for the last messages to the other hosts and the store to leave. */
     private static final long LEAVE_MILLIS = 50;
 
@@ -76,8 +62,8 @@
 
     private volatile EntrySettings settings;
     private final long incarnation = WallClock.nowMicros();
-    private final EventLoopGroup group = EventLoops.create(1);
-    private final EventLoop loop = (EventLoop) group.next();
+    private final EventLoopGroup group;
+    private final EventLoop loop;
     private final EntryMetrics metrics = new EntryMetrics();
     private final EventLog log = new EventLog(metrics);
     private final SplittableRandom random = new SplittableRandom();
@@ -91,12 +77,20 @@
     private final StoreRelay storeRelay;
     private final Registration registration;
     private volatile boolean isStopping;
+    private volatile boolean isClosed;
     private boolean isFrontOpen;
     private volatile boolean isConfigured;
     private boolean hasQuotas;
 
-    EntryProgram(EntrySettings settings) {
+    /**
+     * Creates a program that isn't started.
+     *
+     * @param onLoopLost called when the event loop ends by an error; the program can't go on then
+     */
+    EntryProgram(EntrySettings settings, Runnable onLoopLost) {
         this.settings = settings;
+        group = EventLoops.create(1, () -> onLoopEnd(onLoopLost));
+        loop = (EventLoop) group.next();
         EngineSettings engineSettings = new EngineSettings(settings.host(), settings.zone(), incarnation)
                 .withFleetLimits(EngineLimits.fleet(settings.bounds()))
                 .withQuotaTolerance(EngineLimits.quotas(settings.bounds()));
@@ -151,6 +145,12 @@
         storeRelay.registerGauges(metrics);
     }
 
+    private void onLoopEnd(Runnable onLoopLost) {
+        if (!isClosed) {
+            onLoopLost.run();
+        }
+    }
+
     /** Returns the watcher of evacuations, where the operator's bounds say that there may be any. */
     private Optional<EvacuationWatcher> evacuationWatcher(ObjectStore store, EventLoopTimers timers) {
         if (settings.bounds().zones().evacuationMillis() <= 0) {
@@ -176,14 +176,11 @@
      * that.
      */
     void start() {
-        EntrySettings.Addresses a = settings.addresses();
-        listen(a.readiness(), q -> reply(this::readiness));
-        listen(a.directory(), q -> reply(() -> directory(q)));
-        listen(a.metrics(), q -> reply(() -> HttpReply.text(MetricsText.of(metrics.registry()))));
-        listen(a.peers(), storeRelay::handle);
+        new HostEndpoints(this::isReady, peers, () -> settings.bounds().maxTtlSeconds(), metrics, storeRelay)
+                .open(group, settings.addresses());
         peers.open(group);
         runOnLoop(() -> {
-            peers.start(storeRelay::checkWatches, registration::checkProgress);
+            peers.start(storeRelay::checkWatches, registration::checkProgress, new HeartbeatDelay(metrics));
             configurationWatcher.start();
             serverWatcher.start();
             evacuations.ifPresent(e -> e.watcher().start());
@@ -236,6 +233,7 @@
         runEvenIfFailing(peers::leave);
         runOnLoop(() -> recordStage("stopped"));
         Pause.millis(LEAVE_MILLIS);
+        isClosed = true;
         EventLoops.close(group);
     }
 
@@ -270,20 +268,6 @@
         }
     }
 
-    private void listen(String address, Function<HttpQuery, CompletionStage<HttpReply>> handler) {
-        if (!address.isEmpty()) {
-            new HttpEndpoint(group, Addresses.parse(address), handler);
-        }
-    }
-
-    private static CompletionStage<HttpReply> reply(Supplier<HttpReply> response) {
-        return CompletableFuture.completedFuture(response.get());
-    }
-
-    private HttpReply readiness() {
-        return HttpReply.empty(isReady() ? OK : UNAVAILABLE);
-    }
-
     private boolean isReady() {
         return !isStopping && hasInitialState();
     }
@@ -294,14 +278,6 @@
                 && evacuations.map(EvacuationWatcher::isListed).orElse(true);
     }
 
-    private HttpReply directory(HttpQuery query) {
-        List<String> addresses = EntryHostDirectory.select(peers.accepting(), PlatformEndpoints.callerZone(query));
-        int ttlSeconds = Math.min(ADDRESS_TTL_SECONDS, settings.bounds().maxTtlSeconds());
-        return addresses.isEmpty()
-                ? HttpReply.empty(UNAVAILABLE)
-                : HttpReply.json(OK, PlatformEndpoints.directoryAnswer(addresses, ttlSeconds));
-    }
-
     private void onConfiguration(Configuration accepted) {
         Configuration completed = ServiceDefaults.applyTo(accepted, RoutingKind.ASKED_LOAD);
         if (hasQuotas(completed)) {
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -46,7 +46,7 @@
  */
 final class Peers implements FleetNews {
 
-    private static final long TICK_INTERVAL_MILLIS = 250;
+    static final long TICK_INTERVAL_MILLIS = 250;
     /** Number of datagrams that carry each gossip item. */
     private static final int GOSSIP_TRANSMISSIONS = 6;
 
--- a/entry/src/main/java/org/hyssophitch/entry/RehearsalMain.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RehearsalMain.java
@@ -61,8 +61,8 @@
         Files.writeString(file, RehearsalBodies.settings(ports, GRACE_PERIOD_MILLIS));
         EntrySettings settings = PlatformSettings.read(file, ports[6]);
         EntrySettings relayedSettings = relayedSettings(settings, ports);
-        EntryProgram program = new EntryProgram(settings);
-        EntryProgram relayed = new EntryProgram(relayedSettings);
+        EntryProgram program = new EntryProgram(settings, () -> {});
+        EntryProgram relayed = new EntryProgram(relayedSettings, () -> {});
         new SettingsReloader(file, ports[6], settings, program::onSettings).start();
         program.start();
         relayed.start();
--- a/entry/src/test/java/org/hyssophitch/entry/EntryProgramFixture.java
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramFixture.java
@@ -22,6 +22,7 @@
 import org.testng.annotations.BeforeMethod;
 
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.fail;
 
 /** Base class of tests that run entry hosts against a fake store and scripted backend servers. */
 abstract class EntryProgramFixture {
@@ -67,7 +68,7 @@
     }
 
     EntryProgram start(EntrySettings s) {
-        EntryProgram program = new EntryProgram(s);
+        EntryProgram program = new EntryProgram(s, () -> fail("the event loop has ended"));
         programs.add(program);
         program.start();
         return program;
--- a/entry/src/test/java/org/hyssophitch/entry/StoreRelayTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/StoreRelayTest.java
@@ -8,6 +8,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.fail;
 
 /** A fleet that is large enough for its hosts to read the store through each other. */
 public class StoreRelayTest extends EntryProgramFixture {
@@ -96,7 +97,7 @@
                 .mapToObj(i -> settings("host-" + i))
                 .toList();
         fleet.parallelStream().forEach(s -> {
-            EntryProgram program = new EntryProgram(s);
+            EntryProgram program = new EntryProgram(s, () -> fail("the event loop has ended"));
             synchronized (programs) {
                 programs.add(program);
             }
