Fault: a server that sends what is no part of an answer holds its request until the deadline

What callers saw: a server that sent interim answers, foreign answers, the body of a foreign answer or of a refusal, or another protocol without end held the attempt until its time was up, and its host busy for as long; a refusal proves in its head that the request has not run, and another server could have taken it.

Cause: what is discarded had no bound. A status of 101 moreover made the decoder pass on raw bytes that nobody looked at.

Evidence: EndlessResponseTest.endlessBytesThatAreNoAnswerEndTheirAttemptAtOnce: before the change 6 of 6 forms are still being read after 3 s (route's timeout 20 s), now all are closed. RejectedAnswerTest has a case for each new outcome.

Change: past 256 KiB of interim and foreign bytes after a request, or 64 KiB of a refusal's body, the connection is closed and the attempt ends: as not run if a refusal proves that, else as a broken answer, which makes no request suspect of crashing its server. Status 101 is malformed, as no request asks for another protocol. AnswerRejected and its counter say EXCESSIVE. A late copy of another request's answer beyond 256 KiB now costs its connection.

--- a/entry/src/test/java/org/hyssophitch/entry/EndlessResponseTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/EndlessResponseTest.java
@@ -18,6 +18,8 @@
 
     private static final long ANSWER_SLACK_MILLIS = 500;
     private static final int WRITE_SIZE = 1_000;
+    /** Less than the timeout of the route. */
+    private static final int MAX_ATTEMPT_SECONDS = 3;
 
     @DataProvider
     public Object[][] heads() {
@@ -48,6 +50,36 @@
         }
     }
 
+    @DataProvider
+    public Object[][] noAnswers() {
+        String foreign = "HTTP/1.1 200 X\r\nHyssophitch-Request-Id: other\r\n";
+        String refusal = "HTTP/1.1 503 X\r\nHyssophitch-Request-Id: ID\r\nHyssophitch-Not-Executed: overload\r\n";
+        return new Object[][] {
+            {"interim responses", "", "HTTP/1.1 103 X\r\nLink: </a>\r\n\r\n"},
+            {"another protocol", "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n", "x"},
+            {"foreign responses", "", foreign + "Content-Length: 1\r\n\r\nx"},
+            {"body of a foreign response", foreign + "\r\n", "x"},
+            {"body of a refusal", refusal + "\r\n", "x"},
+            {"body of an unproven refusal", "HTTP/1.1 503 X\r\nHyssophitch-Request-Id: ID\r\n\r\n", "x"},
+        };
+    }
+
+    /** Guards against a server that keeps an attempt and its host busy with what is no part of an answer. */
+    @Test(dataProvider = "noAnswers")
+    public void endlessBytesThatAreNoAnswerEndTheirAttemptAtOnce(String name, String start, String repeated)
+            throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        ScriptedServer.Script script = (r, c) -> sendWithoutEnd(c, start.replace("ID", r.id()), repeated, closed);
+        try (ScriptedServer server = new ScriptedServer(script);
+                DataPath path = new DataPath(DataPath.LIMITS, server);
+                Socket caller = path.connect()) {
+            caller.getOutputStream()
+                    .write(DataPath.post("/wait/x", "u1", "body").getBytes(StandardCharsets.ISO_8859_1));
+            assertTrue(closed.await(MAX_ATTEMPT_SECONDS, TimeUnit.SECONDS), name);
+            assertTrue(path.metrics().contains("hyssophitch_rejected_answers_total"), name);
+        }
+    }
+
     /** A body without end is relayed as far as the caller reads it, and ends with the caller. */
     @Test
     public void endlessBodyOutlivesItsCaller() throws Exception {
--- a/entry/src/test/java/org/hyssophitch/entry/RejectedAnswerTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/RejectedAnswerTest.java
@@ -12,6 +12,7 @@
     private static final int PAUSE_MILLIS = 30;
     private static final int SMALL_PAUSE_MILLIS = 5;
     private static final int MAX_POLLS = 200;
+    private static final int INTERIM_RESPONSES = 20_000;
 
     @DataProvider
     Object[][] faults() {
@@ -47,7 +48,17 @@
             ScriptedServer.write(c, ScriptedServer.head(r, 503) + "Content-Length: 0\r\n\r\n");
             return true;
         };
+        ScriptedServer.Script interim = (r, c) -> {
+            ScriptedServer.write(c, "HTTP/1.1 103 X\r\n\r\n".repeat(INTERIM_RESPONSES));
+            return ScriptedServer.ok("own").respond(r, c);
+        };
+        ScriptedServer.Script otherProtocol = (r, c) -> {
+            ScriptedServer.write(c, "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\nbytes");
+            return true;
+        };
         return new Object[][] {
+            {AnswerFault.EXCESSIVE, interim},
+            {AnswerFault.MALFORMED, otherProtocol},
             {AnswerFault.FOREIGN, foreign},
             {AnswerFault.UNSOLICITED, unsolicited},
             {AnswerFault.CUT_OFF, cutOffBody},
--- a/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
@@ -5,15 +5,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.hyssophitch.core.call.AnswerFault;
 import org.hyssophitch.core.call.AttemptResult;
@@ -37,6 +32,9 @@
     /** Size in bytes of an unrelayed response above which reading from the backend server is paused. */
     private static final int MAX_UNRELAYED_BYTES = 131_072;
 
+    /** Maximum size in bytes of the body of a refusal, which is discarded. */
+    private static final int MAX_REFUSAL_BYTES = 65_536;
+
     private static final long MICROS_PER_MILLI = 1_000;
 
     private final CallerExchange exchange;
@@ -48,6 +46,7 @@
     private HttpResponse head;
     private Optional<NotRunCause> notRunCause = Optional.empty();
     private long sentMicros;
+    private int discardedBytes;
     private boolean isMisleadingStatus;
     private boolean isAnswerStarted;
     private boolean isRelaying;
@@ -172,7 +171,10 @@
     }
 
     private void send(long now) {
-        connection.channel().write(requestHead((action.deadlineMicros() - now) / MICROS_PER_MILLI));
+        long remainingMillis = (action.deadlineMicros() - now) / MICROS_PER_MILLI;
+        connection
+                .channel()
+                .write(ServerRequestHead.of(exchange, action, dispatcher.headerConventions(), remainingMillis));
         exchange.sendBody(this);
         connection.channel().flush();
     }
@@ -264,10 +266,14 @@
     @Override
     public void onContent(HttpContent content) {
         stallDetector.onProgress();
-        if (isEnded || notRunCause.isPresent() || isMisleadingStatus) {
+        if (isEnded) {
             content.release();
             return;
         }
+        if (notRunCause.isPresent() || isMisleadingStatus) {
+            discard(content);
+            return;
+        }
         if (isRelaying) {
             exchange.relayContent(content.content());
             return;
@@ -281,6 +287,17 @@
         }
     }
 
+    /** Discards a part of a refusal, whose status decides; a refusal without end is ended. */
+    private void discard(HttpContent content) {
+        discardedBytes += content.content().readableBytes();
+        content.release();
+        if (discardedBytes > MAX_REFUSAL_BYTES) {
+            connection.reject(AnswerFault.EXCESSIVE);
+            connection.cancel();
+            onConnectionLost(true);
+        }
+    }
+
     @Override
     public void onReadComplete() {
         if (isRelaying && !isEnded) {
@@ -354,30 +371,4 @@
     private CallEvent.AttemptEnded endEvent(AttemptResult result) {
         return new CallEvent.AttemptEnded(WallClock.nowMicros(), action.callId(), action.attempt(), result);
     }
-
-    private HttpRequest requestHead(long remainingMillis) {
-        HttpRequest original = exchange.request();
-        DefaultHttpRequest copy =
-                new DefaultHttpRequest(HttpVersion.HTTP_1_1, original.method(), exchange.serverTarget());
-        HopByHopHeaders.copyEndToEnd(original.headers(), copy.headers());
-        String length = original.headers().get(HttpHeaderNames.CONTENT_LENGTH);
-        if (length != null) {
-            copy.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-        } else {
-            HttpUtil.setTransferEncodingChunked(copy, HttpUtil.isTransferEncodingChunked(original));
-        }
-        dispatcher
-                .headerConventions()
-                .prepareRequest(
-                        copy.headers(),
-                        new OutgoingRequest(
-                                action.server(),
-                                exchange.requestId(),
-                                remainingMillis,
-                                action.mayRetryDownstream(),
-                                action.forwardedAttempts(),
-                                action.caller(),
-                                original.headers()));
-        return copy;
-    }
 }
--- a/http/src/main/java/org/hyssophitch/http/BackendConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -33,6 +34,9 @@
     /** Fraction of the server's own idle timeout that is used, so that no request races with the server's close. */
     private static final double IDLE_TIMEOUT_FRACTION = 0.7;
 
+    /** Maximum number of bytes that a server may send, after a request, without being part of its answer. */
+    private static final int MAX_FOREIGN_BYTES = 262_144;
+
     private static final String TIMEOUT_PARAMETER = "timeout=";
 
     private final BackendPool pool;
@@ -48,6 +52,7 @@
     private boolean isInputEnded;
     private boolean isInputLost;
     private boolean isUnusable;
+    private boolean isExcessive;
     /** Whether a further response has arrived for the request in flight, so that the next one may be another's. */
     private boolean hasForeignResponse;
 
@@ -178,7 +183,7 @@
 
     private void onResponseHead(HttpResponse head) {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            isDiscarding = true;
+            onInterimHead(head);
             return;
         }
         ResponseMatch match = exchange.match(head);
@@ -202,6 +207,16 @@
         exchange.onResponseHead(head);
     }
 
+    /** Discards an interim response. No request asks for another protocol, so the server can't switch to one. */
+    private void onInterimHead(HttpResponse head) {
+        isDiscarding = true;
+        if (HttpResponseStatus.SWITCHING_PROTOCOLS.equals(head.status())) {
+            reject(AnswerFault.MALFORMED);
+            isUnusable = true;
+            channel.close();
+        }
+    }
+
     /** Returns why a response is not taken for an answer to the current request, or empty if it is one. */
     private Optional<AnswerFault> fault(ResponseMatch match) {
         return switch (match) {
@@ -225,6 +240,7 @@
         if (isDiscarding) {
             content.release();
             isDiscarding = !(content instanceof LastHttpContent);
+            limitForeignBytes();
             return;
         }
         boolean isLast = content instanceof LastHttpContent;
@@ -238,6 +254,16 @@
         }
     }
 
+    /** Closes the connection to a server that keeps sending what is no part of an answer to the request. */
+    private void limitForeignBytes() {
+        if (receivedBytes > MAX_FOREIGN_BYTES) {
+            reject(AnswerFault.EXCESSIVE);
+            isUnusable = true;
+            isExcessive = true;
+            channel.close();
+        }
+    }
+
     private void complete() {
         BackendExchange completed = exchange;
         exchange = null;
@@ -298,7 +324,7 @@
             }
             BackendExchange interrupted = exchange;
             exchange = null;
-            interrupted.onConnectionLost(hasResponseHead);
+            interrupted.onConnectionLost(hasResponseHead || isExcessive);
         }
     }
 }
--- a/http/src/main/java/org/hyssophitch/http/BackendExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendExchange.java
@@ -39,7 +39,7 @@
     /**
      * Called when the connection was closed before the response was complete.
      *
-     * @param hasHead whether the response head was received
+     * @param hasHead whether the response head was received, or so much else that the connection was closed
      */
     void onConnectionLost(boolean hasHead);
 
