Fault: a starting host says that it is ready before it listens

What callers saw: a connection refused by a host whose readiness had just answered 200, for some milliseconds.

Cause: readiness asked for the configuration and the servers only; the front is opened up to a poll of 4 ms later.

Change: a host is ready only while its front is open; the others are told after that, as before.

--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -78,7 +78,7 @@
     private final Registration registration;
     private volatile boolean isStopping;
     private volatile boolean isClosed;
-    private boolean isFrontOpen;
+    private volatile boolean isFrontOpen;
     private volatile boolean isConfigured;
     private boolean hasQuotas;
 
@@ -269,7 +269,7 @@
     }
 
     private boolean isReady() {
-        return !isStopping && hasInitialState();
+        return isFrontOpen && !isStopping && hasInitialState();
     }
 
     private boolean hasInitialState() {
