Fault: an interim response passes for the answer of the store or of another host

What callers saw: nothing yet; no store sends interim responses today.

Cause: the aggregator makes a whole message of an interim response too, and the client took the first whole message.

Change: interim responses are ignored up to 32 for each request; more, or a change of protocol, lose the connection.

--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpClient.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpClient.java
@@ -26,6 +26,8 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -74,6 +76,8 @@
 
     /** Maximum size of a response body. */
     private static final int MAX_BODY_BYTES = 8_000_000;
+    /** Maximum number of interim responses to one request. */
+    private static final int MAX_INTERIM_RESPONSES = 32;
 
     private final EventLoop loop;
     private final InetSocketAddress server;
@@ -199,6 +203,7 @@
         private ScheduledFuture<?> timer;
         private boolean isInputEnded;
         private boolean isInputLost;
+        private int interimResponses;
 
         @Override
         public void handlerAdded(ChannelHandlerContext context) {
@@ -207,6 +212,7 @@
 
         private void send(DefaultFullHttpRequest request, int timeoutMillis, Consumer<Outcome> onOutcome) {
             pending = onOutcome;
+            interimResponses = 0;
             timer = loop.schedule(this::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
             channel.writeAndFlush(request);
         }
@@ -217,6 +223,10 @@
                 context.close();
                 return;
             }
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                onInterimResponse(context, response);
+                return;
+            }
             boolean isKeepAlive = HttpUtil.isKeepAlive(response) && !isInputEnded;
             Outcome outcome = new Outcome.Answered(
                     response.status().code(), response.headers(), ByteBufUtil.getBytes(response.content()));
@@ -228,6 +238,15 @@
             finish(outcome);
         }
 
+        /** Ignores a response before the final one; no request asks for another protocol. */
+        private void onInterimResponse(ChannelHandlerContext context, FullHttpResponse response) {
+            interimResponses++;
+            if (interimResponses > MAX_INTERIM_RESPONSES
+                    || HttpResponseStatus.SWITCHING_PROTOCOLS.equals(response.status())) {
+                context.close();
+            }
+        }
+
         /** Closes the connection: after the orderly end of its input, no further response can arrive. */
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
--- a/wire/src/test/java/org/hyssophitch/wire/net/HttpClientTest.java
+++ b/wire/src/test/java/org/hyssophitch/wire/net/HttpClientTest.java
@@ -25,6 +25,8 @@
     private static final int TIMEOUT_MILLIS = 2_000;
     private static final int PAUSE_MILLIS = 50;
     private static final int REQUEST_BYTES = 16_384;
+    private static final int OK = 200;
+    private static final int MANY = 1_000;
     private static final String HALF = "{\"items\":[]";
 
     private EventLoopGroup group;
@@ -69,6 +71,22 @@
         }
     }
 
+    /** Guards against an interim response that is taken for the answer of the store or of another host. */
+    @Test
+    public void interimResponseIsNotTheAnswer() throws Exception {
+        String interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+        serve(interim.repeat(2), "Content-Length: " + HALF.length() + "\r\n", false);
+        HttpClient.Outcome outcome = call();
+        assertTrue(outcome instanceof HttpClient.Outcome.Answered a && a.status() == OK, outcome.toString());
+    }
+
+    /** Guards against interim responses without end, which hold a call until its timeout. */
+    @Test
+    public void interimResponsesWithoutEndLoseTheConnection() throws Exception {
+        serve("HTTP/1.1 103 X\r\n\r\n".repeat(MANY), "Content-Length: 100\r\n", false);
+        assertEquals(call(), new HttpClient.Outcome.Failed(HttpClient.Failure.CONNECTION_LOST));
+    }
+
     /** A server that has ended its output can't answer another request on the connection. */
     @Test
     public void usesANewConnectionAfterTheServerHasEndedItsOutput() throws Exception {
@@ -80,10 +98,14 @@
     }
 
     private void serve(String framing, boolean isReset) {
+        serve("", framing, isReset);
+    }
+
+    private void serve(String before, String framing, boolean isReset) {
         Thread.startVirtualThread(() -> {
             try (Socket s = server.accept()) {
                 s.getInputStream().read(new byte[REQUEST_BYTES]);
-                String response = "HTTP/1.1 200 OK\r\n" + framing + "\r\n" + HALF;
+                String response = before + "HTTP/1.1 200 OK\r\n" + framing + "\r\n" + HALF;
                 s.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
                 s.getOutputStream().flush();
                 Thread.sleep(PAUSE_MILLIS);
