Fault: bodies sent to the readiness and directory addresses fill the memory of a host

What callers saw: no answer within 10 s from the host, for requests too, after 40 connections had sent 1.9 MB each to the directory's address.

Cause: these endpoints kept a body of up to 2 MB of each connection, though none of their requests has one; the bound was that of the object API's stand-in.

Evidence: HostMemoryTest.hostOutlivesBodiesSentToItsDirectory, a host as a process: fails before (no answer after the senders had left), passes now. hostOutlivesCallersThatDontRead, added beside it, held already.

Change: a larger body than 1 KiB gets status 413 there; the bound is a parameter of HttpEndpoint. SmallPiecesTest is now HostMemoryTest, as it holds all tests of a host's memory.

--- a/entry/src/main/java/org/hyssophitch/entry/HostEndpoints.java
+++ b/entry/src/main/java/org/hyssophitch/entry/HostEndpoints.java
@@ -28,6 +28,9 @@
     /** TTL in seconds of a directory response; the settings may lower it. */
     private static final int ADDRESS_TTL_SECONDS = 2;
 
+    /** Maximum size in bytes of a request body; no request of these endpoints needs one. */
+    private static final int MAX_BODY_BYTES = 1_024;
+
     private final BooleanSupplier isReady;
     private final Peers peers;
     private final IntSupplier maxTtlSeconds;
@@ -58,7 +61,7 @@
     private static void listen(
             EventLoopGroup group, String address, Function<HttpQuery, CompletionStage<HttpReply>> handler) {
         if (!address.isEmpty()) {
-            new HttpEndpoint(group, Addresses.parse(address), handler);
+            new HttpEndpoint(group, Addresses.parse(address), MAX_BODY_BYTES, handler);
         }
     }
 
--- a/entry/src/test/java/org/hyssophitch/entry/soak/SmallPiecesTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/HostMemoryTest.java
@@ -16,10 +16,13 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-/** Bodies that arrive byte by byte, at a host that runs as a process with the memory of the deploy file. */
-public class SmallPiecesTest {
+/** Bodies that take much memory, at a host that runs as a process with the memory of the deploy file. */
+public class HostMemoryTest {
 
     private static final int CALLERS = 40;
+    private static final int MANY_CALLERS = 400;
+    private static final int ANSWER_BYTES = 1_000_000;
+    private static final int DIRECTORY_BODY_BYTES = 1_900_000;
     private static final int SERVERS = 3;
     private static final int BLOCK_CHUNKS = 10_000;
     private static final long SEND_MILLIS = 4_000;
@@ -42,7 +45,7 @@
 
     @BeforeMethod
     public void setUp() throws IOException, InterruptedException {
-        Path logs = HostCommand.root().resolve("target/soak/pieces-" + System.currentTimeMillis());
+        Path logs = HostCommand.root().resolve("target/soak/memory-" + System.currentTimeMillis());
         fleet = new SoakFleet(1, logs);
         fleet.configure(List.of(
                 new Route("read", "safe", TIMEOUT_MILLIS, 2), new Route("upload", "unsafe", TIMEOUT_MILLIS, 1)));
@@ -95,20 +98,51 @@
             Socket s = connect();
             String head =
                     head("POST /upload/0/x", "u" + i).replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n");
-            Thread.startVirtualThread(() -> {
-                try {
-                    s.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
-                    s.getOutputStream().write(upload);
-                } catch (IOException e) {
-                    // The host may refuse the upload.
-                }
-            });
+            Thread.startVirtualThread(() -> send(s, head.getBytes(StandardCharsets.ISO_8859_1), upload));
         }
         Thread.sleep(SEND_MILLIS);
         servers.forEach(s -> s.setScript(ScriptedServer.ok("own")));
         assertServing();
     }
 
+    /** Guards against callers whose large bodies for an address that takes none fill the memory. */
+    @Test
+    public void hostOutlivesBodiesSentToItsDirectory() throws Exception {
+        String[] address = fleet.hosts().get(0).settings().directory().split(":");
+        byte[] body = new byte[DIRECTORY_BODY_BYTES];
+        for (int i = 0; i < CALLERS; i++) {
+            Socket s = new Socket(address[0], Integer.parseInt(address[1]));
+            callers.add(s);
+            String head = "POST /v1/addresses HTTP/1.1\r\nHost: x\r\nContent-Length: " + (body.length + 1) + "\r\n\r\n";
+            Thread.startVirtualThread(() -> send(s, head.getBytes(StandardCharsets.ISO_8859_1), body));
+        }
+        Thread.sleep(SEND_MILLIS);
+        assertServing();
+    }
+
+    /** Guards against callers that read nothing and whose answers, each within its bound, fill the memory together. */
+    @Test
+    public void hostOutlivesCallersThatDontRead() throws Exception {
+        String body = "x".repeat(ANSWER_BYTES);
+        servers.forEach(s -> s.setScript(ScriptedServer.ok(body)));
+        for (int i = 0; i < MANY_CALLERS; i++) {
+            Socket s = connect();
+            send(s, head("GET /read/0/x", "r" + i).getBytes(StandardCharsets.ISO_8859_1));
+        }
+        Thread.sleep(SEND_MILLIS);
+        assertServing();
+    }
+
+    private static void send(Socket s, byte[]... parts) {
+        try {
+            for (byte[] part : parts) {
+                s.getOutputStream().write(part);
+            }
+        } catch (IOException e) {
+            // The host may refuse a body.
+        }
+    }
+
     private void assertServing() throws Exception {
         for (Socket s : callers) {
             s.close();
@@ -152,7 +186,7 @@
 
     private static String registration(ScriptedServer server) {
         return """
-               {"address":"127.0.0.1:%d","born":1,"information":{"service":"%s","zone":"%s","slots":20},
+               {"address":"127.0.0.1:%d","born":1,"information":{"service":"%s","zone":"%s","slots":300},
                 "status":{"state":"ready","sequence":1,"cold_remaining_ms":0}}
                """
                 .formatted(server.port(), SoakFleet.SERVICE, HostSettings.ZONES.get(0));
--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpEndpoint.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpEndpoint.java
@@ -35,7 +35,7 @@
  */
 public final class HttpEndpoint implements AutoCloseable {
 
-    /** Maximum size of a request body; the object API accepts values of up to one megabyte. */
+    /** Maximum size in bytes of a request body by default; the object API accepts values of up to one megabyte. */
     private static final int MAX_BODY_BYTES = 2_000_000;
 
     private static final int SERVER_ERROR = 500;
@@ -51,6 +51,22 @@
      */
     public HttpEndpoint(
             EventLoopGroup group, InetSocketAddress local, Function<HttpQuery, CompletionStage<HttpReply>> handler) {
+        this(group, local, MAX_BODY_BYTES, handler);
+    }
+
+    /**
+     * Opens and binds the listening socket.
+     *
+     * @param group event loops that serve the connections
+     * @param local address to bind to
+     * @param maxBodyBytes maximum size in bytes of a request body; a larger one gets status 413
+     * @param handler handles a request; called on the event loop, must not block
+     */
+    public HttpEndpoint(
+            EventLoopGroup group,
+            InetSocketAddress local,
+            int maxBodyBytes,
+            Function<HttpQuery, CompletionStage<HttpReply>> handler) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -62,7 +78,7 @@
                     protected void initChannel(SocketChannel c) {
                         c.pipeline()
                                 .addLast(new HttpServerCodec())
-                                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                                .addLast(new HttpObjectAggregator(maxBodyBytes))
                                 .addLast(new Handler(handler));
                     }
                 });
