Fault: unfinished uploads, each within its bound, fill the memory of a host together

What callers saw: no answer from a host within 10 s, also after 800 callers that had each sent 60 KB of a longer body had left.

Cause: up to 64 KiB of each request's body is kept until it is whole or larger; nothing bounded the sum, and a host has 4,100 descriptors and a heap of 40 MB.

Evidence: HostMemoryTest.hostOutlivesManyUnfinishedUploads fails before (read timed out) and passes now.

Change: UploadMemory counts what bodies take until they are passed on. Beyond a fifth of the heap a body that isn't whole gets 503 uploads-full at once, which is true ("not run") and names another host as the remedy; passing it on unfinished would hold a server's slot at the pace of a slow caller. The gauge hyssophitch_upload_bytes shows the sum.

--- a/core/src/main/java/org/hyssophitch/core/call/Reason.java
+++ b/core/src/main/java/org/hyssophitch/core/call/Reason.java
@@ -19,6 +19,8 @@
     NO_CONFIGURATION(Outcome.NOT_RUN, 503),
     /** This host stops and may end before the request's answer. */
     HOST_STOPPING(Outcome.NOT_RUN, 503),
+    /** The unfinished bodies of other requests take the memory that this host has for them. */
+    UPLOADS_FULL(Outcome.NOT_RUN, 503),
     QUEUE_FULL(Outcome.NOT_RUN, 503),
     /** No server had capacity while the call could still wait for it. */
     NO_ROOM(Outcome.NOT_RUN, 503),
--- a/entry/src/main/java/org/hyssophitch/entry/EntryGauges.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryGauges.java
@@ -28,6 +28,8 @@
                 "hyssophitch_calls_in_flight", "requests without a final answer", dispatcher::activeCalls);
         metrics.registerGauge(
                 "hyssophitch_backend_connections", "connections to backend servers", dispatcher::backendConnections);
+        metrics.registerGauge(
+                "hyssophitch_upload_bytes", "bytes of request bodies not passed on yet", dispatcher::uploadBytes);
         metrics.registerGauge("hyssophitch_quotas_owned", "teams whose quota this host owns", dispatcher::ownedQuotas);
         metrics.registerGauge("hyssophitch_caller_connections", "connections of callers", front::connections);
         metrics.registerGauge(
--- a/entry/src/test/java/org/hyssophitch/entry/soak/HostMemoryTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/HostMemoryTest.java
@@ -133,6 +133,20 @@
         assertServing();
     }
 
+    /** Guards against uploads that, each within its bound, fill the memory together before they are passed on. */
+    @Test
+    public void hostOutlivesManyUnfinishedUploads() throws Exception {
+        byte[] body = new byte[UPLOAD_CHUNKS];
+        for (int i = 0; i < MANY_CALLERS * 2; i++) {
+            Socket s = connect();
+            String length = "\r\nContent-Length: " + (body.length + 1) + "\r\n\r\n";
+            String head = head("POST /upload/0/x", "u" + i).replace("\r\n\r\n", length);
+            Thread.startVirtualThread(() -> send(s, head.getBytes(StandardCharsets.ISO_8859_1), body));
+        }
+        Thread.sleep(SEND_MILLIS);
+        assertServing();
+    }
+
     private static void send(Socket s, byte[]... parts) {
         try {
             for (byte[] part : parts) {
--- a/http/src/main/java/org/hyssophitch/http/CallDispatcher.java
+++ b/http/src/main/java/org/hyssophitch/http/CallDispatcher.java
@@ -42,6 +42,7 @@
     private final LoadProber loadProber;
     private final int responseBufferBytes;
     private final FleetNews fleetNews;
+    private final UploadMemory uploadMemory = new UploadMemory();
     private final Map<Long, CallerExchange> exchanges = new HashMap<>();
     private final Deque<CallEvent> pendingEvents = new ArrayDeque<>();
     private final TokenBucket failureLines =
@@ -112,6 +113,11 @@
         return pools.connections();
     }
 
+    /** Returns the number of bytes of requests' bodies that aren't passed on yet. */
+    public long uploadBytes() {
+        return uploadMemory.bytes();
+    }
+
     /** Returns whether an attempt of a call is in flight. */
     boolean isAtServer(long callId) {
         return engine.isAtServer(callId);
@@ -122,6 +128,10 @@
         return engine.maySend(callId);
     }
 
+    UploadMemory uploadMemory() {
+        return uploadMemory;
+    }
+
     HeaderConventions headerConventions() {
         return headerConventions;
     }
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -185,6 +185,10 @@
             exchange.reject(Reason.BODY_TOO_LARGE, 0, "");
             return;
         }
+        if (!isLast && !exchange.isDispatched() && dispatcher.uploadMemory().isFull()) {
+            exchange.reject(Reason.UPLOADS_FULL, Reason.RETRY_ELSEWHERE_MILLIS, "");
+            return;
+        }
         if (isLast) {
             exchange.body().complete();
         } else if (exchange.body().exceedsReplayLimit()) {
--- a/http/src/main/java/org/hyssophitch/http/CallerExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerExchange.java
@@ -48,7 +48,7 @@
     private final String requestId;
     private final long callId;
     private final long arrivedMicros = WallClock.nowMicros();
-    private final RequestBody body = new RequestBody();
+    private final RequestBody body;
     private final Map<Integer, BackendAttempt> attempts = new HashMap<>();
     /** Heads of responses that aren't written yet: interim ones, and the final one. */
     private final Deque<HttpResponse> heads = new ArrayDeque<>();
@@ -77,6 +77,7 @@
         this.target = target;
         this.requestId = requestId;
         this.callId = dispatcher.nextCallId();
+        this.body = new RequestBody(dispatcher.uploadMemory());
     }
 
     long callId() {
@@ -128,6 +129,11 @@
         this.accepted = accepted;
     }
 
+    /** Returns whether the call was passed to the engine. */
+    boolean isDispatched() {
+        return isDispatched;
+    }
+
     boolean isAccepted() {
         return accepted != null;
     }
--- a/http/src/main/java/org/hyssophitch/http/RequestBody.java
+++ b/http/src/main/java/org/hyssophitch/http/RequestBody.java
@@ -26,11 +26,17 @@
         void end();
     }
 
+    private final UploadMemory memory;
     private final BodyBuffer buffer = new BodyBuffer();
     private final CRC32C checksum = new CRC32C();
     private long size;
     private boolean isComplete;
     private Sink sink;
+    private int recordedBytes;
+
+    RequestBody(UploadMemory memory) {
+        this.memory = memory;
+    }
 
     /** Adds a piece and takes ownership of it. A streamed body is passed on at the next {@link #flush} or before. */
     void add(ByteBuf piece) {
@@ -39,6 +45,7 @@
             checksum.update(piece.nioBuffer());
         }
         buffer.add(piece);
+        recordMemory();
         if (exceedsReplayLimit()) {
             flush();
         }
@@ -102,11 +109,18 @@
 
     void release() {
         buffer.clear();
+        recordMemory();
+    }
+
+    private void recordMemory() {
+        memory.add(buffer.size() - recordedBytes);
+        recordedBytes = buffer.size();
     }
 
     private void drain() {
         for (ByteBuf block = buffer.poll(); block != null; block = buffer.poll()) {
             sink.write(block);
         }
+        recordMemory();
     }
 }
--- /dev/null
+++ b/http/src/main/java/org/hyssophitch/http/UploadMemory.java
@@ -0,0 +1,28 @@
+package org.hyssophitch.http;
+
+/**
+ * Memory that the bodies of requests take on this host until they are passed on. Not thread-safe; confined to one event
+ * loop.
+ */
+final class UploadMemory {
+
+    /** Part of the heap that bodies may take together. */
+    private static final double MAX_HEAP_SHARE = 0.2;
+
+    private final long maxBytes = (long) (Runtime.getRuntime().maxMemory() * MAX_HEAP_SHARE);
+    private long bytes;
+
+    /** Records that bodies take more bytes, or fewer if the number is negative. */
+    void add(long change) {
+        bytes += change;
+    }
+
+    /** Returns whether no further body may be kept. */
+    boolean isFull() {
+        return bytes > maxBytes;
+    }
+
+    long bytes() {
+        return bytes;
+    }
+}
