--- a/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/PlannedStopTest.java
@@ -26,6 +26,9 @@
     /** Longer than the grace period, so that the answer never comes. */
     private static final int ENDLESS_WORK_MILLIS = 2 * GRACE_MILLIS;
 
+    private static final String FULL = "3,9,3,100";
+    private static final String FREE = "0,0,3,100";
+    private static final long PROBE_MILLIS = 300;
     private static final long STOP_POLL_MILLIS = 5;
     /** More than the head of an answer. */
     private static final int HEAD_BYTES = 1_000;
@@ -60,6 +63,26 @@
         awaitStop();
     }
 
+    /** Guards against a call that waits for a server, is passed on late in the grace period and cut off at its end. */
+    @Test
+    public void requestThatWaitsForAServerIsNotPassedOnTooLateForItsAnswer() throws Exception {
+        startWith(work(LONG, 400));
+        first.setLoad(FULL);
+        Thread.sleep(PROBE_MILLIS);
+        try (Socket c = connect()) {
+            beginStop();
+            sleepUntil(300);
+            write(c, DataPath.get("/s/x", LONG));
+            sleepUntil(1_150);
+            first.setLoad(FREE);
+            String response = DataPath.read(c, 1);
+            boolean isPassedOn = first.requests().stream().anyMatch(r -> r.id().equals(LONG));
+            assertEquals(response.endsWith(LONG), isPassedOn, response);
+            assertTrue(isPassedOn || response.startsWith("HTTP/1.1 503"), response);
+        }
+        awaitStop();
+    }
+
     /** The host ended with whole answers behind a request that was still at work, and these were lost with it. */
     @Test
     public void wholeAnswerBehindARequestStillAtWorkLeavesBeforeTheEnd() throws Exception {
--- a/entry/src/test/java/org/hyssophitch/entry/soak/SoakMain.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/SoakMain.java
@@ -10,25 +10,29 @@
  */
 final class SoakMain {
 
-    private static final String FAULTS = "faults";
-    private static final long DEFAULT_SECONDS = 60;
-    private static final long DEFAULT_FAULT_SECONDS = 10;
     private static final long MILLIS_PER_SECOND = 1_000;
+    private static final int EXIT_HELD = 0;
+    private static final int EXIT_BROKEN = 1;
+    /** EX_USAGE of sysexits.h. */
+    private static final int EXIT_INVALID_ARGUMENTS = 64;
 
     private SoakMain() {}
 
     public static void main(String[] arguments) throws IOException, InterruptedException {
-        boolean isHeld = arguments[0].equals(FAULTS)
-                ? runFaults(argument(arguments, 1, DEFAULT_FAULT_SECONDS))
-                : runSeeds(
-                        Long.parseLong(arguments[0]),
-                        argument(arguments, 1, Long.parseLong(arguments[0])),
-                        argument(arguments, 2, DEFAULT_SECONDS));
-        System.exit(isHeld ? 0 : 1);
+        int code =
+                switch (SoakArguments.parse(arguments)) {
+                    case SoakArguments.SeedRuns a -> exitCode(runSeeds(a.first(), a.last(), a.seconds()));
+                    case SoakArguments.FaultRuns a -> exitCode(runFaults(a.seconds()));
+                    case SoakArguments.Invalid a -> {
+                        System.err.println("bin/soak: " + a.problem());
+                        yield EXIT_INVALID_ARGUMENTS;
+                    }
+                };
+        System.exit(code);
     }
 
-    private static long argument(String[] arguments, int index, long defaultValue) {
-        return arguments.length > index ? Long.parseLong(arguments[index]) : defaultValue;
+    private static int exitCode(boolean isHeld) {
+        return isHeld ? EXIT_HELD : EXIT_BROKEN;
     }
 
     private static boolean runSeeds(long first, long last, long seconds) throws IOException, InterruptedException {
