Fault: agent and proxy also stay without their event loop

They end with exit code 70 now, by the same method of Lifecycle as the entry host. Read and compiled, with the tests of EventLoops; no process of theirs was run out of memory. The console runs on Javalin's threads and has no event loop of ours.

HostMemoryTest has a case for pipelined requests with heads of 6 KB from 400 callers; it held at once.

--- a/agent/src/main/java/org/hyssophitch/agent/Agent.java
+++ b/agent/src/main/java/org/hyssophitch/agent/Agent.java
@@ -20,6 +20,7 @@
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.core.timeline.ProcessTimeline;
 import org.hyssophitch.wire.codec.AgentMessageCodec;
+import org.hyssophitch.wire.concurrent.Lifecycle;
 import org.hyssophitch.wire.concurrent.Pause;
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.generated.Wire;
@@ -51,7 +52,7 @@
     private final long incarnation = WallClock.nowMicros();
     private final ProcessTimeline timeline;
     private final PrometheusRegistry registry = new PrometheusRegistry();
-    private final EventLoopGroup group = EventLoops.create(1);
+    private final EventLoopGroup group = EventLoops.create(1, this::onLoopEnd);
     private final PlatformClient platform;
     private final AgentEngineThread engineThread;
     private final Prober prober;
@@ -62,6 +63,7 @@
     private volatile Configuration inForce = Configuration.NONE;
     private volatile long inForceSinceMicros;
     private volatile boolean isWatcher;
+    private volatile boolean isClosed;
 
     /**
      * Creates the agent and binds its sockets.
@@ -122,9 +124,16 @@
         http.close();
         links.close();
         datagrams.close();
+        isClosed = true;
         EventLoops.close(group);
     }
 
+    private void onLoopEnd() {
+        if (!isClosed) {
+            Lifecycle.exitWithoutEventLoop();
+        }
+    }
+
     private Member initialMember() {
         return new Member(
                         settings.host(),
--- a/entry/src/main/java/org/hyssophitch/entry/EntryMain.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMain.java
@@ -18,8 +18,6 @@
     private static final int EXIT_INVALID_SETTINGS = 65;
     /** EX_UNAVAILABLE of sysexits.h. */
     private static final int EXIT_UNAVAILABLE = 69;
-    /** EX_SOFTWARE of sysexits.h. */
-    private static final int EXIT_LOOP_LOST = 70;
 
     private EntryMain() {}
 
@@ -30,7 +28,7 @@
         Path path = PlatformSettings.path();
         try {
             EntrySettings settings = PlatformSettings.read(path, METRICS_PORT);
-            EntryProgram program = new EntryProgram(settings, EntryMain::exitWithoutLoop);
+            EntryProgram program = new EntryProgram(settings, Lifecycle::exitWithoutEventLoop);
             new SettingsReloader(path, METRICS_PORT, settings, program::onSettings).start();
             // A signal must not end the process at once while the front is open, so this comes first.
             Lifecycle.stopOnSignal(program::stop);
@@ -43,16 +41,6 @@
         }
     }
 
-    /** Ends the process, so that it is started anew: without its event loop it would stay and answer nobody. */
-    private static void exitWithoutLoop() {
-        try {
-            Logger.error("the event loop has ended by an error; the process ends");
-            Lifecycle.shutDownLogging();
-        } finally {
-            Runtime.getRuntime().halt(EXIT_LOOP_LOST);
-        }
-    }
-
     /** Ends the process without the stop on a signal, which would replace the exit code. */
     private static void exitWithError(Exception cause, int exitCode) {
         Logger.error(cause, "entry host failed to start");
--- a/entry/src/test/java/org/hyssophitch/entry/soak/HostMemoryTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/HostMemoryTest.java
@@ -23,6 +23,8 @@
     private static final int MANY_CALLERS = 400;
     private static final int ANSWER_BYTES = 1_000_000;
     private static final int DIRECTORY_BODY_BYTES = 1_900_000;
+    private static final int HEAD_BYTES = 6_000;
+    private static final int PIPELINED = 16;
     private static final int SERVERS = 3;
     private static final int BLOCK_CHUNKS = 10_000;
     private static final long SEND_MILLIS = 4_000;
@@ -147,6 +149,24 @@
         assertServing();
     }
 
+    /** Guards against pipelined requests whose large heads fill the memory while their calls wait. */
+    @Test
+    public void hostOutlivesPipelinedRequestsWithLargeHeads() throws Exception {
+        servers.forEach(s -> s.setScript((r, c) -> {
+            Thread.sleep(SEND_MILLIS);
+            return false;
+        }));
+        String padding = "\r\nPadding: " + "p".repeat(HEAD_BYTES) + "\r\n\r\n";
+        for (int i = 0; i < MANY_CALLERS; i++) {
+            Socket s = connect();
+            String requests =
+                    head("GET /read/0/x", "r" + i).replace("\r\n\r\n", padding).repeat(PIPELINED);
+            Thread.startVirtualThread(() -> send(s, requests.getBytes(StandardCharsets.ISO_8859_1)));
+        }
+        Thread.sleep(SEND_MILLIS);
+        assertServing();
+    }
+
     private static void send(Socket s, byte[]... parts) {
         try {
             for (byte[] part : parts) {
--- a/proxy/src/main/java/org/hyssophitch/proxy/Proxy.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/Proxy.java
@@ -20,6 +20,7 @@
 import org.hyssophitch.core.timeline.ProcessTimeline;
 import org.hyssophitch.http.CallDispatcher;
 import org.hyssophitch.http.FrontListener;
+import org.hyssophitch.wire.concurrent.Lifecycle;
 import org.hyssophitch.wire.concurrent.Pause;
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.net.Addresses;
@@ -38,7 +39,7 @@
 
     private final ProxySettings settings;
     private final long incarnation = WallClock.nowMicros();
-    private final EventLoopGroup group = EventLoops.create(1);
+    private final EventLoopGroup group = EventLoops.create(1, this::onLoopEnd);
     private final EventLoop loop = (EventLoop) group.next();
     private final SplittableRandom random = new SplittableRandom();
     private final ProcessTimeline timeline;
@@ -49,6 +50,7 @@
     private final AgentLink agentLink;
     private final List<Suspicion> suspicions = new ArrayList<>();
     private volatile boolean isStopping;
+    private volatile boolean isClosed;
     private volatile boolean isListening;
 
     /**
@@ -103,10 +105,17 @@
         }
         recordStage("stopped");
         runOnLoop(agentLink::close);
+        isClosed = true;
         EventLoops.close(group);
         Logger.info("proxy {} stopped; no requests were in flight", settings.host());
     }
 
+    private void onLoopEnd() {
+        if (!isClosed) {
+            Lifecycle.exitWithoutEventLoop();
+        }
+    }
+
     /** The agent spreads suspicions; each host hears for itself what servers state. */
     private FleetNews fleetNews() {
         return new FleetNews() {
--- a/wire/src/main/java/org/hyssophitch/wire/concurrent/Lifecycle.java
+++ b/wire/src/main/java/org/hyssophitch/wire/concurrent/Lifecycle.java
@@ -13,6 +13,8 @@
     private static final int EXIT_OK = 0;
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 64;
+    /** EX_SOFTWARE of sysexits.h. */
+    private static final int EXIT_EVENT_LOOP_LOST = 70;
     /** Limits the wait for the last log lines, because the reader of the output may have stopped reading. */
     private static final long LOG_SHUTDOWN_TIMEOUT_MILLIS = 100;
 
@@ -44,6 +46,16 @@
         }
     }
 
+    /** Ends the process at once, so that it is started anew: without its event loop it would stay and answer nobody. */
+    public static void exitWithoutEventLoop() {
+        try {
+            Logger.error("the event loop has ended by an error; the process ends");
+            shutDownLogging();
+        } finally {
+            Runtime.getRuntime().halt(EXIT_EVENT_LOOP_LOST);
+        }
+    }
+
     /** Runs the steps of an orderly shutdown in order; halts the process even when the stop task fails. */
     static void shutDown(Runnable stop, Runnable logShutdown, IntConsumer halt) {
         int code = EXIT_OK;
