Fault: watches wait on at a relay that is known to have lost the store

Cause: both relays lost the store in silence at 2.5 s. Their watches of servers noticed it after 1 s and turned the other hosts away with 503. A host that is turned away lists that kind again; its watch of the configuration went on waiting at the same relay, up to 4 s, as only other failures (421, no answer) told the other kinds to leave.

RelayedSourceTest fails before for 503 (421 passed) and passes now for both.

Change: a relay that turns a watch away is left by the watches of all kinds, which go on at another relay or at the store.

--- a/core/src/main/java/org/hyssophitch/core/store/RelaySelector.java
+++ b/core/src/main/java/org/hyssophitch/core/store/RelaySelector.java
@@ -89,6 +89,11 @@
         avoidedUntilMicros.put(relay, nowMicros + FAILURE_BACKOFF_MICROS);
     }
 
+    /** Returns whether a relay has failed so recently that it isn't asked. */
+    public boolean isAvoided(String relay, long nowMicros) {
+        return avoidedUntilMicros.getOrDefault(relay, nowMicros) > nowMicros;
+    }
+
     /** Records that the store turned this host away or did not answer it, so that it is no relay for a while. */
     public void onStoreFailed(long nowMicros) {
         avoidedUntilMicros.put(host, nowMicros + FAILURE_BACKOFF_MICROS);
--- a/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
@@ -62,7 +62,8 @@
      *
      * @param kind name of the kind
      * @param store the store as the source of the kind
-     * @param onRelayFailed called with the name of a relay that has failed a watch
+     * @param onRelayFailed called with the name of a relay that has failed a watch, so that those of other kinds leave
+     *     it too
      */
     RelayedSource(
             String kind,
@@ -141,6 +142,9 @@
                 return;
             }
             currentRelay = NO_RELAY;
+            if (selector.isAvoided(relay.host(), timers.nowMicros())) {
+                onRelayFailed.accept(relay.host());
+            }
             onResult.accept(result.get());
         });
     }
