Fault: an error answer that broke off while it was kept is begun and never ended

What callers saw: the head and part of a 500 of more than 64 KiB, and then nothing until they gave up.

Cause: such an answer is kept as a fallback while another server is tried. The engine ignored the end of its attempt, which it no longer tracked; when the other server failed too, the broken answer was begun, and no timer watched it any more.

Evidence: BufferedResponseTest.errorResponseThatHasBrokenOffIsNotBegun fails before (the caller still waits after 5 s) and passes now.

Change: a fallback whose attempt is lost is dropped, so the call gets a final answer of its own.

--- a/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
+++ b/core/src/main/java/org/hyssophitch/core/call/ActiveCall.java
@@ -151,6 +151,10 @@
         fallbackStatus = newStatus;
     }
 
+    void dropFallback() {
+        fallbackAttempt = 0;
+    }
+
     /** Returns the attempt whose response is the fallback answer; 0 without one. */
     int fallbackAttempt() {
         return fallbackAttempt;
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
@@ -67,6 +67,7 @@
         ActiveCall call = state.calls().get(e.callId());
         ActiveCall.Attempt a = call == null ? null : call.attempt(e.attempt());
         if (a == null) {
+            dropBrokenFallback(call, e);
             return;
         }
         if (!a.server().isEntryHost()) {
@@ -86,6 +87,14 @@
         starter.onAttemptReleased(call.service(), e.nowMicros());
     }
 
+    /** Gives up a fallback answer whose attempt was lost while it was kept, as its end will never come. */
+    private static void dropBrokenFallback(ActiveCall call, CallEvent.AttemptEnded e) {
+        boolean isLost = e.result() instanceof AttemptResult.Lost;
+        if (call != null && isLost && call.fallbackAttempt() == e.attempt()) {
+            call.dropFallback();
+        }
+    }
+
     private static boolean mayRunElsewhere(ActiveCall call) {
         return call.mayHaveRun() || call.attempts().size() > 1;
     }
--- a/entry/src/test/java/org/hyssophitch/entry/BufferedResponseTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/BufferedResponseTest.java
@@ -53,6 +53,37 @@
         }
     }
 
+    /** Guards against an error response that broke off while it was kept, and was begun later and never ended. */
+    @Test
+    public void errorResponseThatHasBrokenOffIsNotBegun() throws Exception {
+        try (ScriptedServer failing = new ScriptedServer((r, c) -> {
+                    ScriptedServer.write(
+                            c,
+                            ScriptedServer.head(r, 500) + "Content-Length: " + CONTENT_LENGTH + "\r\n\r\n"
+                                    + "x".repeat(SENT_BYTES));
+                    Thread.sleep(PAUSE_MILLIS / 3);
+                    return false;
+                });
+                ScriptedServer breaking = new ScriptedServer((r, c) -> {
+                    Thread.sleep(PAUSE_MILLIS);
+                    return false;
+                });
+                DataPath path = new DataPath(DataPath.LIMITS, failing, breaking)) {
+            breaking.setLoad("1,0,3,100");
+            boolean hasRetried = false;
+            // On a busy machine the load reports may arrive late, and the other server be chosen first.
+            for (int i = 0; i < 20 && !hasRetried; i++) {
+                failing.requests().clear();
+                breaking.requests().clear();
+                String response = path.exchange(DataPath.get("/s/x", "s" + i), 1);
+                hasRetried =
+                        !failing.requests().isEmpty() && !breaking.requests().isEmpty();
+                assertFalse(response.endsWith("<quiet>"), "the caller waits for the rest of a response");
+            }
+            assertTrue(hasRetried, "no request reached both servers");
+        }
+    }
+
     /** After a server registers under its name at a new address, the old address gets no requests. */
     @Test
     public void sendsRequestsOnlyToTheNewAddressOfAServer() throws Exception {
