Fault: a caller waits past its route's timeout for the rest of an answer that has gone silent

What callers saw: an answer of more than 64 KiB, whose server fell silent in its middle, kept its caller until that gave up; the route's timeout, the longest time that the operator wants it kept waiting, had no effect once the answer was being relayed.

Cause: the engine's timers pass over calls whose answer is relayed, and on the users' platform no stall timeout is set.

Evidence: BufferedResponseTest.responseThatFallsSilentEndsAtTheTimeoutOfItsRoute fails before (open after 5 s) and passes; responseThatArrivesSlowlyIsRelayedPastTheTimeoutOfItsRoute held before and holds.

Change: once the deadline has passed, a relayed answer without progress for 200 ms ends, as one that broke off; one that goes on arriving, or whose caller is slow to read, is relayed further. StallDetector can start later for it.

--- a/entry/src/test/java/org/hyssophitch/entry/BufferedResponseTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/BufferedResponseTest.java
@@ -1,5 +1,8 @@
 package org.hyssophitch.entry;
 
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -14,6 +17,7 @@
     private static final int SENT_BYTES = 70_000;
 
     private static final int PAUSE_MILLIS = 300;
+    private static final int SLACK_MILLIS = 500;
 
     /**
      * An error response is relayed because no other server has a better one. If its backend connection then breaks, the
@@ -84,6 +88,50 @@
         }
     }
 
+    /** Guards against a caller that waits past its route's timeout for the rest of a response that has gone silent. */
+    @Test
+    public void responseThatFallsSilentEndsAtTheTimeoutOfItsRoute() throws Exception {
+        CountDownLatch end = new CountDownLatch(1);
+        try (ScriptedServer silent = new ScriptedServer((r, c) -> {
+                    ScriptedServer.write(
+                            c,
+                            ScriptedServer.head(r, 200) + "Content-Length: " + CONTENT_LENGTH + "\r\n\r\n"
+                                    + "x".repeat(SENT_BYTES));
+                    end.await();
+                    return false;
+                });
+                DataPath path = new DataPath(DataPath.LIMITS, silent)) {
+            long startNanos = System.nanoTime();
+            String response = path.exchange(DataPath.get("/s/x", "s1"), 1);
+            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+            end.countDown();
+            assertTrue(response.startsWith("HTTP/1.1 200"), response.substring(0, Math.min(100, response.length())));
+            assertFalse(response.endsWith("<quiet>"), "the caller's connection stayed open");
+            assertTrue(millis < DataPath.ROUTE_TIMEOUT_MILLIS + SLACK_MILLIS, millis + " ms");
+        }
+    }
+
+    /** A response that goes on arriving is worth the wait. */
+    @Test
+    public void responseThatArrivesSlowlyIsRelayedPastTheTimeoutOfItsRoute() throws Exception {
+        int pieces = 40;
+        try (ScriptedServer slow = new ScriptedServer((r, c) -> {
+                    ScriptedServer.write(
+                            c,
+                            ScriptedServer.head(r, 200) + "Content-Length: " + (SENT_BYTES + pieces) + "\r\n\r\n"
+                                    + "x".repeat(SENT_BYTES));
+                    for (int i = 0; i < pieces; i++) {
+                        Thread.sleep(PAUSE_MILLIS / 6);
+                        ScriptedServer.write(c, "x");
+                    }
+                    return true;
+                });
+                DataPath path = new DataPath(DataPath.LIMITS, slow)) {
+            String response = path.exchange(DataPath.get("/s/x", "s1"), 1);
+            assertTrue(response.endsWith("x".repeat(SENT_BYTES + pieces)), response.length() + " bytes");
+        }
+    }
+
     /** After a server registers under its name at a new address, the old address gets no requests. */
     @Test
     public void sendsRequestsOnlyToTheNewAddressOfAServer() throws Exception {
--- a/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
@@ -32,6 +32,8 @@
     /** Size in bytes of an unrelayed response above which reading from the backend server is paused. */
     private static final int MAX_UNRELAYED_BYTES = 131_072;
 
+    /** Maximum time in milliseconds without progress of a response that is relayed after its deadline. */
+    private static final int MAX_LATE_SILENCE_MILLIS = 200;
     /** Maximum size in bytes of the body of a refusal, which is discarded. */
     private static final int MAX_REFUSAL_BYTES = 65_536;
 
@@ -98,6 +100,16 @@
         } else {
             setAutoRead(true);
             exchange.flush();
+            endIfSilentAfterDeadline();
+        }
+    }
+
+    /** Ends a response that goes silent once its deadline has passed; one that goes on arriving is relayed further. */
+    private void endIfSilentAfterDeadline() {
+        if (stallDetector == StallDetector.NONE) {
+            long remainingMicros = Math.max(0, action.deadlineMicros() - WallClock.nowMicros());
+            stallDetector = StallDetector.startLater(
+                    dispatcher.loop(), remainingMicros, MAX_LATE_SILENCE_MILLIS, this::onStall);
         }
     }
 
--- a/http/src/main/java/org/hyssophitch/http/StallDetector.java
+++ b/http/src/main/java/org/hyssophitch/http/StallDetector.java
@@ -12,17 +12,18 @@
 final class StallDetector {
 
     /** Detector that never fires, for an attempt without a connection or a timeout. */
-    static final StallDetector NONE = new StallDetector(null, 0, () -> {});
+    static final StallDetector NONE = new StallDetector(null, 0, 0, () -> {});
 
     private final EventLoop loop;
     private final long timeoutNanos;
     private final Runnable onStall;
     private ScheduledFuture<?> timer;
-    private long lastProgressNanos = System.nanoTime();
+    private long lastProgressNanos;
     private boolean isPaused;
 
-    private StallDetector(EventLoop loop, long timeoutNanos, Runnable onStall) {
+    private StallDetector(EventLoop loop, long startNanos, long timeoutNanos, Runnable onStall) {
         this.loop = loop;
+        this.lastProgressNanos = startNanos;
         this.timeoutNanos = timeoutNanos;
         this.onStall = onStall;
     }
@@ -37,15 +38,29 @@
         if (timeoutMillis <= 0) {
             return NONE;
         }
-        StallDetector detector = new StallDetector(loop, TimeUnit.MILLISECONDS.toNanos(timeoutMillis), onStall);
-        detector.schedule(detector.timeoutNanos);
+        return startLater(loop, 0, timeoutMillis, onStall);
+    }
+
+    /**
+     * Starts a detector that takes the connection for busy at first.
+     *
+     * @param delayMicros time in microseconds for which it does so
+     * @param timeoutMillis time in milliseconds without progress, from then on, after which the connection counts as
+     *     stalled
+     */
+    static StallDetector startLater(EventLoop loop, long delayMicros, int timeoutMillis, Runnable onStall) {
+        long delayNanos = TimeUnit.MICROSECONDS.toNanos(delayMicros);
+        long timeoutNanos = TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+        StallDetector detector = new StallDetector(loop, System.nanoTime() + delayNanos, timeoutNanos, onStall);
+        detector.schedule(delayNanos + timeoutNanos);
         return detector;
     }
 
     /** Records that bytes were sent or received. */
     void onProgress() {
         if (loop != null) {
-            lastProgressNanos = System.nanoTime();
+            long now = System.nanoTime();
+            lastProgressNanos = now - lastProgressNanos > 0 ? now : lastProgressNanos;
         }
     }
 
