--- a/http/src/main/java/org/hyssophitch/http/BackendConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendConnection.java
@@ -211,9 +211,7 @@
     private void onInterimHead(HttpResponse head) {
         isDiscarding = true;
         if (HttpResponseStatus.SWITCHING_PROTOCOLS.equals(head.status())) {
-            reject(AnswerFault.MALFORMED);
-            isUnusable = true;
-            channel.close();
+            closeFor(AnswerFault.MALFORMED);
         }
     }
 
@@ -257,13 +255,17 @@
     /** Closes the connection to a server that keeps sending what is no part of an answer to the request. */
     private void limitForeignBytes() {
         if (receivedBytes > MAX_FOREIGN_BYTES) {
-            reject(AnswerFault.EXCESSIVE);
-            isUnusable = true;
             isExcessive = true;
-            channel.close();
+            closeFor(AnswerFault.EXCESSIVE);
         }
     }
 
+    private void closeFor(AnswerFault fault) {
+        reject(fault);
+        isUnusable = true;
+        channel.close();
+    }
+
     private void complete() {
         BackendExchange completed = exchange;
         exchange = null;
