--- a/wire/src/main/java/org/hyssophitch/wire/json/JsonSlice.java
+++ b/wire/src/main/java/org/hyssophitch/wire/json/JsonSlice.java
@@ -108,6 +108,11 @@
         }
     }
 
+    /** Returns the length of the text in bytes. */
+    public int length() {
+        return end - start;
+    }
+
     /** Returns a copy of this part of the text. */
     public byte[] bytes() {
         return Arrays.copyOfRange(text, start, end);
