Watches of other kinds list again when a relay has turned one away

Change: a relay that answers 503 ends the watches of all kinds at it with the result that makes them list, as its own answer to each would.

--- a/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
@@ -51,11 +51,13 @@
     private final RelayClients clients;
     private final Timers timers;
     private final Consumer<String> onRelayFailed;
+    private final Consumer<String> onTurnedAway;
     /** Identifies the current watch; the end of an earlier one is ignored. */
     private long watchId;
 
     private String currentRelay = NO_RELAY;
     private Runnable restart = () -> {};
+    private Runnable listAgain = () -> {};
 
     /**
      * Creates a source.
@@ -64,6 +66,7 @@
      * @param store the store as the source of the kind
      * @param onRelayFailed called with the name of a relay that has failed a watch, so that those of other kinds leave
      *     it too
+     * @param onTurnedAway called with the name of a relay that may have missed changes of any kind
      */
     RelayedSource(
             String kind,
@@ -72,7 +75,8 @@
             RelaySelector selector,
             RelayClients clients,
             Timers timers,
-            Consumer<String> onRelayFailed) {
+            Consumer<String> onRelayFailed,
+            Consumer<String> onTurnedAway) {
         this.kind = kind;
         this.store = store;
         this.codec = codec;
@@ -80,6 +84,7 @@
         this.clients = clients;
         this.timers = timers;
         this.onRelayFailed = onRelayFailed;
+        this.onTurnedAway = onTurnedAway;
     }
 
     @Override
@@ -103,6 +108,7 @@
         Optional<Member> relay = selector.relay(timers.nowMicros());
         currentRelay = relay.map(Member::host).orElse(NO_RELAY);
         restart = () -> watch(since, waitMillis, onResult);
+        listAgain = () -> onResult.accept(new StoreResult.HistoryGone<>());
         if (relay.isEmpty()) {
             boolean isSubstitute = selector.pacing(timers.nowMicros()) == WatchPacing.RELAYED;
             int wait = isSubstitute ? Math.min(waitMillis, WatchPacing.RELAYED.waitMillis()) : waitMillis;
@@ -127,6 +133,15 @@
         }
     }
 
+    /** Ends a watch that waits for a relay which may have missed changes; a new watch could miss them too. */
+    void onTurnedAway(String relay) {
+        if (currentRelay.equals(relay)) {
+            watchId++;
+            currentRelay = NO_RELAY;
+            listAgain.run();
+        }
+    }
+
     private void watchThrough(
             Member relay, RelayRequest.Changes request, Consumer<StoreResult<StoreChanges<T>>> onResult) {
         long current = watchId;
@@ -143,7 +158,7 @@
             }
             currentRelay = NO_RELAY;
             if (selector.isAvoided(relay.host(), timers.nowMicros())) {
-                onRelayFailed.accept(relay.host());
+                onTurnedAway.accept(relay.host());
             }
             onResult.accept(result.get());
         });
--- a/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
+++ b/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
@@ -102,7 +102,14 @@
     private <T> RelayedSource<T> source(ObjectStore store, ObjectKind<T> kind, RelayCodec<T> codec) {
         ChangeSource<T> direct = ChangeSource.of(store, kind);
         RelayedSource<T> source = new RelayedSource<>(
-                kind.name(), direct, codec, selector, clients, timers, h -> sources.forEach(s -> s.onRelayFailed(h)));
+                kind.name(),
+                direct,
+                codec,
+                selector,
+                clients,
+                timers,
+                h -> sources.forEach(s -> s.onRelayFailed(h)),
+                h -> sources.forEach(s -> s.onTurnedAway(h)));
         sources.add(source);
         return source;
     }
