--- a/entry/src/test/java/org/hyssophitch/entry/soak/HostMemoryTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/soak/HostMemoryTest.java
@@ -31,7 +31,7 @@
     private static final int READ_TIMEOUT_MILLIS = 10_000;
     private static final int TIMEOUT_MILLIS = 3_000;
     /** Fewer than the bytes that are kept for further attempts. */
-    private static final int UPLOAD_CHUNKS = 60_000;
+    private static final int UPLOAD_BYTES = 60_000;
 
     private static final int LOG_MILLIS = 1_000;
     private static final int REQUESTS_AFTERWARDS = 20;
@@ -95,7 +95,7 @@
     @Test
     public void hostOutlivesUploadsInSmallChunks() throws Exception {
         servers.forEach(s -> s.setScript((r, c) -> true));
-        byte[] upload = CHUNK.repeat(UPLOAD_CHUNKS).getBytes(StandardCharsets.ISO_8859_1);
+        byte[] upload = CHUNK.repeat(UPLOAD_BYTES).getBytes(StandardCharsets.ISO_8859_1);
         for (int i = 0; i < CALLERS; i++) {
             Socket s = connect();
             String head =
@@ -138,7 +138,7 @@
     /** Guards against uploads that, each within its bound, fill the memory together before they are passed on. */
     @Test
     public void hostOutlivesManyUnfinishedUploads() throws Exception {
-        byte[] body = new byte[UPLOAD_CHUNKS];
+        byte[] body = new byte[UPLOAD_BYTES];
         for (int i = 0; i < MANY_CALLERS * 2; i++) {
             Socket s = connect();
             String length = "\r\nContent-Length: " + (body.length + 1) + "\r\n\r\n";
