--- a/review/stand-ins-2/Convicted.java
+++ b/review/stand-ins-2/Convicted.java
@@ -3,17 +3,24 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
 
 /** Backends crash one after the other while many clients ask for one status; then the hosts are replaced in turn. */
 final class Convicted {
 
     private static final int HOSTS = 5;
     private static final int BACKENDS = 8;
+    private static final int CRASHES = 5;
+    private static final int CLIENTS = 24;
+    private static final long WORK_MILLIS = 200;
+    private static final long DOWN_MILLIS = 4_500;
     private static final String POPULAR = "/status/ben-rinnes";
 
     private final Recorder record;
     private final AtomicInteger[] asked = counters();
     private final AtomicInteger[] served = counters();
+    private final AtomicInteger[] popularAt =
+            IntStream.range(0, BACKENDS).mapToObj(i -> new AtomicInteger()).toArray(AtomicInteger[]::new);
     private volatile boolean isCounting;
     private volatile boolean isEnded;
 
@@ -38,7 +45,14 @@
                 .route("/history/", "safe", "masts", 600, 2_500, 2)
                 .build());
         Backend.Work work = r -> {
-            Thread.sleep(120);
+            boolean isPopular = r.request.target().equals(POPULAR);
+            AtomicInteger running = popularAt[r.backend().number];
+            running.addAndGet(isPopular ? 1 : 0);
+            try {
+                Thread.sleep(WORK_MILLIS);
+            } finally {
+                running.addAndGet(isPopular ? -1 : 0);
+            }
             r.answer(200, new byte[400]);
         };
         List<Backend> backends = new ArrayList<>();
@@ -51,16 +65,16 @@
             fleet.start();
             Thread.sleep(5_000);
             List<Thread> clients = new ArrayList<>();
-            for (int c = 0; c < 16; c++) {
+            for (int c = 0; c < CLIENTS; c++) {
                 int client = c;
                 clients.add(Thread.startVirtualThread(() -> client(client, fleet)));
             }
             Thread.sleep(3_000);
-            for (int i = 0; i < 3; i++) {
+            for (int i = 0; i < CRASHES; i++) {
                 if (isTrouble) {
                     crash(backends.get(i), store);
                 }
-                Thread.sleep(8_000);
+                Thread.sleep(6_000);
             }
             for (Fleet.Host h : fleet.hosts) {
                 if (isTrouble) {
@@ -73,7 +87,7 @@
             }
             Thread.sleep(6_000);
             isCounting = true;
-            Thread.sleep(20_000);
+            Thread.sleep(15_000);
             isEnded = true;
             for (Thread t : clients) {
                 t.join();
@@ -92,13 +106,17 @@
         return share < 0.25 * all;
     }
 
-    private void crash(Backend b, Store store) throws IOException {
+    /** Crashes a backend while it runs at least one of the popular requests. */
+    private void crash(Backend b, Store store) throws IOException, InterruptedException {
+        while (popularAt[b.number].get() == 0) {
+            Thread.sleep(1);
+        }
         record.log("backend %s crashes", b.name());
         String old = b.id();
         b.crash();
         Thread.startVirtualThread(() -> {
             try {
-                Thread.sleep(4_500);
+                Thread.sleep(DOWN_MILLIS);
                 store.remove("servers", old);
                 b.start();
                 store.put("servers", b.id(), b.entry());
@@ -111,7 +129,7 @@
     private void client(int client, Fleet fleet) {
         Random random = new Random(client);
         for (int i = 0; !isEnded; i++) {
-            int kind = random.nextInt(4) == 0 ? 1 : 0;
+            int kind = random.nextInt(5) == 0 ? 1 : 0;
             String path = kind == 0 ? POPULAR : "/history/" + client + '/' + i;
             String id = String.format("%08x%08x", client + 1, i);
             Fleet.Host h = fleet.hosts.get(random.nextInt(HOSTS));
