--- a/review/stand-ins-2/Convicted.java
+++ b/review/stand-ins-2/Convicted.java
@@ -9,9 +9,10 @@
 final class Convicted {
 
     private static final int HOSTS = 5;
-    private static final int BACKENDS = 8;
+    private static final int BACKENDS = 14;
     private static final int CRASHES = 5;
-    private static final int CLIENTS = 24;
+    private static final int DOWN_AT_ONCE = 2;
+    private static final int CLIENTS = 40;
     private static final long WORK_MILLIS = 200;
     private static final long DOWN_MILLIS = 4_500;
     private static final String POPULAR = "/status/ben-rinnes";
@@ -72,7 +73,7 @@
             Thread.sleep(3_000);
             for (int i = 0; i < CRASHES; i++) {
                 if (isTrouble) {
-                    crash(backends.get(i), store);
+                    crash(backends.subList(i * DOWN_AT_ONCE, (i + 1) * DOWN_AT_ONCE), store);
                 }
                 Thread.sleep(6_000);
             }
@@ -106,30 +107,34 @@
         return share < 0.25 * all;
     }
 
-    /** Crashes a backend while it runs at least one of the popular requests. */
-    private void crash(Backend b, Store store) throws IOException, InterruptedException {
-        while (popularAt[b.number].get() == 0) {
+    /** Crashes backends while each of them runs at least one of the popular requests. */
+    private void crash(List<Backend> crashed, Store store) throws IOException, InterruptedException {
+        while (crashed.stream().anyMatch(b -> popularAt[b.number].get() == 0)) {
             Thread.sleep(1);
         }
-        record.log("backend %s crashes", b.name());
-        String old = b.id();
-        b.crash();
-        Thread.startVirtualThread(() -> {
-            try {
-                Thread.sleep(DOWN_MILLIS);
-                store.remove("servers", old);
-                b.start();
-                store.put("servers", b.id(), b.entry());
-            } catch (IOException | InterruptedException e) {
-                throw new IllegalStateException(e);
-            }
-        });
+        for (Backend b : crashed) {
+            record.log("backend %s crashes", b.name());
+            String old = b.id();
+            b.crash();
+            Thread.startVirtualThread(() -> comeBack(b, old, store));
+        }
+    }
+
+    private void comeBack(Backend b, String old, Store store) {
+        try {
+            Thread.sleep(DOWN_MILLIS);
+            store.remove("servers", old);
+            b.start();
+            store.put("servers", b.id(), b.entry());
+        } catch (IOException | InterruptedException e) {
+            record.log("%s doesn't come back: %s", b.name(), e);
+        }
     }
 
     private void client(int client, Fleet fleet) {
         Random random = new Random(client);
         for (int i = 0; !isEnded; i++) {
-            int kind = random.nextInt(5) == 0 ? 1 : 0;
+            int kind = random.nextInt(5) == 0 ? 0 : 1;
             String path = kind == 0 ? POPULAR : "/history/" + client + '/' + i;
             String id = String.format("%08x%08x", client + 1, i);
             Fleet.Host h = fleet.hosts.get(random.nextInt(HOSTS));
--- a/review/stand-ins-2/Fleet.java
+++ b/review/stand-ins-2/Fleet.java
@@ -74,6 +74,20 @@
             }
         }
 
+        /** Returns what the directory of the host answers to a client of its zone. */
+        String directory() {
+            try {
+                HttpURLConnection c = (HttpURLConnection)
+                        URI.create("http://" + ip + ':' + DIRECTORY + "/v1/resolution?name=" + Sender.HOST + "&region=north&zone=zone-x")
+                                .toURL().openConnection();
+                c.setConnectTimeout(500);
+                c.setReadTimeout(500);
+                return new String(c.getInputStream().readAllBytes());
+            } catch (IOException e) {
+                return e.toString();
+            }
+        }
+
         InetSocketAddress front() {
             return new InetSocketAddress(ip, FRONT);
         }
