--- a/review/stand-ins-2/Case.java
+++ b/review/stand-ins-2/Case.java
@@ -16,14 +16,15 @@
         int code = 2;
         try {
             Path record = Files.createTempFile("review-2-", ".txt");
+            record.toFile().deleteOnExit();
             try (Recorder r = new Recorder(record)) {
                 boolean isTrouble = !"0".equals(System.getenv("TROUBLE"));
                 r.log("the run is %s the disruption", isTrouble ? "with" : "without");
                 code = body.isBroken(isTrouble, r) ? 1 : 0;
                 r.log(code == 1 ? "the rule was broken" : "the rule held");
+            } finally {
+                Files.copy(record, Path.of(arguments[0], "record.txt"), StandardCopyOption.REPLACE_EXISTING);
             }
-            Files.copy(record, Path.of(arguments[0], "record.txt"), StandardCopyOption.REPLACE_EXISTING);
-            Files.delete(record);
         } catch (Throwable e) {
             e.printStackTrace();
             code = 2;
--- a/review/stand-ins-2/LeftUploads.java
+++ b/review/stand-ins-2/LeftUploads.java
@@ -80,6 +80,8 @@
             late.incrementAndGet();
             record.log("%s runs at %s with all of its %d bytes, %d ms after its client has left",
                     r.id(), r.backend().name(), r.request.body.length, now - leftAt);
+        } else {
+            record.log("%s runs at %s", r.id(), r.backend().name());
         }
         Thread.sleep(WORK_MILLIS);
         r.answer(200, new byte[1_500]);
@@ -118,6 +120,7 @@
     /** Sends an upload. One that leaves closes its connection, which returns when the host has confirmed the end. */
     private void upload(Fleet.Host h, String id, long leaveAfter) {
         try (Sender s = new Sender(h.front(), DEADLINE_MILLIS)) {
+            record.log("%s is sent to %s", id, h.name);
             s.send(Sender.head("POST", "/upload/" + id, id, DEADLINE_MILLIS, body.length), body);
             if (leaveAfter > 0) {
                 Thread.sleep(leaveAfter);
@@ -127,9 +130,7 @@
                 return;
             }
             Http a = s.answer();
-            if (a == null || a.status() != 200) {
-                record.log("answer to %s: %s", id, a == null ? "connection closed" : a.firstLine);
-            }
+            record.log("answer to %s: %s", id, a == null ? "connection closed" : a.firstLine);
         } catch (IOException | InterruptedException e) {
             record.log("answer to %s: %s", id, e);
         }
--- a/review/stand-ins-2/SplitFleet.java
+++ b/review/stand-ins-2/SplitFleet.java
@@ -122,7 +122,8 @@
             return;
         }
         if (r.request.header("Hyssophitch-Tenant").equals(TENANT) && ran.add(r.id())) {
-            runs.add(new Run(sent.get(r.id()), record.millis()));
+            long sentMillis = sent.get(r.id());
+            runs.add(new Run(sentMillis, record.log("%s, sent at %d, runs at %s", r.id(), sentMillis, r.backend().name())));
         }
         Thread.sleep(10);
         r.answer(200, new byte[100]);
@@ -166,9 +167,10 @@
         try (Sender s = new Sender(h.front(), 5_000)) {
             sent.put(id, record.millis());
             s.send(Sender.head("GET", "/search/" + id, id, 4_000, -1, "Api-Key: " + KEY), new byte[0]);
-            s.answer();
+            Http a = s.answer();
+            record.log("answer to %s at %s: %s", id, h.name, a == null ? "connection closed" : a.firstLine);
         } catch (IOException e) {
-            record.log("answer to %s: %s", id, e);
+            record.log("answer to %s at %s: %s", id, h.name, e);
         }
     }
 
