--- a/review/stand-ins-2/Fleet.java
+++ b/review/stand-ins-2/Fleet.java
@@ -171,7 +171,7 @@
              "seeds":[],"first_start":true,"counts_as_loss":false,
              "limits":{"cpu_share":0.6,"cores":1,"memory_mb":430,"file_descriptors":4100,"link_mbps":1000.0,"disk_mb":0},
              "data_directory":null,"discovery":"platform","entry":"directory","heartbeat_interval_ms":1500,
-             "contracts":["base","drain","config","cost","retry","recover","health","platform"],
+             "contracts":["base","drain","config","cost","retry","recover","health",%s"platform"],
              "fault_tolerance":{"machines":1,"zones":0,"regions":0},
              "bounds":{"seed_lag_s":3,"reuse_after_s":2,"stability_window_ms":3000,"ack_timeout_ms":4000,"catch_up_s":4,
               "drain_period_ms":2000,"grace_period_s":6,"loss_slack_ms":200,"config_apply_ms":2000,
@@ -181,6 +181,7 @@
               "value_bytes":1048576,"min_ttl_ms":1000}}
             """
                 .formatted(h.name, h.ip, h.zone, h.ip, FRONT, h.ip, READY, h.ip, DIRECTORY, INTERNAL, INTERNAL + 15,
+                        extraBounds.isEmpty() ? "" : "\"pool\",\"places\",\"tenants\",\"quota\",",
                         extraBounds, storeAddress);
     }
 
