Fix: hosts followed a change late while their relays were frozen

Cause: no host bounded the age of its own view. It waited up to 1.5 s for each silent relay in turn before it asked the store, and took the answer of a relay for as current as its arrival, whatever the age of the relay's own news.

Change: a lease on each view, renewed by proofs in the host's own clock; when it ends the host asks the store, whatever its relays do. Relays state in each answer up to when their views are complete, and answer when the store has confirmed that nothing changed.

--- a/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
+++ b/core/src/main/java/org/hyssophitch/core/store/KindWatcher.java
@@ -80,6 +80,7 @@
     private PagedList<T> listing = new PagedList<>(false);
     private StorePosition position = StorePosition.NONE;
     private WatchPacing currentPacing = WatchPacing.ALONE;
+    private long watchBeganMicros;
 
     private boolean hasFailed;
     private long reachableSinceMicros;
@@ -214,6 +215,7 @@
         currentPacing = plan.pacing().get();
         int waitMillis = usesRecoveryWatch ? RECOVERY_WATCH_MILLIS : currentPacing.waitMillis();
         usesRecoveryWatch = false;
+        watchBeganMicros = timers.nowMicros();
         plan.source()
                 .watch(
                         position,
@@ -279,7 +281,13 @@
             listener.onChanged(new ArrayList<>(changes.changes()));
         }
         onHandled();
-        steps.pause(changes.changes().isEmpty() ? WATCH_DELAY_MICROS : currentPacing.batchDelayMicros(), this::watch);
+        steps.pause(changes.changes().isEmpty() ? WATCH_DELAY_MICROS : batchDelayMicros(), this::watch);
+    }
+
+    /** Returns the delay before the next watch; a relay's counts from the last one, as its next proof is due soon. */
+    private long batchDelayMicros() {
+        long passedMicros = currentPacing.isRelay() ? timers.nowMicros() - watchBeganMicros : 0;
+        return Math.max(WATCH_DELAY_MICROS, currentPacing.batchDelayMicros() - passedMicros);
     }
 
     private void onHandled() {
--- a/core/src/main/java/org/hyssophitch/core/store/WatchPacing.java
+++ b/core/src/main/java/org/hyssophitch/core/store/WatchPacing.java
@@ -13,8 +13,8 @@
     RELAY(1_000, 200_000),
     /** For a relay of objects that change rarely, where the watch of another kind gives that proof. */
     RELAY_RARE(8_000, 200_000),
-    /** For a host that watches through a relay, where calls have no price. */
-    RELAYED(1_000, 20_000),
+    /** For a host that watches through a relay, where calls have no price; a relay's proof is due within the wait. */
+    RELAYED(1_150, 20_000),
     /** For a host that watches objects through a relay that change rarely. */
     RELAYED_RARE(4_000, 20_000);
 
--- a/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryMetrics.java
@@ -100,6 +100,11 @@
             .help("objects of the store that were found to be unusable, when first seen or changed, by kind")
             .labelNames("kind")
             .register(registry);
+    private final Counter expiredLeases = Counter.builder()
+            .name("hyssophitch_store_leases_expired_total")
+            .help("watches that left their relay because it hadn't shown in time that a view is current, by kind")
+            .labelNames("kind")
+            .register(registry);
     private final BoundedLabels teams = new BoundedLabels(MAX_TEAMS);
 
     PrometheusRegistry registry() {
@@ -179,6 +184,11 @@
         ignoredObjects.labelValues(kind).inc();
     }
 
+    /** Counts a watch whose relay hasn't shown in time that this host's view of a kind of objects is current. */
+    void onLeaseExpired(String kind) {
+        expiredLeases.labelValues(kind).inc();
+    }
+
     void onDroppedLine() {
         droppedLines.inc();
     }
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -112,7 +112,7 @@
                         TcpKeepAlive::enable),
                 this::onStoreEpoch,
                 new InvalidObjectLog(metrics, log)::onInvalid);
-        storeRelay = new StoreRelay(settings, loop, timers, peers::live);
+        storeRelay = new StoreRelay(settings, loop, timers, peers::live, random.split(), metrics::onLeaseExpired);
         ServerKind servers = new ServerKind();
         RelayCodec<RegisteredServer> registrationCodec = new RelayedRegistrationCodec();
         serverWatcher = new RegisteredServerWatcher(
@@ -145,6 +145,16 @@
         storeRelay.registerGauges(metrics);
     }
 
+    /** Returns the name of this entry host. */
+    String host() {
+        return settings.host();
+    }
+
+    /** Returns the event loop on which this host does all its work. */
+    EventLoop loop() {
+        return loop;
+    }
+
     private void onLoopEnd(Runnable onLoopLost) {
         if (!isClosed) {
             onLoopLost.run();
--- a/entry/src/main/java/org/hyssophitch/entry/RelayedKind.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RelayedKind.java
@@ -8,13 +8,16 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongFunction;
 
 import org.hyssophitch.core.store.ChangeLog;
 import org.hyssophitch.core.store.KindWatcher;
+import org.hyssophitch.core.store.RelayedView;
 import org.hyssophitch.core.store.StoreChanges;
 import org.hyssophitch.core.store.StorePosition;
 import org.hyssophitch.core.store.Timers;
 import org.hyssophitch.wire.codec.RelayCodec;
+import org.hyssophitch.wire.codec.RelayedViewCodec;
 import org.hyssophitch.wire.net.HttpReply;
 import org.tinylog.Logger;
 
@@ -23,7 +26,8 @@
  * loop.
  *
  * <p>An answer without changes is given only while the store has recently confirmed that there are none; otherwise the
- * other host is turned away and lists the objects at the store.
+ * other host is turned away and lists the objects at the store. A host that waits is answered when the store confirms
+ * that there are no changes, so that its view is as current as this one.
  *
  * @param <T> type of the decoded value
  */
@@ -34,11 +38,12 @@
     private static final int UNAVAILABLE = 503;
     private static final String CONTENT_TYPE = "application/x-protobuf";
 
-    private record Waiting(StorePosition since, CompletableFuture<HttpReply> reply) {}
+    private record Waiting(StorePosition since, long arrivalMicros, CompletableFuture<HttpReply> reply) {}
 
     private final KindWatcher<T> watcher;
     private final RelayCodec<T> codec;
     private final BooleanSupplier isStoreReachable;
+    private final LongFunction<List<RelayedView>> views;
     private final Timers timers;
     private final Deque<Waiting> waiting = new ArrayDeque<>();
 
@@ -47,11 +52,18 @@
      *
      * @param watcher watches the kind at the store
      * @param isStoreReachable tells whether the store has recently answered a call of any kind
+     * @param views returns what this host states about its views, counted from a time in microseconds
      */
-    RelayedKind(KindWatcher<T> watcher, RelayCodec<T> codec, BooleanSupplier isStoreReachable, Timers timers) {
+    RelayedKind(
+            KindWatcher<T> watcher,
+            RelayCodec<T> codec,
+            BooleanSupplier isStoreReachable,
+            LongFunction<List<RelayedView>> views,
+            Timers timers) {
         this.watcher = watcher;
         this.codec = codec;
         this.isStoreReachable = isStoreReachable;
+        this.views = views;
         this.timers = timers;
         watcher.changeLog().setObserver(this::answerWaiting);
     }
@@ -70,12 +82,12 @@
 
     private HttpReply objects() {
         return isCurrent()
-                ? reply(codec.encodeObjects(log().objects(), log().position()))
+                ? reply(codec.encodeObjects(log().objects(), log().position()), timers.nowMicros())
                 : HttpReply.empty(UNAVAILABLE);
     }
 
     private CompletionStage<HttpReply> changes(StorePosition since, int waitMillis) {
-        Waiting w = new Waiting(since, new CompletableFuture<>());
+        Waiting w = new Waiting(since, timers.nowMicros(), new CompletableFuture<>());
         if (!answerIfChanged(w)) {
             watcher.renewWatch();
             waiting.add(w);
@@ -86,6 +98,10 @@
 
     private void answerWaiting() {
         List.copyOf(waiting).stream().filter(this::answerOrTurnAway).forEach(waiting::remove);
+        if (!waiting.isEmpty()) {
+            // Other answers of the store that have arrived are handled first: they may contain changes of this kind.
+            timers.after(0, () -> List.copyOf(waiting).forEach(this::confirm));
+        }
     }
 
     /** A failure to answer another host must not spoil the handling of the change in this one. */
@@ -111,13 +127,23 @@
         if (changes.isEmpty()) {
             return w.reply().complete(HttpReply.empty(GONE));
         }
-        return !changes.get().changes().isEmpty() && w.reply().complete(reply(codec.encodeChanges(changes.get())));
+        return !changes.get().changes().isEmpty()
+                && w.reply().complete(reply(codec.encodeChanges(changes.get()), w.arrivalMicros()));
     }
 
     private void endWait(Waiting w) {
-        if (waiting.remove(w)) {
+        if (!isCurrent() && waiting.remove(w)) {
+            w.reply().complete(HttpReply.empty(UNAVAILABLE));
+        } else {
+            confirm(w);
+        }
+    }
+
+    /** Tells a host that waits that there are no changes. */
+    private void confirm(Waiting w) {
+        if (isCurrent() && waiting.remove(w)) {
             StoreChanges<T> none = new StoreChanges<>(List.of(), log().position());
-            w.reply().complete(isCurrent() ? reply(codec.encodeChanges(none)) : HttpReply.empty(UNAVAILABLE));
+            w.reply().complete(reply(codec.encodeChanges(none), w.arrivalMicros()));
         }
     }
 
@@ -129,7 +155,7 @@
         return watcher.changeLog();
     }
 
-    private static HttpReply reply(byte[] body) {
-        return HttpReply.binary(OK, CONTENT_TYPE, body);
+    private HttpReply reply(byte[] body, long arrivalMicros) {
+        return HttpReply.binary(OK, CONTENT_TYPE, RelayedViewCodec.append(body, views.apply(arrivalMicros)));
     }
 }
--- a/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
@@ -1,60 +1,73 @@
 package org.hyssophitch.entry;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import org.hyssophitch.core.membership.Member;
 import org.hyssophitch.core.store.ChangeSource;
 import org.hyssophitch.core.store.RelaySelector;
+import org.hyssophitch.core.store.RelayedView;
 import org.hyssophitch.core.store.StoreChanges;
+import org.hyssophitch.core.store.StoreContact;
 import org.hyssophitch.core.store.StorePage;
 import org.hyssophitch.core.store.StorePosition;
 import org.hyssophitch.core.store.StoreResult;
 import org.hyssophitch.core.store.Timers;
+import org.hyssophitch.core.store.ViewLease;
 import org.hyssophitch.core.store.WatchPacing;
 import org.hyssophitch.wire.codec.RelayCodec;
-import org.hyssophitch.wire.net.HttpClient;
 import org.tinylog.Logger;
 
 /**
  * Reads one kind of objects from the store or through a relay. Not thread-safe; confined to the event loop.
  *
  * <p>Objects are listed at the store, and through a relay if the store turns this host away. Changes are watched
- * through a relay, and at the store if this host is to do so or the relay doesn't answer. Positions are always those of
- * the store, so a watcher can change between both at any time. A relay that turns this host away may have missed
- * changes, and so may a watch that begins at that moment: then the objects are listed.
+ * through a relay, and at the store if this host is to do so, the relay doesn't answer, or no relay has shown lately
+ * that this host's view is complete. Positions are always those of the store, so a watcher can change between both at
+ * any time. A relay that turns this host away may have missed changes, and so may a watch that begins at that moment:
+ * then the objects are listed.
  *
  * @param <T> type of the decoded value
  */
 final class RelayedSource<T> implements ChangeSource<T> {
 
-    /** Decodes the body of a relay's answer. */
-    @FunctionalInterface
-    private interface Decoder<V> {
-        StoreResult<V> decode(byte[] body) throws InvalidProtocolBufferException;
-    }
+    /**
+     * What the sources of all kinds share.
+     *
+     * @param selector chooses the relay
+     * @param contact when the store last answered this host
+     * @param caller sends requests to relays
+     * @param watches the watches of all kinds, to which this one is added
+     */
+    record Shared(
+            RelaySelector selector, StoreContact contact, RelayCaller caller, RelayWatches watches, Timers timers) {}
 
-    /** Time in milliseconds beyond its wait after which an unanswered request counts as failed. */
-    private static final int TIMEOUT_MARGIN_MILLIS = 500;
+    /** Maximum wait in milliseconds of a watch at the store in place of one through a relay. */
+    private static final int SUBSTITUTE_WAIT_MILLIS = 2_000;
+    /** Minimum wait in milliseconds of a relay's watch. */
+    private static final int MIN_RELAY_WAIT_MILLIS = 50;
 
-    private static final int OK = 200;
-    private static final int GONE = 410;
-    private static final int UNAVAILABLE = 503;
+    private static final long NONE = Long.MIN_VALUE / 2;
     private static final String NO_RELAY = "";
-    private static final byte[] NO_BODY = new byte[0];
 
     private final String kind;
     private final ChangeSource<T> store;
     private final RelayCodec<T> codec;
     private final RelaySelector selector;
-    private final RelayClients clients;
+    private final StoreContact contact;
+    private final RelayCaller caller;
+    private final RelayWatches watches;
     private final Timers timers;
-    private final Consumer<String> onRelayFailed;
-    private final Consumer<String> onTurnedAway;
+    private final ViewLease lease;
     /** Identifies the current watch; the end of an earlier one is ignored. */
     private long watchId;
+    /** State of the store in microseconds that the latest listing shows; it counts once the listing is taken over. */
+    private long listedMicros = NONE;
+    /** Time in microseconds since which a watch waits at the store. */
+    private long waitingAtStoreMicros = NONE;
 
+    private StorePosition watchedSince = StorePosition.NONE;
     private String currentRelay = NO_RELAY;
     private Runnable restart = () -> {};
     private Runnable listAgain = () -> {};
@@ -64,58 +77,61 @@
      *
      * @param kind name of the kind
      * @param store the store as the source of the kind
-     * @param onRelayFailed called with the name of a relay that has failed a watch, so that those of other kinds leave
-     *     it too
-     * @param onTurnedAway called with the name of a relay that may have missed changes of any kind
+     * @param lease bounds the age of this host's view
      */
-    RelayedSource(
-            String kind,
-            ChangeSource<T> store,
-            RelayCodec<T> codec,
-            RelaySelector selector,
-            RelayClients clients,
-            Timers timers,
-            Consumer<String> onRelayFailed,
-            Consumer<String> onTurnedAway) {
+    RelayedSource(String kind, ChangeSource<T> store, RelayCodec<T> codec, ViewLease lease, Shared shared) {
         this.kind = kind;
         this.store = store;
         this.codec = codec;
-        this.selector = selector;
-        this.clients = clients;
-        this.timers = timers;
-        this.onRelayFailed = onRelayFailed;
-        this.onTurnedAway = onTurnedAway;
+        this.lease = lease;
+        this.selector = shared.selector();
+        this.contact = shared.contact();
+        this.caller = shared.caller();
+        this.watches = shared.watches();
+        this.timers = shared.timers();
     }
 
     @Override
     public void list(String after, boolean allowStale, Consumer<StoreResult<StorePage<T>>> onResult) {
+        leaveWatch();
+        long sentMicros = timers.nowMicros();
         store.list(after, allowStale, r -> {
             boolean hasFailed = observeStore(r);
-            Optional<Member> relay = hasFailed ? selector.otherRelay(timers.nowMicros()) : Optional.empty();
-            if (relay.isEmpty()) {
-                onResult.accept(r);
-                return;
+            if (after.isEmpty()) {
+                listedMicros = sentMicros;
             }
-            RelayRequest request = new RelayRequest.Objects(kind);
-            Decoder<StorePage<T>> decoder = b -> new StoreResult.Done<>(codec.decodeObjects(b));
-            call(relay.get(), request, 0, decoder, fromRelay -> onResult.accept(fromRelay.orElse(r)));
+            Optional<Member> relay = hasFailed ? selector.otherRelay(timers.nowMicros()) : Optional.empty();
+            relay.ifPresentOrElse(m -> listThrough(m, r, onResult), () -> onResult.accept(r));
+        });
+    }
+
+    private void listThrough(
+            Member relay, StoreResult<StorePage<T>> fromStore, Consumer<StoreResult<StorePage<T>>> onResult) {
+        RelayCaller.Decoder<StorePage<T>> decoder = b -> new StoreResult.Done<>(codec.decodeObjects(b));
+        caller.call(relay, new RelayRequest.Objects(kind), 0, decoder, answer -> {
+            answer.ifPresent(a -> listedMicros = a.views().stream()
+                    .filter(v -> v.kind().equals(kind))
+                    .mapToLong(v -> completeMicros(v, a.sentMicros()))
+                    .findFirst()
+                    .orElse(a.sentMicros()));
+            onResult.accept(answer.map(RelayCaller.Answer::result).orElse(fromStore));
         });
     }
 
     @Override
     public void watch(StorePosition since, int waitMillis, Consumer<StoreResult<StoreChanges<T>>> onResult) {
-        watchId++;
-        Optional<Member> relay = selector.relay(timers.nowMicros());
+        leaveWatch();
+        lease.renew(listedMicros);
+        listedMicros = NONE;
+        long now = timers.nowMicros();
+        Optional<Member> relay = lease.isUsable(now) ? selector.relay(now) : Optional.empty();
         currentRelay = relay.map(Member::host).orElse(NO_RELAY);
+        watchedSince = since;
         restart = () -> watch(since, waitMillis, onResult);
         listAgain = () -> onResult.accept(new StoreResult.HistoryGone<>());
-        if (relay.isEmpty()) {
-            boolean isSubstitute = selector.pacing(timers.nowMicros()) == WatchPacing.RELAYED;
-            int wait = isSubstitute ? Math.min(waitMillis, WatchPacing.RELAYED.waitMillis()) : waitMillis;
-            watchStore(since, wait, onResult);
-        } else {
-            watchThrough(relay.get(), new RelayRequest.Changes(kind, since, waitMillis), onResult);
-        }
+        relay.ifPresentOrElse(
+                m -> watchThrough(m, new RelayRequest.Changes(kind, since, waitMillis), onResult),
+                () -> watchStore(since, waitMillis, onResult));
     }
 
     @Override
@@ -126,6 +142,11 @@
         });
     }
 
+    /** Returns the time in microseconds up to which this host's view is known to be complete. */
+    long completeMicros() {
+        return Math.max(lease.completeMicros(), contact.completeMicros(waitingAtStoreMicros));
+    }
+
     /** Lets a watch that waits for a failed relay choose another source. */
     void onRelayFailed(String relay) {
         if (currentRelay.equals(relay)) {
@@ -136,100 +157,140 @@
     /** Ends a watch that waits for a relay which may have missed changes; a new watch could miss them too. */
     void onTurnedAway(String relay) {
         if (currentRelay.equals(relay)) {
-            watchId++;
-            currentRelay = NO_RELAY;
+            leaveWatch();
             listAgain.run();
         }
     }
 
+    /** Takes over what the current relay states, unless it has passed on changes that haven't arrived yet. */
+    void onView(String relay, RelayedView view, long sentMicros) {
+        boolean hasAll =
+                view.position().isSameEpoch(watchedSince) && view.position().revision() <= watchedSince.revision();
+        if (currentRelay.equals(relay) && hasAll) {
+            lease.renew(completeMicros(view, sentMicros));
+        }
+    }
+
+    /** Takes over that the current relay, which is of an earlier release, has answered. */
+    void onAnswerWithoutViews(String relay) {
+        if (currentRelay.equals(relay)) {
+            lease.renew(timers.nowMicros());
+        }
+    }
+
+    private void leaveWatch() {
+        watchId++;
+        currentRelay = NO_RELAY;
+        waitingAtStoreMicros = NONE;
+    }
+
     private void watchThrough(
             Member relay, RelayRequest.Changes request, Consumer<StoreResult<StoreChanges<T>>> onResult) {
         long current = watchId;
-        Decoder<StoreChanges<T>> decoder = b -> codec.decodeChanges(b)
+        RelayCaller.Decoder<StoreChanges<T>> decoder = b -> codec.decodeChanges(b)
                 .<StoreResult<StoreChanges<T>>>map(StoreResult.Done::new)
                 .orElseGet(StoreResult.HistoryGone::new);
-        call(relay, request, request.waitMillis(), decoder, result -> {
+        awaitLeaseEnd(relay.host(), current);
+        caller.call(relay, request, request.waitMillis(), decoder, answer -> {
             if (current != watchId) {
                 return;
             }
-            if (result.isEmpty()) {
-                onRelayFailed.accept(relay.host());
+            if (answer.isEmpty()) {
+                watches.onRelayFailed(relay.host());
                 return;
             }
-            currentRelay = NO_RELAY;
+            observeViews(relay.host(), answer.get());
+            leaveWatch();
             if (selector.isAvoided(relay.host(), timers.nowMicros())) {
-                onTurnedAway.accept(relay.host());
+                watches.onTurnedAway(relay.host());
+            }
+            onResult.accept(answer.get().result());
+        });
+    }
+
+    /** Renews this view's lease by an answer that is about to be taken over, and those of the other kinds. */
+    private void observeViews(String relay, RelayCaller.Answer<StoreChanges<T>> answer) {
+        if (!(answer.result() instanceof StoreResult.Done<StoreChanges<T>> done)) {
+            return;
+        }
+        watchedSince = done.value().position();
+        if (answer.views().isEmpty()) {
+            watches.onAnswerWithoutViews(relay);
+        } else {
+            watches.onViews(relay, answer.views(), answer.sentMicros());
+        }
+    }
+
+    private void awaitLeaseEnd(String relay, long id) {
+        timers.after(lease.remainingMicros(timers.nowMicros()), () -> {
+            if (id != watchId) {
+                return;
             }
-            onResult.accept(result.get());
+            long now = timers.nowMicros();
+            if (lease.remainingMicros(now) > 0) {
+                awaitLeaseEnd(relay, id);
+                return;
+            }
+            Logger.info(
+                    "relay {} has not shown for {} ms that the view of {} is current",
+                    relay,
+                    TimeUnit.MICROSECONDS.toMillis(now - lease.completeMicros()),
+                    kind);
+            selector.onRelayFailed(relay, now);
+            watches.onLeaseExpired(kind, relay);
         });
     }
 
     private void watchStore(StorePosition since, int waitMillis, Consumer<StoreResult<StoreChanges<T>>> onResult) {
-        store.watch(since, waitMillis, r -> {
+        long current = watchId;
+        long sentMicros = timers.nowMicros();
+        int wait = storeWaitMillis(waitMillis, sentMicros);
+        waitingAtStoreMicros = sentMicros;
+        store.watch(since, wait, r -> {
             observeStore(r);
+            if (current == watchId && r instanceof StoreResult.Done<StoreChanges<T>> done) {
+                observeAnswer(done.value(), sentMicros, wait);
+                leaveWatch();
+            }
             onResult.accept(r);
         });
     }
 
+    /** An answer without changes shows the state at the end of the wait, any other one that at its begin or later. */
+    private void observeAnswer(StoreChanges<T> changes, long sentMicros, int waitMillis) {
+        long endMicros = Math.min(timers.nowMicros(), sentMicros + TimeUnit.MILLISECONDS.toMicros(waitMillis));
+        long stateMicros = changes.changes().isEmpty() ? endMicros : sentMicros;
+        contact.onAnswered(stateMicros);
+        lease.renew(stateMicros);
+    }
+
+    /** Returns the wait of a watch at the store; a relay's ends when its view would be too old for the other hosts. */
+    private int storeWaitMillis(int waitMillis, long nowMicros) {
+        WatchPacing pacing = selector.pacing(nowMicros);
+        if (pacing == WatchPacing.RELAYED) {
+            return Math.min(waitMillis, SUBSTITUTE_WAIT_MILLIS);
+        }
+        if (pacing == WatchPacing.RELAY && waitMillis <= WatchPacing.RELAY.waitMillis()) {
+            long ageMillis = TimeUnit.MICROSECONDS.toMillis(nowMicros - completeMicros());
+            return (int) Math.max(MIN_RELAY_WAIT_MILLIS, waitMillis - ageMillis);
+        }
+        return waitMillis;
+    }
+
     /** Tells the selector whether the store serves this host; returns whether the call failed. */
     private boolean observeStore(StoreResult<?> result) {
         boolean hasFailed = result instanceof StoreResult.Refused || result instanceof StoreResult.MayBeDone;
+        long now = timers.nowMicros();
         if (hasFailed) {
-            selector.onStoreFailed(timers.nowMicros());
+            selector.onStoreFailed(now);
+            contact.onFailed(now);
         } else {
             selector.onStoreAnswered();
         }
         return hasFailed;
     }
 
-    /** Sends a request; the result is empty if the relay failed or turned this host away. */
-    private <V> void call(
-            Member relay,
-            RelayRequest request,
-            int waitMillis,
-            Decoder<V> decoder,
-            Consumer<Optional<StoreResult<V>>> onResult) {
-        int timeoutMillis = waitMillis + TIMEOUT_MARGIN_MILLIS;
-        clients.of(relay).call("GET", request.target(), NO_BODY, timeoutMillis, o -> {
-            Optional<StoreResult<V>> result = interpret(o, decoder);
-            if (!isAnswered(o)) {
-                recordFailure(relay, o);
-            }
-            onResult.accept(result);
-        });
-    }
-
-    private <V> Optional<StoreResult<V>> interpret(HttpClient.Outcome outcome, Decoder<V> decoder) {
-        return switch (outcome) {
-            case HttpClient.Outcome.Failed f -> Optional.empty();
-            case HttpClient.Outcome.Answered a when a.status() == OK -> decode(a.body(), decoder);
-            case HttpClient.Outcome.Answered a ->
-                a.status() == GONE || a.status() == UNAVAILABLE
-                        ? Optional.of(new StoreResult.HistoryGone<>())
-                        : Optional.empty();
-        };
-    }
-
-    private <V> Optional<StoreResult<V>> decode(byte[] body, Decoder<V> decoder) {
-        try {
-            return Optional.of(decoder.decode(body));
-        } catch (InvalidProtocolBufferException e) {
-            Logger.warn("cannot decode a relay's answer about {}: {}", kind, e.toString());
-            return Optional.empty();
-        }
-    }
-
-    private static boolean isAnswered(HttpClient.Outcome outcome) {
-        return outcome instanceof HttpClient.Outcome.Answered a && (a.status() == OK || a.status() == GONE);
-    }
-
-    private void recordFailure(Member relay, HttpClient.Outcome outcome) {
-        selector.onRelayFailed(relay.host(), timers.nowMicros());
-        String detail =
-                switch (outcome) {
-                    case HttpClient.Outcome.Failed f -> f.failure().name();
-                    case HttpClient.Outcome.Answered a -> "status " + a.status();
-                };
-        Logger.info("relay {} failed a request for {}: {}", relay.host(), kind, detail);
+    private static long completeMicros(RelayedView view, long sentMicros) {
+        return sentMicros + TimeUnit.MILLISECONDS.toMicros(view.completeMillis());
     }
 }
--- a/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
+++ b/entry/src/main/java/org/hyssophitch/entry/StoreRelay.java
@@ -1,13 +1,14 @@
 package org.hyssophitch.entry;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoop;
@@ -18,7 +19,10 @@
 import org.hyssophitch.core.store.ObjectKind;
 import org.hyssophitch.core.store.ObjectStore;
 import org.hyssophitch.core.store.RelaySelector;
+import org.hyssophitch.core.store.RelayedView;
+import org.hyssophitch.core.store.StoreContact;
 import org.hyssophitch.core.store.Timers;
+import org.hyssophitch.core.store.ViewLease;
 import org.hyssophitch.core.store.WatchPacing;
 import org.hyssophitch.core.store.WatchPlan;
 import org.hyssophitch.wire.codec.RelayCodec;
@@ -34,22 +38,35 @@
     private static final int MISDIRECTED = 421;
 
     private static final double MICROS_PER_SECOND = 1_000_000.0;
+    private static final long MICROS_PER_MILLI = 1_000;
 
     private final RelaySelector selector;
-    private final RelayClients clients;
     private final Timers timers;
-    private final List<RelayedSource<?>> sources = new ArrayList<>();
+    private final RandomGenerator random;
+    private final RelayWatches watches;
+    private final RelayedSource.Shared shared;
     private final Map<String, RelayedKind<?>> served = new HashMap<>();
 
     /**
      * Creates a relay that serves no kind yet.
      *
      * @param live supplies the live members, including this host
+     * @param random seeded random generator
+     * @param onLeaseExpired called with the kind of objects for which no relay has shown lately that it is current
      */
-    StoreRelay(EntrySettings settings, EventLoop loop, Timers timers, Supplier<List<Member>> live) {
+    StoreRelay(
+            EntrySettings settings,
+            EventLoop loop,
+            Timers timers,
+            Supplier<List<Member>> live,
+            RandomGenerator random,
+            Consumer<String> onLeaseExpired) {
         this.selector = new RelaySelector(settings.host(), settings.zone(), live);
-        this.clients = new RelayClients(loop);
         this.timers = timers;
+        this.random = random;
+        this.watches = new RelayWatches(onLeaseExpired);
+        RelayCaller caller = new RelayCaller(selector, new RelayClients(loop), timers);
+        this.shared = new RelayedSource.Shared(selector, new StoreContact(), caller, watches, timers);
     }
 
     /** Returns the plan by which this host watches a kind of objects. */
@@ -64,7 +81,7 @@
 
     /** Lets other hosts read a kind of objects through this host. */
     <T> void serve(String kind, KindWatcher<T> watcher, RelayCodec<T> codec) {
-        served.put(kind, new RelayedKind<>(watcher, codec, this::isStoreReachable, timers));
+        served.put(kind, new RelayedKind<>(watcher, codec, this::isStoreReachable, this::views, timers));
     }
 
     /** Lets each watch whose current step is overdue list again. */
@@ -80,6 +97,21 @@
                 "kind",
                 served.entrySet().stream()
                         .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, e -> silentSeconds(e.getValue()))));
+        registerAges(metrics);
+    }
+
+    /** Registers gauges that tell for each kind how old this host's view may be. */
+    private void registerAges(EntryMetrics metrics) {
+        metrics.registerGauge(
+                "hyssophitch_store_view_age_seconds",
+                "time since the moment up to which this host's view of a kind of objects is known to be complete",
+                "kind",
+                watches.byKind().entrySet().stream()
+                        .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, e -> ageSeconds(e.getValue()))));
+    }
+
+    private DoubleSupplier ageSeconds(RelayedSource<?> source) {
+        return () -> (timers.nowMicros() - source.completeMicros()) / MICROS_PER_SECOND;
     }
 
     private static DoubleSupplier silentSeconds(RelayedKind<?> kind) {
@@ -100,20 +132,23 @@
     }
 
     private <T> RelayedSource<T> source(ObjectStore store, ObjectKind<T> kind, RelayCodec<T> codec) {
-        ChangeSource<T> direct = ChangeSource.of(store, kind);
-        RelayedSource<T> source = new RelayedSource<>(
-                kind.name(),
-                direct,
-                codec,
-                selector,
-                clients,
-                timers,
-                h -> sources.forEach(s -> s.onRelayFailed(h)),
-                h -> sources.forEach(s -> s.onTurnedAway(h)));
-        sources.add(source);
+        RelayedSource<T> source =
+                new RelayedSource<>(kind.name(), ChangeSource.of(store, kind), codec, new ViewLease(random), shared);
+        watches.add(kind.name(), source);
         return source;
     }
 
+    /** Returns what this host states about its views, counted from a time in microseconds. */
+    private List<RelayedView> views(long arrivalMicros) {
+        return served.entrySet().stream()
+                .map(e -> new RelayedView(
+                        e.getKey(),
+                        e.getValue().watcher().changeLog().position(),
+                        Math.floorDiv(
+                                watches.byKind().get(e.getKey()).completeMicros() - arrivalMicros, MICROS_PER_MILLI)))
+                .toList();
+    }
+
     private boolean isStoreReachable() {
         long now = timers.nowMicros();
         return served.values().stream().anyMatch(k -> k.watcher().changeLog().isRecent(now));
--- a/entry/src/test/java/org/hyssophitch/entry/RelayedKindTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/RelayedKindTest.java
@@ -46,7 +46,7 @@
                 new SplittableRandom(1),
                 new Recording());
         RelayedKind<RegisteredServer> relayed =
-                new RelayedKind<>(watcher, new RelayedRegistrationCodec(), () -> true, timers);
+                new RelayedKind<>(watcher, new RelayedRegistrationCodec(), () -> true, t -> List.of(), timers);
         watcher.start();
         CompletableFuture<HttpReply> reply = relayed.handle(
                         new RelayRequest.Changes("servers", new StorePosition(1, 1), 1_000))
--- a/entry/src/test/java/org/hyssophitch/entry/StoreRelayTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/StoreRelayTest.java
@@ -1,29 +1,24 @@
 package org.hyssophitch.entry;
 
 import java.util.List;
-import java.util.stream.IntStream;
 
 import org.hyssophitch.core.entry.EntrySettings;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
-import static org.testng.Assert.fail;
 
 /** A fleet that is large enough for its hosts to read the store through each other. */
-public class StoreRelayTest extends EntryProgramFixture {
+public class StoreRelayTest extends RelayedFleetFixture {
 
     private static final int FLEET_SIZE = 17;
-    /** Time in milliseconds within which hosts that all start at once must serve and know each other. */
-    private static final long RECOVERY_MILLIS = 15_000;
-
     private static final int CHANGES = 10;
     private static final long CHANGE_INTERVAL_MILLIS = 500;
 
     /** A change wakes the relays, not every host: calls to the store have a price. */
     @Test
     public void aChangeCostsFewCallsAndReachesAllHostsInTime() throws Exception {
-        List<EntrySettings> fleet = startFleet();
+        List<EntrySettings> fleet = startFleet(FLEET_SIZE);
         int before = watches();
         for (int i = 2; i <= CHANGES + 1; i++) {
             register("i-2", second, "svc", i % 2 == 0 ? "draining" : "ready", i);
@@ -42,7 +37,7 @@
     /** Relays that the store no longer answers must not hide a change from the hosts behind them. */
     @Test
     public void changesReachAllHostsSoonAfterAnOutage() throws Exception {
-        List<EntrySettings> fleet = startFleet();
+        List<EntrySettings> fleet = startFleet(FLEET_SIZE);
         store.setFailureMode(FakeStore.FailureMode.UNAVAILABLE);
         store.compact();
         Thread.sleep(APPLY_DEADLINE_MILLIS);
@@ -59,7 +54,7 @@
     /** A store that drops its history is deaf for a moment: a watch that begins then must not be relied on. */
     @Test
     public void changesReachAllHostsInTimeWhenTheRelaysWatchesAreCut() throws Exception {
-        List<EntrySettings> fleet = startFleet();
+        List<EntrySettings> fleet = startFleet(FLEET_SIZE);
         store.setFailureMode(FakeStore.FailureMode.SILENT_WATCHES);
         configure(2, "svc", 1);
         register("i-2", second, "svc", "draining", 3);
@@ -74,7 +69,7 @@
     /** Hosts behind a relay must neither lose a change beside an unusable object nor keep the server it replaced. */
     @Test
     public void changesBesideUnusableObjectsReachAllHostsInTime() throws Exception {
-        List<EntrySettings> fleet = startFleet();
+        List<EntrySettings> fleet = startFleet(FLEET_SIZE);
         store.putRaw("servers", "i-2", "[".repeat(100_000) + "]".repeat(100_000));
         store.putRaw("servers", "a-odd", "{\"slots\":" + "9".repeat(5_000) + "}");
         store.putRaw("servers", "z-odd", "@ nope");
@@ -89,36 +84,9 @@
         fleet.forEach(s -> assertTrue(request(s, "/s/x").endsWith("second"), s.host()));
     }
 
-    private List<EntrySettings> startFleet() throws InterruptedException {
-        configure(1, "svc");
-        register("i-1", first, "svc", "ready");
-        register("i-2", second, "svc", "ready");
-        List<EntrySettings> fleet = IntStream.range(0, FLEET_SIZE)
-                .mapToObj(i -> settings("host-" + i))
-                .toList();
-        fleet.parallelStream().forEach(s -> {
-            EntryProgram program = new EntryProgram(s, () -> fail("the event loop has ended"));
-            synchronized (programs) {
-                programs.add(program);
-            }
-            program.start();
-        });
-        await(() -> fleet.stream().allMatch(s -> ready(s) == 200), RECOVERY_MILLIS);
-        await(() -> fleet.stream().allMatch(s -> addresses(s) == FLEET_SIZE), RECOVERY_MILLIS);
-        // Each host still waits in a watch that it began before it knew the others.
-        register("i-2", second, "svc", "ready", 2);
-        configure(1, "svc", 0);
-        Thread.sleep(APPLY_DEADLINE_MILLIS);
-        return fleet;
-    }
-
     private int watches() {
         return (int) store.calls().stream()
                 .filter(c -> c.equals("GET /v1/objects/servers") || c.equals("GET /v1/objects/config"))
                 .count();
     }
-
-    private static int addresses(EntrySettings s) {
-        return directory(s).split("127\\.0\\.0\\.1", -1).length - 1;
-    }
 }
--- a/wire/src/test/java/org/hyssophitch/wire/codec/EarlierBuildTest.java
+++ b/wire/src/test/java/org/hyssophitch/wire/codec/EarlierBuildTest.java
@@ -12,6 +12,7 @@
 import org.hyssophitch.core.membership.Member;
 import org.hyssophitch.core.membership.MemberState;
 import org.hyssophitch.core.membership.MembershipEngine;
+import org.hyssophitch.core.store.RelayedView;
 import org.hyssophitch.core.store.StoreChanges;
 import org.hyssophitch.core.store.StorePosition;
 import org.hyssophitch.core.store.StoredObject;
@@ -104,6 +105,18 @@
         assertEquals(codec.decodeChanges(relayedBy03a3828(codec.encodeChanges(none))), Optional.of(none));
     }
 
+    /** A relay states how current its views are; hosts of an earlier build ignore it, and their relays don't state it. */
+    @Test
+    public void viewsOfARelayAreNoChangeForAnEarlierBuild() throws Exception {
+        RelayCodec<Configuration> codec = new RelayedConfigurationCodec();
+        StoreChanges<Configuration> none = new StoreChanges<>(List.of(), new StorePosition(3, 41));
+        List<RelayedView> views = List.of(new RelayedView("config", none.position(), -120));
+        byte[] answer = RelayedViewCodec.append(codec.encodeChanges(none), views);
+        assertEquals(RelayedViewCodec.decode(answer), views);
+        assertEquals(codec.decodeChanges(answer), Optional.of(none));
+        assertEquals(RelayedViewCodec.decode(relayedBy03a3828(answer)), List.of());
+    }
+
     /** Returns what a relay of the build 03a3828 sends: the fields that its protocol has. */
     private static byte[] relayedBy03a3828(byte[] encoded) throws InvalidProtocolBufferException {
         Wire.RelayedObjects m = Wire.RelayedObjects.parseFrom(encoded);
