Fix: a long request that crashes servers made hosts take each other for dead

Cause: datagrams above 2,048 bytes were cut off by the receiver and dropped, heartbeats with them. The sender counted the parts of a message and didn't measure them, and each suspicion held the whole request target.

Change: messages are divided into datagrams that travel in one piece and that the earlier build reads; fingerprints above 1,024 bytes are hashed, also those that an earlier build sends; a host reads datagrams of any size. Dropped ones are counted, with a line a second.

--- a/agent/src/main/java/org/hyssophitch/agent/Agent.java
+++ b/agent/src/main/java/org/hyssophitch/agent/Agent.java
@@ -229,6 +229,11 @@
         registerGauge("hyssophitch_control_sent_bytes", "bytes sent to other agents", datagrams::bytesSent);
         registerGauge(
                 "hyssophitch_control_received_bytes", "bytes received from other agents", datagrams::bytesReceived);
+        registerGauge("hyssophitch_datagrams_malformed", "datagrams that were dropped", datagrams::malformed);
+        registerGauge(
+                "hyssophitch_datagrams_undeliverable",
+                "parts of messages that fit into no datagram",
+                datagrams::undeliverable);
     }
 
     private void registerGauge(String name, String help, LongSupplier value) {
--- a/core/src/main/java/org/hyssophitch/core/team/MissingAlgorithmException.java
+++ b/core/src/main/java/org/hyssophitch/core/team/MissingAlgorithmException.java
@@ -1,11 +1,11 @@
 package org.hyssophitch.core.team;
 
 /** Thrown when the Java platform lacks the algorithm of key digests, which every conforming one provides. */
-final class MissingAlgorithmException extends RuntimeException {
+public final class MissingAlgorithmException extends RuntimeException {
 
     private static final long serialVersionUID = 1L;
 
-    MissingAlgorithmException(String algorithm, Throwable cause) {
+    public MissingAlgorithmException(String algorithm, Throwable cause) {
         super("missing digest algorithm: " + algorithm, cause);
     }
 }
--- a/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryProgram.java
@@ -189,6 +189,7 @@
         new HostEndpoints(this::isReady, peers, () -> settings.bounds().maxTtlSeconds(), metrics, storeRelay)
                 .open(group, settings.addresses());
         peers.open(group);
+        peers.registerGauges(metrics);
         runOnLoop(() -> {
             peers.start(
                     storeRelay::checkWatches,
--- a/entry/src/main/java/org/hyssophitch/entry/EntryRules.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryRules.java
@@ -6,6 +6,7 @@
 import org.hyssophitch.core.configuration.CallerLimits;
 import org.hyssophitch.core.configuration.Route;
 import org.hyssophitch.core.entry.RequestRouter;
+import org.hyssophitch.core.health.Fingerprint;
 import org.hyssophitch.core.team.Caller;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.http.RequestRules;
@@ -57,7 +58,7 @@
                         head.requestId(),
                         headers.deadlineMillis(head.headers()).orElse(0),
                         replayable,
-                        origin(head, caller) + ' ' + fingerprint,
+                        Fingerprint.bounded(origin(head, caller) + ' ' + fingerprint),
                         arrived,
                         headers.forwardedAttempts(head.headers()),
                         caller));
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -111,6 +111,15 @@
         endpoint = new DatagramEndpoint(group, Addresses.parse(local), this::onDatagram);
     }
 
+    /** Registers gauges of what couldn't be received or sent; the socket must be open. */
+    void registerGauges(EntryMetrics metrics) {
+        metrics.registerGauge("hyssophitch_datagrams_malformed", "datagrams that were dropped", endpoint::malformed);
+        metrics.registerGauge(
+                "hyssophitch_datagrams_undeliverable",
+                "parts of messages to other hosts that fit into no datagram",
+                endpoint::undeliverable);
+    }
+
     /**
      * Starts the heartbeat timer.
      *
--- a/proxy/src/main/java/org/hyssophitch/proxy/CallRules.java
+++ b/proxy/src/main/java/org/hyssophitch/proxy/CallRules.java
@@ -8,6 +8,7 @@
 import org.hyssophitch.core.configuration.CallerLimits;
 import org.hyssophitch.core.configuration.Route;
 import org.hyssophitch.core.entry.RequestRouter;
+import org.hyssophitch.core.health.Fingerprint;
 import org.hyssophitch.core.team.Caller;
 import org.hyssophitch.core.timeline.EventBody;
 import org.hyssophitch.http.RequestRules;
--- a/wire/src/main/java/org/hyssophitch/wire/codec/MemberCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/MemberCodec.java
@@ -4,6 +4,7 @@
 
 import org.hyssophitch.core.control.AgedLoadReport;
 import org.hyssophitch.core.control.LeavingNotice;
+import org.hyssophitch.core.health.Fingerprint;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.membership.Member;
 import org.hyssophitch.core.membership.MemberState;
@@ -116,9 +117,11 @@
                 .toList();
     }
 
+    /** A host of an earlier build sends the whole content of a long request as its fingerprint. */
     static List<Suspicion> decodeSuspicions(List<Wire.Suspicion> list) {
         return list.stream()
-                .map(s -> new Suspicion(s.getFingerprint(), s.getServer(), s.getCrashMicros(), s.getScore()))
+                .map(s -> new Suspicion(
+                        Fingerprint.bounded(s.getFingerprint()), s.getServer(), s.getCrashMicros(), s.getScore()))
                 .toList();
     }
 }
--- a/wire/src/main/java/org/hyssophitch/wire/net/DatagramEndpoint.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/DatagramEndpoint.java
@@ -10,6 +10,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
@@ -25,6 +26,8 @@
     private final Channel channel;
     private final LongAdder bytesSent = new LongAdder();
     private final LongAdder bytesReceived = new LongAdder();
+    private final BoundedWarning malformed = new BoundedWarning("dropped a malformed datagram");
+    private final BoundedWarning undeliverable = new BoundedWarning("left out a part that fits into no datagram");
 
     /**
      * Opens and binds the socket.
@@ -34,13 +37,19 @@
      * @param receiver called on the event loop for each datagram
      */
     public DatagramEndpoint(EventLoopGroup group, InetSocketAddress local, Consumer<Wire.AgentDatagram> receiver) {
-        Bootstrap bootstrap =
-                new Bootstrap().group(group).channel(NioDatagramChannel.class).handler(new Receiver(receiver));
+        Bootstrap bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioDatagramChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new DatagramBuffer())
+                .handler(new Receiver(receiver));
         channel = Binding.bind(bootstrap, local);
     }
 
-    /** Sends a datagram without guarantee of delivery; one to a malformed address is dropped. */
-    public void send(String address, Wire.AgentDatagram datagram) {
+    /**
+     * Sends a message without guarantee of delivery, in as many datagrams as it needs; one to a malformed address is
+     * dropped.
+     */
+    public void send(String address, Wire.AgentDatagram message) {
         InetSocketAddress to;
         try {
             to = Addresses.parse(address);
@@ -48,9 +57,12 @@
             Logger.debug("dropped a datagram: {}", e.getMessage());
             return;
         }
-        byte[] bytes = datagram.toByteArray();
-        bytesSent.add(bytes.length);
-        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
+        DatagramDivider.divide(message, n -> undeliverable.add(n + " bytes")).forEach(d -> send(to, d.toByteArray()));
+    }
+
+    private void send(InetSocketAddress to, byte[] datagram) {
+        bytesSent.add(datagram.length);
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), to));
     }
 
     /** Returns the number of payload bytes sent so far. */
@@ -63,6 +75,16 @@
         return bytesReceived.sum();
     }
 
+    /** Returns the number of datagrams that were dropped because they are malformed. */
+    public long malformed() {
+        return malformed.count();
+    }
+
+    /** Returns the number of parts of messages that were left out because no datagram is large enough for them. */
+    public long undeliverable() {
+        return undeliverable.count();
+    }
+
     @Override
     public void close() {
         channel.close().syncUninterruptibly();
@@ -82,7 +104,7 @@
             try {
                 receiver.accept(Wire.AgentDatagram.parseFrom(bytes));
             } catch (InvalidProtocolBufferException e) {
-                Logger.warn("dropped a malformed datagram of {} bytes from {}", bytes.length, packet.sender());
+                malformed.add(bytes.length + " bytes from " + packet.sender());
             }
         }
 
--- a/wire/src/test/java/org/hyssophitch/wire/codec/EarlierBuildTest.java
+++ b/wire/src/test/java/org/hyssophitch/wire/codec/EarlierBuildTest.java
@@ -105,7 +105,7 @@
         assertEquals(codec.decodeChanges(relayedBy03a3828(codec.encodeChanges(none))), Optional.of(none));
     }
 
-    /** A relay states how current its views are; hosts of an earlier build ignore it, and their relays don't state it. */
+    /** A relay states how current its views are; an earlier build ignores it, and its relays don't state it. */
     @Test
     public void viewsOfARelayAreNoChangeForAnEarlierBuild() throws Exception {
         RelayCodec<Configuration> codec = new RelayedConfigurationCodec();
