Fix: requests ran after their callers had left, as the host had stopped reading

Cause: a connection that isn't read is blind. Its end, and with the Java platform's selectors a reset too, lies behind the bytes that wait, and the host stops reading at 64 KiB of a waiting body and at 16 requests of a connection.

Change: the event loops use Netty's native epoll transport on Linux (x86-64 and arm64), which reports resets at once; while a connection isn't read, the state of its socket is asked each 100 ms. A host reads 256 KiB of an upload ahead while uploads take less than half of their memory.

--- a/entry/src/main/java/org/hyssophitch/entry/EntryGauges.java
+++ b/entry/src/main/java/org/hyssophitch/entry/EntryGauges.java
@@ -32,6 +32,10 @@
                 "hyssophitch_upload_bytes", "bytes of request bodies not passed on yet", dispatcher::uploadBytes);
         metrics.registerGauge("hyssophitch_quotas_owned", "teams whose quota this host owns", dispatcher::ownedQuotas);
         metrics.registerGauge("hyssophitch_caller_connections", "connections of callers", front::connections);
+        metrics.registerGauge(
+                "hyssophitch_callers_left_unread",
+                "callers that left while their connection wasn't read",
+                front::leftUnread);
         metrics.registerGauge(
                 "hyssophitch_cold_servers",
                 "backend servers that are limited while they are cold",
--- a/entry/src/main/java/org/hyssophitch/entry/RelayCaller.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RelayCaller.java
@@ -14,7 +14,7 @@
 import org.hyssophitch.wire.net.HttpClient;
 import org.tinylog.Logger;
 
-/** Sends requests to relays and tells the selector of those that failed. Not thread-safe; confined to the event loop. */
+/** Sends requests to relays, and tells the selector which of them failed. Not thread-safe; confined to one thread. */
 final class RelayCaller {
 
     /** Decodes the body of a relay's answer. */
--- a/entry/src/test/java/org/hyssophitch/entry/CostServer.java
+++ b/entry/src/test/java/org/hyssophitch/entry/CostServer.java
@@ -13,7 +13,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -21,6 +20,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import org.hyssophitch.wire.net.Transports;
 
 /** Stand-in of all backend servers at one address, which answers requests after some time and probes at once. */
 final class CostServer implements AutoCloseable {
@@ -35,7 +35,7 @@
     CostServer(EventLoopGroup group, int port) {
         channel = new ServerBootstrap()
                 .group(group)
-                .channel(NioServerSocketChannel.class)
+                .channel(Transports.serverChannel(group))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel c) {
--- a/entry/src/test/java/org/hyssophitch/entry/FrozenRelaysTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/FrozenRelaysTest.java
@@ -25,7 +25,7 @@
         return new Object[][] {{0}, {4}};
     }
 
-    /** Hosts in touch applied a configuration and a server's leaving up to 3.6 s late while their relays were frozen. */
+    /** Hosts applied a configuration and a server's leaving up to 3.6 s late while their relays were frozen. */
     @Test(dataProvider = "furtherHosts")
     public void changeIsInForceInTimeWhileAllRelaysAreFrozen(int further) throws Exception {
         List<EntrySettings> fleet = startFleet(FLEET_SIZE);
--- a/entry/src/test/java/org/hyssophitch/entry/QueuedCallTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/QueuedCallTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 
 import org.hyssophitch.wire.concurrent.Pause;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertTrue;
@@ -48,6 +49,36 @@
         }
     }
 
+    @DataProvider
+    Object[][] unreadRequests() {
+        return new Object[][] {
+            {DataPath.post("/u/x", "left", "x".repeat(100_000)), false},
+            {DataPath.post("/u/x", "left", "x".repeat(100_000)), true},
+            {DataPath.post("/u/x", "left", "x".repeat(220_000)), false},
+            {DataPath.post("/u/x", "left", "x".repeat(220_000)), true},
+            {DataPath.get("/s/x", "left").repeat(18), false},
+            {DataPath.get("/s/x", "left").repeat(18), true}
+        };
+    }
+
+    /** Uploads and pipelined requests that weren't read whole ran up to 3 s after their callers had left. */
+    @Test(dataProvider = "unreadRequests")
+    public void startsNoAttemptForACallerThatLeftBeforeItWasReadWhole(String requests, boolean isReset)
+            throws Exception {
+        try (ScriptedServer s = new ScriptedServer(QueuedCallTest::respondSlowly);
+                DataPath path = new DataPath(DataPath.LIMITS, s)) {
+            List<Socket> others = saturate(path, s);
+            Socket c = path.connect();
+            c.getOutputStream().write(requests.getBytes(StandardCharsets.ISO_8859_1));
+            c.getOutputStream().flush();
+            c.setSoLinger(true, isReset ? 0 : 5);
+            c.close();
+            Thread.sleep(900);
+            assertTrue(s.requests().stream().noneMatch(r -> r.id().equals("left")), "" + s.requests());
+            closeAll(others);
+        }
+    }
+
     /** A call is queued only while it can still meet its target latency, so it is rejected before that time. */
     @Test
     public void rejectsAQueuedCallBeforeItsTargetLatency() throws Exception {
--- a/http/src/main/java/org/hyssophitch/http/BackendPool.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendPool.java
@@ -14,7 +14,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.hyssophitch.core.call.AnswerFault;
 import org.hyssophitch.core.call.BodyFraming;
@@ -23,6 +22,7 @@
 import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.net.FairReads;
+import org.hyssophitch.wire.net.Transports;
 
 /**
  * Connection pool of one backend server. Not thread-safe; confined to one event loop.
@@ -120,7 +120,7 @@
         BackendConnection connection = new BackendConnection(this);
         ChannelFuture connectFuture = new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channel(Transports.channel(loop))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
--- a/http/src/main/java/org/hyssophitch/http/CallerConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerConnection.java
@@ -26,7 +26,6 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.hyssophitch.core.call.Reason;
-import org.hyssophitch.core.configuration.CallerLimits;
 import org.tinylog.Logger;
 
 /**
@@ -36,17 +35,15 @@
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
-    /** Maximum number of requests of one connection that are processed concurrently. */
-    private static final int MAX_PIPELINED_REQUESTS = 16;
-
     private final CallDispatcher dispatcher;
     private final RequestRules rules;
     private final FrontListener listener;
     private final Deque<CallerExchange> exchanges = new ArrayDeque<>();
+    private final HeadEvaluator heads;
     private final IdleTimer idleTimer;
     private ChannelHandlerContext context;
+    private CallerReading reading;
     private CallerExchange receiving;
-    private CallerExchange pausedBody;
     private ScheduledFuture<?> headTimer;
     private boolean isClosing;
     private boolean acceptsRequests = true;
@@ -57,12 +54,14 @@
         this.dispatcher = dispatcher;
         this.rules = rules;
         this.listener = listener;
+        this.heads = new HeadEvaluator(rules, listener);
         this.idleTimer = new IdleTimer(() -> rules.limits().idleTimeoutMillis(), this::onIdleTimeout);
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
+        reading = new CallerReading(added.channel(), this::onCallerLeft);
     }
 
     @Override
@@ -132,39 +131,14 @@
         receiving = exchange;
         acceptsRequests &= HttpUtil.isKeepAlive(request);
         updateReading();
-        evaluate(exchange, request);
+        // The bytes after an invalid request may still belong to it, so no further request is accepted.
+        acceptsRequests &= HeadEvaluator.isValid(exchange, request);
+        heads.evaluate(exchange, request);
         if (exchange.isAccepted() && HttpUtil.is100ContinueExpected(request)) {
             exchange.sendContinue();
         }
     }
 
-    private void evaluate(CallerExchange exchange, HttpRequest request) {
-        CallerLimits limits = rules.limits();
-        List<String> hosts = request.headers().getAll(HttpHeaderNames.HOST);
-        if (hosts.size() != 1 || !exchange.target().startsWith("/")) {
-            // The bytes after an invalid request may still belong to it, so no further request is accepted.
-            acceptsRequests = false;
-            exchange.reject(Reason.BAD_REQUEST, 0, "one Host header and a path are needed");
-            return;
-        }
-        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
-            exchange.reject(Reason.BODY_TOO_LARGE, 0, "");
-            return;
-        }
-        RequestRules.RequestHead head = new RequestRules.RequestHead(
-                RequestTarget.hostName(hosts.get(0)),
-                exchange.target(),
-                exchange.requestId(),
-                request.method().name(),
-                request.headers());
-        switch (rules.evaluate(head)) {
-            case RequestRules.Verdict.Refused r ->
-                exchange.reject(r.reason(), listener.retryAfterMillis(r.reason()), r.detail());
-            case RequestRules.Verdict.Answered a -> exchange.reply(a.reply());
-            case RequestRules.Verdict.Accepted a -> exchange.accept(a);
-        }
-    }
-
     private void onContent(HttpContent content) {
         CallerExchange exchange = receiving;
         if (exchange == null) {
@@ -191,7 +165,7 @@
         }
         if (isLast) {
             exchange.body().complete();
-        } else if (exchange.body().exceedsReplayLimit()) {
+        } else if (exchange.body().isFull()) {
             pauseBody(exchange);
         }
         exchange.dispatchWhenReady();
@@ -291,18 +265,29 @@
 
     /** Stops reading while the rest of a request's body is due; a request that is received whole needs no pause. */
     void pauseBody(CallerExchange exchange) {
-        pausedBody = exchange;
+        reading.pauseBody(exchange);
         updateReading();
     }
 
     void resumeBody(CallerExchange exchange) {
-        pausedBody = pausedBody == exchange ? null : pausedBody;
+        reading.resumeBody(exchange);
         updateReading();
     }
 
     private void updateReading() {
-        boolean isPaused = pausedBody != null && pausedBody == receiving || exchanges.size() >= MAX_PIPELINED_REQUESTS;
-        context.channel().config().setAutoRead(isClosing || !isPaused);
+        if (isClosing) {
+            reading.resume();
+        } else {
+            reading.update(receiving, exchanges.size());
+        }
+    }
+
+    private void onCallerLeft() {
+        Logger.debug(
+                "caller {} left while its connection wasn't read",
+                context.channel().remoteAddress());
+        listener.onLeftUnread();
+        context.close();
     }
 
     void onAnswered(CallerExchange exchange, Reason reason, int status, long elapsedMicros) {
@@ -346,6 +331,7 @@
 
     private void closeGracefully() {
         isClosing = true;
+        reading.stop();
         listener.stop().ifPresent(s -> s.reportUnfinished(pending()));
         cancelAll();
         GracefulClose.start(context.channel(), rules.limits().idleTimeoutMillis());
@@ -387,6 +373,7 @@
     public void channelInactive(ChannelHandlerContext c) {
         isClosing = true;
         stopHeadTimer();
+        reading.stop();
         idleTimer.stop();
         listener.onClose(this);
         cancelAll();
--- a/http/src/main/java/org/hyssophitch/http/FrontListener.java
+++ b/http/src/main/java/org/hyssophitch/http/FrontListener.java
@@ -16,7 +16,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.call.Reason;
@@ -24,6 +23,7 @@
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.net.Binding;
 import org.hyssophitch.wire.net.FairReads;
+import org.hyssophitch.wire.net.Transports;
 
 /**
  * Accepts connections from callers from {@link #open} until {@link #stopListening}. Not thread-safe except for
@@ -39,6 +39,7 @@
     private final RequestRules rules;
     private final Set<CallerConnection> connections = new HashSet<>();
     private Channel channel;
+    private long leftUnread;
     private Optional<StopState> stop = Optional.empty();
 
     /**
@@ -60,7 +61,7 @@
     public void open(EventLoopGroup group, InetSocketAddress local) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
-                .channel(NioServerSocketChannel.class)
+                .channel(Transports.serverChannel(group))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -111,6 +112,11 @@
         return (int) connections.stream().filter(CallerConnection::isBusy).count();
     }
 
+    /** Returns the number of callers so far that left while their connection wasn't read. */
+    public long leftUnread() {
+        return leftUnread;
+    }
+
     /** Returns the number of connections from callers. */
     public int connections() {
         return connections.size();
@@ -158,6 +164,10 @@
         connections.remove(connection);
     }
 
+    void onLeftUnread() {
+        leftUnread++;
+    }
+
     private void forEachExchange(Consumer<CallerExchange> action) {
         List.copyOf(connections).forEach(c -> c.pending().forEach(action));
     }
--- a/http/src/main/java/org/hyssophitch/http/RequestBody.java
+++ b/http/src/main/java/org/hyssophitch/http/RequestBody.java
@@ -13,6 +13,12 @@
     /** Maximum size in bytes of a body that is buffered for further attempts. */
     static final int MAX_REPLAY_BYTES = 65_536;
 
+    /**
+     * Maximum size in bytes that is received of a body before it is passed on. The close of a caller that leaves
+     * arrives behind the bytes that it has sent.
+     */
+    private static final int MAX_AHEAD_BYTES = 262_144;
+
     /** Receives a body piece by piece. */
     interface Sink {
 
@@ -86,6 +92,11 @@
         return buffer.size() > MAX_REPLAY_BYTES;
     }
 
+    /** Returns whether no more bytes are to be received until some were passed on. */
+    boolean isFull() {
+        return buffer.size() > (memory.isScarce() ? MAX_REPLAY_BYTES : MAX_AHEAD_BYTES);
+    }
+
     long checksum() {
         return checksum.getValue();
     }
--- a/http/src/main/java/org/hyssophitch/http/UploadMemory.java
+++ b/http/src/main/java/org/hyssophitch/http/UploadMemory.java
@@ -9,6 +9,9 @@
     /** Part of the heap that bodies may take together. */
     private static final double MAX_HEAP_SHARE = 0.2;
 
+    /** Part of the memory from which on no body takes more than it needs. */
+    private static final double SCARCE_SHARE = 0.5;
+
     private final long maxBytes = (long) (Runtime.getRuntime().maxMemory() * MAX_HEAP_SHARE);
     private long bytes;
 
@@ -22,6 +25,11 @@
         return bytes > maxBytes;
     }
 
+    /** Returns whether bodies should take as little as they can. */
+    boolean isScarce() {
+        return bytes > maxBytes * SCARCE_SHARE;
+    }
+
     long bytes() {
         return bytes;
     }
--- a/http/src/test/java/org/hyssophitch/http/GracefulCloseTest.java
+++ b/http/src/test/java/org/hyssophitch/http/GracefulCloseTest.java
@@ -10,9 +10,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import org.hyssophitch.wire.net.Binding;
 import org.hyssophitch.wire.net.EventLoops;
+import org.hyssophitch.wire.net.Transports;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -41,7 +41,7 @@
         Channel listener = Binding.bind(
                 new ServerBootstrap()
                         .group(group)
-                        .channel(NioServerSocketChannel.class)
+                        .channel(Transports.serverChannel(group))
                         .childHandler(new ClosingHandler(maxStallMillis)),
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         try (Socket c = new Socket()) {
--- a/standin/src/main/java/org/hyssophitch/standin/FakeBackendServer.java
+++ b/standin/src/main/java/org/hyssophitch/standin/FakeBackendServer.java
@@ -19,7 +19,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -30,6 +29,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import org.hyssophitch.wire.concurrent.WallClock;
 import org.hyssophitch.wire.net.HttpQuery;
+import org.hyssophitch.wire.net.Transports;
 import org.hyssophitch.wire.report.CallHeaders;
 import org.hyssophitch.wire.report.LoadHeaders;
 
@@ -78,7 +78,7 @@
     void open() {
         ChannelFuture binding = new ServerBootstrap()
                 .group(loop)
-                .channel(NioServerSocketChannel.class)
+                .channel(Transports.serverChannel(loop))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
--- a/wire/src/main/java/org/hyssophitch/wire/net/DatagramEndpoint.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/DatagramEndpoint.java
@@ -14,7 +14,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 import org.hyssophitch.wire.generated.Wire;
 import org.tinylog.Logger;
 
@@ -39,7 +38,7 @@
     public DatagramEndpoint(EventLoopGroup group, InetSocketAddress local, Consumer<Wire.AgentDatagram> receiver) {
         Bootstrap bootstrap = new Bootstrap()
                 .group(group)
-                .channel(NioDatagramChannel.class)
+                .channel(Transports.datagramChannel(group))
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new DatagramBuffer())
                 .handler(new Receiver(receiver));
         channel = Binding.bind(bootstrap, local);
--- a/wire/src/main/java/org/hyssophitch/wire/net/EventLoops.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/EventLoops.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.FastThreadLocalThread;
 
 /** Creates and shuts down the event loops that the transports of a process share. Stateless. */
@@ -26,7 +25,7 @@
      * @param threads number of event loops, each with its own thread
      */
     public static EventLoopGroup create(int threads) {
-        return new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+        return new MultiThreadIoEventLoopGroup(threads, Transports.ioHandlers());
     }
 
     /**
@@ -37,7 +36,7 @@
      *     loop doesn't survive, such as a lack of memory
      */
     public static EventLoopGroup create(int threads, Runnable onEnd) {
-        return create(threads, onEnd, NioIoHandler.newFactory());
+        return create(threads, onEnd, Transports.ioHandlers());
     }
 
     static EventLoopGroup create(int threads, Runnable onEnd, IoHandlerFactory handlers) {
--- a/wire/src/main/java/org/hyssophitch/wire/net/FrameChannels.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/FrameChannels.java
@@ -13,8 +13,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
@@ -48,7 +46,7 @@
     public static Channel listen(EventLoopGroup group, InetSocketAddress local, Receiver receiver) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
-                .channel(NioServerSocketChannel.class)
+                .channel(Transports.serverChannel(group))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, FairReads.allocator())
@@ -62,7 +60,7 @@
         CompletableFuture<Channel> result = new CompletableFuture<>();
         ChannelFuture connecting = new Bootstrap()
                 .group(group)
-                .channel(NioSocketChannel.class)
+                .channel(Transports.channel(group))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, FairReads.allocator())
--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpClient.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpClient.java
@@ -18,7 +18,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -140,7 +139,7 @@
         Connection connection = new Connection();
         new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channel(Transports.channel(loop))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpEndpoint.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpEndpoint.java
@@ -18,7 +18,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -69,7 +68,7 @@
             Function<HttpQuery, CompletionStage<HttpReply>> handler) {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
-                .channel(NioServerSocketChannel.class)
+                .channel(Transports.serverChannel(group))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, FairReads.allocator())
