Fix: a host that started refused a popular path that all others had cleared

Cause: suspicions spread between hosts, their end didn't. A good answer cleared a suspect on one host; the suspicions were repeated for 600 s, and three of them convict a request on a host that knows nothing else, where it never runs and so is never cleared.

Change: a host whose good answer clears a suspect tells the others (Clearance); the suspicions up to its time are taken back, not repeated any more, and answered with the clearance where they are still heard. Later crashes count anew. An earlier build ignores the new field.

--- a/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
+++ b/bench/src/main/java/org/hyssophitch/bench/model/ModelEntryHost.java
@@ -204,6 +204,7 @@
             case CallAction.AbortAnswer a -> answer(a.callId(), new Answer(a.reason(), true, false, 0, ""));
             case CallAction.ProbeLoad a -> a.servers().forEach(s -> probeLoad(servers.get(s.name())));
             case CallAction.ShareSuspicions a -> fleetNews.shareSuspicions(a.suspicions());
+            case CallAction.ShareClearance a -> fleetNews.shareClearance(a.clearance());
             case CallAction.ShareCutOff a -> fleetNews.shareCutOff(a.isCutOff());
             case CallAction.ShareLimit a -> fleetNews.shareLimit(a.news(), a.isUrgent());
             case CallAction.AskQuota a -> fleetNews.askQuota(a.host(), a.ask());
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
@@ -3,6 +3,7 @@
 import org.hyssophitch.core.UnknownCaseException;
 import org.hyssophitch.core.call.AttemptResult.LostCause;
 import org.hyssophitch.core.call.AttemptResult.NotRunCause;
+import org.hyssophitch.core.health.Clearance;
 import org.hyssophitch.core.health.SuspectTracker.Verdict;
 import org.hyssophitch.core.routing.ServerState;
 import org.hyssophitch.core.timeline.EventBody;
@@ -138,6 +139,8 @@
         if (state.suspects().clear(call.request().fingerprint())) {
             call.setSuspectRunning(false);
             recordVerdict(call, Verdict.CLEAR, 0, nowMicros);
+            state.emit(
+                    new CallAction.ShareClearance(new Clearance(call.request().fingerprint(), nowMicros)));
         }
     }
 
--- a/core/src/main/java/org/hyssophitch/core/call/CallAction.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallAction.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.hyssophitch.core.configuration.BackendServer;
+import org.hyssophitch.core.health.Clearance;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.quota.QuotaAsk;
 import org.hyssophitch.core.quota.QuotaGrant;
@@ -91,4 +92,7 @@
 
     /** Share crash suspicions with the other entry hosts. */
     record ShareSuspicions(List<Suspicion> suspicions) implements CallAction {}
+
+    /** Tell the other entry hosts that a suspect request doesn't crash servers. */
+    record ShareClearance(Clearance clearance) implements CallAction {}
 }
--- a/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEngine.java
@@ -85,6 +85,7 @@
             case CallEvent.ColdBoundChanged e -> definitions.coldServers().setBound(e.bound(), e.nowMicros());
             case CallEvent.LeavingChanged e -> onLeavingChanged(e.servers(), e.source(), e.nowMicros());
             case CallEvent.SuspicionsReceived e -> onSuspicions(e.suspicions(), e.nowMicros());
+            case CallEvent.ClearancesReceived e -> state.crashDetector().onCleared(e.clearances(), e.nowMicros());
             case CallEvent.TicketIssuersChanged e -> state.setIssuers(e.issuers());
             case CallEvent.HostEnding e -> onHostEnding(e.nowMicros());
             case CallEvent.TimePassed e -> onTime(e.nowMicros());
--- a/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
@@ -9,6 +9,7 @@
 import org.hyssophitch.core.configuration.BackendServer;
 import org.hyssophitch.core.configuration.Configuration;
 import org.hyssophitch.core.configuration.RegisteredServer;
+import org.hyssophitch.core.health.Clearance;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.load.LoadReport;
 import org.hyssophitch.core.quota.FleetHost;
@@ -178,6 +179,9 @@
     /** Other entry hosts shared crash suspicions. */
     record SuspicionsReceived(long nowMicros, List<Suspicion> suspicions) implements CallEvent {}
 
+    /** Other entry hosts found that suspect requests don't crash servers. */
+    record ClearancesReceived(long nowMicros, List<Clearance> clearances) implements CallEvent {}
+
     /** Membership changed, and with it the set of live processes that issue tickets. */
     record TicketIssuersChanged(long nowMicros, IssuerView issuers) implements CallEvent {}
 
--- a/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CrashDetector.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 
 import org.hyssophitch.core.call.CallEvent.ProbeOutcome;
+import org.hyssophitch.core.health.Clearance;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.health.SuspectTracker.Verdict;
 import org.hyssophitch.core.routing.ServerState;
@@ -107,6 +108,13 @@
         recordNewlyConvicted(received, convicted, nowMicros);
     }
 
+    /** Takes back suspicions of requests that were answered at other entry hosts. */
+    void onCleared(List<Clearance> clearances, long nowMicros) {
+        clearances.stream()
+                .filter(state.suspects()::clear)
+                .forEach(c -> recordVerdict(c.fingerprint(), Verdict.CLEAR, 0, nowMicros));
+    }
+
     private void reportCrash(String server, Set<String> inFlight, long nowMicros) {
         Set<String> convicted = convicted(inFlight.stream(), nowMicros);
         List<Suspicion> found = state.suspects().onCrash(server, inFlight, nowMicros);
--- a/core/src/main/java/org/hyssophitch/core/call/FleetNews.java
+++ b/core/src/main/java/org/hyssophitch/core/call/FleetNews.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.hyssophitch.core.health.Clearance;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.quota.QuotaAsk;
 import org.hyssophitch.core.quota.QuotaGrant;
@@ -38,6 +39,11 @@
         // Hosts without quotas aren't asked.
     }
 
+    /** Shares that a suspect request doesn't crash servers. */
+    default void shareClearance(Clearance clearance) {
+        // A host that shares nothing, or by a way that doesn't tell newcomers of old suspicions, has none to take back.
+    }
+
     /** Shares suspicions of requests that crash servers. */
     void shareSuspicions(List<Suspicion> suspicions);
 
--- a/core/src/main/java/org/hyssophitch/core/control/AgentMessage.java
+++ b/core/src/main/java/org/hyssophitch/core/control/AgentMessage.java
@@ -5,6 +5,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
+import org.hyssophitch.core.health.Clearance;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.membership.Heartbeat;
 import org.hyssophitch.core.membership.Member;
@@ -26,6 +27,7 @@
  *     failure; empty while it doesn't, or from an earlier release
  * @param quotaAsks token requests to the receiver
  * @param quotaGrants answers to token requests of the receiver
+ * @param clearances requests that were found not to crash servers
  * @param repeatedSuspicions number of suspicions that the sender repeats; empty from an earlier release
  */
 public record AgentMessage(
@@ -39,6 +41,7 @@
         List<AgedLimitNews> limits,
         List<QuotaAsk> quotaAsks,
         List<QuotaGrant> quotaGrants,
+        List<Clearance> clearances,
         OptionalLong storeReachableMicros,
         OptionalInt repeatedSuspicions) {
 
@@ -60,6 +63,7 @@
         private List<AgedLimitNews> limits = List.of();
         private List<QuotaAsk> quotaAsks = List.of();
         private List<QuotaGrant> quotaGrants = List.of();
+        private List<Clearance> clearances = List.of();
         private OptionalLong storeReachableMicros = OptionalLong.empty();
         private OptionalInt repeatedSuspicions = OptionalInt.empty();
 
@@ -112,6 +116,11 @@
             return this;
         }
 
+        public Builder clearances(List<Clearance> value) {
+            clearances = value;
+            return this;
+        }
+
         public Builder storeReachableMicros(OptionalLong value) {
             storeReachableMicros = value;
             return this;
@@ -135,6 +144,7 @@
                     limits,
                     quotaAsks,
                     quotaGrants,
+                    clearances,
                     storeReachableMicros,
                     repeatedSuspicions);
         }
--- a/core/src/main/java/org/hyssophitch/core/control/GossipBuffer.java
+++ b/core/src/main/java/org/hyssophitch/core/control/GossipBuffer.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Buffer of updates to gossip, each of which is sent in a limited number of datagrams. Not thread-safe; owned by the
@@ -34,6 +35,11 @@
         items.put(key, new Item<>(value, repetitions));
     }
 
+    /** Drops the updates that aren't to be sent any more. */
+    public void removeIf(Predicate<T> isObsolete) {
+        items.values().removeIf(i -> isObsolete.test(i.value()));
+    }
+
     /** Returns the updates for the next datagram, those sent least often first, and counts them as sent once more. */
     public List<T> take(int maxCount) {
         List<Map.Entry<String, Item<T>>> leastSentFirst = new ArrayList<>(items.entrySet());
--- a/core/src/main/java/org/hyssophitch/core/control/SuspicionExchange.java
+++ b/core/src/main/java/org/hyssophitch/core/control/SuspicionExchange.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 
+import org.hyssophitch.core.health.Clearance;
 import org.hyssophitch.core.health.SuspectTracker;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 
@@ -22,6 +23,9 @@
  * time. The suspicions of requests that crashed several servers are also repeated in every datagram, a few at a time.
  * The others, which a mass crash makes numerous, are not. Each datagram says how many the sender repeats, so that a
  * host that started later or was cut off is sent what it lacks.
+ *
+ * <p>A clearance takes back the suspicions of a request on all hosts, so that a host that starts later doesn't refuse
+ * what the others found to be harmless.
  */
 public final class SuspicionExchange {
 
@@ -44,6 +48,15 @@
     private final GossipBuffer<Suspicion> news = new GossipBuffer<>(TRANSMISSIONS);
     private final Map<String, Map<String, Suspicion>> knownByFingerprint = new LinkedHashMap<>();
     private final List<Suspicion> repeated = new ArrayList<>();
+    private final GossipBuffer<Clearance> clearanceNews = new GossipBuffer<>(TRANSMISSIONS);
+    private final Map<String, Clearance> clearances = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Clearance> eldest) {
+            return size() > MAX_FINGERPRINTS;
+        }
+    };
     private long nextMissingMicros;
 
     /**
@@ -60,6 +73,32 @@
         return suspicions.stream().filter(this::add).toList();
     }
 
+    /**
+     * Takes back the suspicions of a request, which aren't passed on any more, and passes on that they are.
+     *
+     * @return whether some of them counted here
+     */
+    public boolean clear(Clearance c) {
+        Clearance known = clearances.get(c.fingerprint());
+        if (known != null && known.micros() >= c.micros()) {
+            return false;
+        }
+        clearances.put(c.fingerprint(), c);
+        repeated.removeIf(c::covers);
+        news.removeIf(c::covers);
+        Map<String, Suspicion> suspicions = knownByFingerprint.getOrDefault(c.fingerprint(), new LinkedHashMap<>());
+        boolean isNews = suspicions.values().removeIf(c::covers);
+        if (isNews) {
+            clearanceNews.add(c.fingerprint(), c);
+        }
+        return isNews;
+    }
+
+    /** Returns the clearances for the next datagram. */
+    public List<Clearance> takeClearances(int maxCount) {
+        return clearanceNews.take(maxCount);
+    }
+
     /** Returns whether a request crashed several servers, so that other hosts should hear of it at once. */
     public boolean isUrgent(Suspicion s) {
         return knownByFingerprint.getOrDefault(s.fingerprint(), Map.of()).size() >= MIN_REPEATED_CRASHES;
@@ -113,6 +152,12 @@
     }
 
     private boolean add(Suspicion s) {
+        Clearance clearance = clearances.get(s.fingerprint());
+        if (clearance != null && clearance.covers(s)) {
+            // A host that still passes it on hasn't heard of the clearance.
+            clearanceNews.add(s.fingerprint(), clearance);
+            return false;
+        }
         String crash = s.server() + '|' + s.crashMicros();
         Map<String, Suspicion> known = knownByFingerprint.remove(s.fingerprint());
         Map<String, Suspicion> updated = known == null ? new LinkedHashMap<>() : known;
--- a/core/src/main/java/org/hyssophitch/core/health/SuspectTracker.java
+++ b/core/src/main/java/org/hyssophitch/core/health/SuspectTracker.java
@@ -157,6 +157,16 @@
         return suspects.remove(fingerprint) != null;
     }
 
+    /** Applies the clearance of another entry host, and returns whether the request was suspect and isn't any more. */
+    public boolean clear(Clearance c) {
+        Suspect suspect = suspects.get(c.fingerprint());
+        if (suspect == null) {
+            return false;
+        }
+        suspect.crashes.removeIf(c::covers);
+        return suspect.crashes.isEmpty() && clear(c.fingerprint());
+    }
+
     /**
      * Records a crash and returns the suspicions to share with the other entry hosts.
      *
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -20,6 +20,7 @@
 import org.hyssophitch.core.control.SuspicionExchange;
 import org.hyssophitch.core.entry.EntryHost;
 import org.hyssophitch.core.entry.EntrySettings;
+import org.hyssophitch.core.health.Clearance;
 import org.hyssophitch.core.health.SettledFlag;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.membership.Heartbeat;
@@ -200,6 +201,11 @@
         sendUrgentGossip();
     }
 
+    @Override
+    public void shareClearance(Clearance clearance) {
+        suspicions.clear(clearance);
+    }
+
     @Override
     public void askQuota(String host, QuotaAsk ask) {
         quotaMail.add(host, ask);
@@ -305,6 +311,7 @@
                         .heartbeat(heartbeat)
                         .members(memberGossip.take(MAX_GOSSIP_PER_DATAGRAM))
                         .suspicions(suspicions.take(MAX_GOSSIP_PER_DATAGRAM, now))
+                        .clearances(suspicions.takeClearances(MAX_GOSSIP_PER_DATAGRAM))
                         .limits(limits)
                         .storeReachableMicros(storeReachableMicros(now))
                         .repeatedSuspicions(OptionalInt.of(suspicions.repeatedCount()))
@@ -343,6 +350,7 @@
         // A host of an earlier build passes on members as the store lists them.
         message.members().stream().filter(MemberRecords::hasUsableAddresses).forEach(m -> membership.merge(m, now));
         message.storeReachableMicros().ifPresent(t -> localHost.onStoreReachedSince(now - t));
+        receiveClearances(message.clearances(), now);
         receiveSuspicions(message.suspicions(), now);
         sendMissingSuspicions(message, now);
         MessageEvents.of(message, now).forEach(localHost::onEvent);
@@ -359,6 +367,13 @@
                         AgentMessage.builder(membership.self()).suspicions(page).build()));
     }
 
+    private void receiveClearances(List<Clearance> received, long now) {
+        List<Clearance> fresh = received.stream().filter(suspicions::clear).toList();
+        if (!fresh.isEmpty()) {
+            localHost.onEvent(new CallEvent.ClearancesReceived(now, fresh));
+        }
+    }
+
     private void receiveSuspicions(List<Suspicion> received, long now) {
         List<Suspicion> fresh = suspicions.add(received);
         if (fresh.isEmpty()) {
--- a/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
@@ -111,7 +111,7 @@
         caller.call(relay, new RelayRequest.Objects(kind), 0, decoder, answer -> {
             answer.ifPresent(a -> listedMicros = a.views().stream()
                     .filter(v -> v.kind().equals(kind))
-                    .mapToLong(v -> completeMicros(v, a.sentMicros()))
+                    .mapToLong(v -> ownClockMicros(v, a.sentMicros()))
                     .findFirst()
                     .orElse(a.sentMicros()));
             onResult.accept(answer.map(RelayCaller.Answer::result).orElse(fromStore));
@@ -167,7 +167,7 @@
         boolean hasAll =
                 view.position().isSameEpoch(watchedSince) && view.position().revision() <= watchedSince.revision();
         if (currentRelay.equals(relay) && hasAll) {
-            lease.renew(completeMicros(view, sentMicros));
+            lease.renew(ownClockMicros(view, sentMicros));
         }
     }
 
@@ -290,7 +290,8 @@
         return hasFailed;
     }
 
-    private static long completeMicros(RelayedView view, long sentMicros) {
+    /** Returns up to when a view is complete, by this host's clock; a delay of the request makes it earlier. */
+    private static long ownClockMicros(RelayedView view, long sentMicros) {
         return sentMicros + TimeUnit.MILLISECONDS.toMicros(view.completeMillis());
     }
 }
--- a/entry/src/test/java/org/hyssophitch/entry/SuspicionSpreadTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/SuspicionSpreadTest.java
@@ -16,6 +16,7 @@
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.entry.EntryHost;
 import org.hyssophitch.core.entry.EntrySettings;
+import org.hyssophitch.core.health.Clearance;
 import org.hyssophitch.core.health.SuspectTracker;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.health.SuspectTracker.Verdict;
@@ -115,6 +116,31 @@
         assertEquals(convictingHosts(), fleet.size() + 1, "hosts that refuse the request; others: " + otherHosts());
     }
 
+    /** A host that started later refused a popular path for 600 s, although all others had found it to be harmless. */
+    @Test
+    public void hostThatStartsLaterSendsARequestThatTheOthersHaveCleared() throws InterruptedException {
+        List<Peers> fleet =
+                IntStream.range(0, 13).mapToObj(i -> peers("host-" + i)).toList();
+        start(fleet);
+        IntStream.range(0, CRASHES).forEach(i -> EventLoops.run(loop, () -> reportCrash(fleet, i)));
+        Thread.sleep(STABILITY_WINDOW_MILLIS);
+        EventLoops.run(loop, () -> {
+            trackers.get("host-0").clear(FINGERPRINT);
+            fleet.getFirst().shareClearance(new Clearance(FINGERPRINT, WallClock.nowMicros()));
+        });
+        Thread.sleep(STABILITY_WINDOW_MILLIS);
+        assertEquals(convictingHosts(), 0, "hosts that refuse the request before the last one starts");
+
+        List<Peers> later = List.of(peers("later-host"));
+        join(later, Stream.concat(fleet.stream(), later.stream()).toList());
+        Thread.sleep(2 * STABILITY_WINDOW_MILLIS);
+        assertEquals(convictingHosts(), 0, "hosts that refuse the request");
+
+        IntStream.range(0, CRASHES).forEach(i -> EventLoops.run(loop, () -> reportCrash(fleet, i)));
+        Thread.sleep(STABILITY_WINDOW_MILLIS);
+        assertEquals(convictingHosts(), fleet.size() + 1, "hosts that refuse it after further crashes");
+    }
+
     private void reportCrash(List<Peers> fleet, int index) {
         reportCrash(fleet, index, FINGERPRINT);
     }
@@ -182,6 +208,9 @@
             if (event instanceof CallEvent.SuspicionsReceived e) {
                 e.suspicions().forEach(tracker::merge);
             }
+            if (event instanceof CallEvent.ClearancesReceived e) {
+                e.clearances().forEach(tracker::clear);
+            }
         }
     }
 }
--- a/http/src/main/java/org/hyssophitch/http/CallDispatcher.java
+++ b/http/src/main/java/org/hyssophitch/http/CallDispatcher.java
@@ -197,6 +197,7 @@
             case CallAction.AbortAnswer a -> withExchange(a.callId(), x -> x.abortResponse(a.reason()));
             case CallAction.ProbeLoad a -> loadProber.probe(a);
             case CallAction.ShareSuspicions a -> fleetNews.shareSuspicions(a.suspicions());
+            case CallAction.ShareClearance a -> fleetNews.shareClearance(a.clearance());
             case CallAction.ShareCutOff a -> fleetNews.shareCutOff(a.isCutOff());
             case CallAction.ShareLimit a -> fleetNews.shareLimit(a.news(), a.isUrgent());
             case CallAction.AskQuota a -> fleetNews.askQuota(a.host(), a.ask());
--- a/wire/src/main/java/org/hyssophitch/wire/codec/AgentMessageCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/AgentMessageCodec.java
@@ -30,7 +30,8 @@
                 .addAllRegistrations(RegistrationCodec.encodeNotices(m.registrations()))
                 .addAllLimits(m.limits().stream().map(AgentMessageCodec::encode).toList())
                 .addAllQuotaAsks(QuotaCodec.encodeAsks(m.quotaAsks()))
-                .addAllQuotaGrants(QuotaCodec.encodeGrants(m.quotaGrants()));
+                .addAllQuotaGrants(QuotaCodec.encodeGrants(m.quotaGrants()))
+                .addAllClearances(MemberCodec.encodeClearances(m.clearances()));
         m.heartbeat().ifPresent(h -> b.setHeartbeat(encode(h)));
         m.repeatedSuspicions().ifPresent(b::setRepeatedSuspicions);
         m.storeReachableMicros().ifPresent(b::setStoreReachableMicros);
@@ -57,6 +58,7 @@
                         .toList())
                 .quotaAsks(QuotaCodec.decodeAsks(d.getQuotaAsksList()))
                 .quotaGrants(QuotaCodec.decodeGrants(d.getQuotaGrantsList()))
+                .clearances(MemberCodec.decodeClearances(d.getClearancesList()))
                 .storeReachableMicros(storeReachable)
                 .repeatedSuspicions(repeatedSuspicions)
                 .build();
--- a/wire/src/main/java/org/hyssophitch/wire/codec/MemberCodec.java
+++ b/wire/src/main/java/org/hyssophitch/wire/codec/MemberCodec.java
@@ -4,6 +4,7 @@
 
 import org.hyssophitch.core.control.AgedLoadReport;
 import org.hyssophitch.core.control.LeavingNotice;
+import org.hyssophitch.core.health.Clearance;
 import org.hyssophitch.core.health.Fingerprint;
 import org.hyssophitch.core.health.SuspectTracker.Suspicion;
 import org.hyssophitch.core.membership.Member;
@@ -124,4 +125,19 @@
                         Fingerprint.bounded(s.getFingerprint()), s.getServer(), s.getCrashMicros(), s.getScore()))
                 .toList();
     }
+
+    static List<Wire.Clearance> encodeClearances(List<Clearance> list) {
+        return list.stream()
+                .map(c -> Wire.Clearance.newBuilder()
+                        .setFingerprint(c.fingerprint())
+                        .setMicros(c.micros())
+                        .build())
+                .toList();
+    }
+
+    static List<Clearance> decodeClearances(List<Wire.Clearance> list) {
+        return list.stream()
+                .map(c -> new Clearance(c.getFingerprint(), c.getMicros()))
+                .toList();
+    }
 }
--- a/wire/src/main/java/org/hyssophitch/wire/net/DatagramDivider.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/DatagramDivider.java
@@ -62,6 +62,7 @@
                 .clearLimits()
                 .clearQuotaAsks()
                 .clearQuotaGrants()
+                .clearClearances()
                 .build();
     }
 
@@ -75,7 +76,8 @@
                         m.getRegistrationsList().stream().map(x -> part().addRegistrations(x)),
                         m.getLimitsList().stream().map(x -> part().addLimits(x)),
                         m.getQuotaAsksList().stream().map(x -> part().addQuotaAsks(x)),
-                        m.getQuotaGrantsList().stream().map(x -> part().addQuotaGrants(x)))
+                        m.getQuotaGrantsList().stream().map(x -> part().addQuotaGrants(x)),
+                        m.getClearancesList().stream().map(x -> part().addClearances(x)))
                 .flatMap(s -> s)
                 .map(Wire.AgentDatagram.Builder::build)
                 .toList();
