Fix: the buffer for datagrams wasn't freed with its socket

A host has one such socket for its whole life, so callers saw nothing; a process that opens and closes many would lose 64 KiB each time.

Cause: the buffer that is used again for each datagram kept its own reference for ever. Change: it is released when the channel has closed. DatagramEndpointTest.bufferIsFreedOnceTheSocketIsClosed needs the new method, so it can't run on the code before.

--- a/wire/src/main/java/org/hyssophitch/wire/net/DatagramBuffer.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/DatagramBuffer.java
@@ -14,6 +14,8 @@
     /** Size in bytes above any datagram's. */
     private static final int BYTES = 65_536;
 
+    private ByteBuf buffer;
+
     DatagramBuffer() {
         // The next datagram is read into the buffer after this one has been handled.
         super(1);
@@ -25,9 +27,15 @@
         return new ReusingHandle();
     }
 
-    private final class ReusingHandle extends MaxMessageHandle {
+    /** Frees the buffer; called once the channel has been closed. */
+    void release() {
+        if (buffer != null) {
+            buffer.release();
+            buffer = null;
+        }
+    }
 
-        private ByteBuf buffer;
+    private final class ReusingHandle extends MaxMessageHandle {
 
         @Override
         public int guess() {
--- a/wire/src/main/java/org/hyssophitch/wire/net/DatagramEndpoint.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/DatagramEndpoint.java
@@ -36,12 +36,14 @@
      * @param receiver called on the event loop for each datagram
      */
     public DatagramEndpoint(EventLoopGroup group, InetSocketAddress local, Consumer<Wire.AgentDatagram> receiver) {
+        DatagramBuffer buffer = new DatagramBuffer();
         Bootstrap bootstrap = new Bootstrap()
                 .group(group)
                 .channel(Transports.datagramChannel(group))
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new DatagramBuffer())
+                .option(ChannelOption.RECVBUF_ALLOCATOR, buffer)
                 .handler(new Receiver(receiver));
         channel = Binding.bind(bootstrap, local);
+        channel.closeFuture().addListener(f -> buffer.release());
     }
 
     /**
--- a/wire/src/test/java/org/hyssophitch/wire/net/DatagramEndpointTest.java
+++ b/wire/src/test/java/org/hyssophitch/wire/net/DatagramEndpointTest.java
@@ -9,6 +9,8 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.EventLoopGroup;
 import org.hyssophitch.wire.generated.Wire;
 import org.testng.annotations.AfterMethod;
@@ -107,6 +109,18 @@
         assertEquals(next(), large);
     }
 
+    /** The buffer into which a socket reads was never freed. */
+    @Test
+    public void bufferIsFreedOnceTheSocketIsClosed() {
+        DatagramBuffer buffer = new DatagramBuffer();
+        ByteBuf datagram = buffer.newHandle().allocate(UnpooledByteBufAllocator.DEFAULT);
+        datagram.release();
+        assertEquals(datagram.refCnt(), 1);
+        buffer.release();
+        buffer.release();
+        assertEquals(datagram.refCnt(), 0);
+    }
+
     private static Wire.AgentDatagram message(Set<String> fingerprints) {
         Wire.AgentDatagram.Builder b = Wire.AgentDatagram.newBuilder()
                 .setSender(Wire.Member.newBuilder().setHost("host-1"))
