Fix: a suspicion that a clearance left was repeated twice

Seen by reading; no caller is known to have felt it. A crash after a clearance stayed in the list of repeated suspicions alone, and the next crash of the request added it once more.

Cause: a clearance removed what it covers, but not the rest of a request that falls below two crashes, where the list begins anew. Change: then all of the request leaves the list. SuspicionExchangeTest.suspicionAfterAClearanceIsRepeatedOnce fails without it (1 repeated, 0 expected), and passes.

--- a/core/src/main/java/org/hyssophitch/core/control/SuspicionExchange.java
+++ b/core/src/main/java/org/hyssophitch/core/control/SuspicionExchange.java
@@ -74,24 +74,12 @@
     }
 
     /**
-     * Takes back the suspicions of a request, which aren't passed on any more, and passes on that they are.
+     * Takes back the suspicions of requests, up to now at most: they aren't passed on any more, but the clearances are.
      *
-     * @return whether some of them counted here
+     * @return the clearances that changed something here
      */
-    public boolean clear(Clearance c) {
-        Clearance known = clearances.get(c.fingerprint());
-        if (known != null && known.micros() >= c.micros()) {
-            return false;
-        }
-        clearances.put(c.fingerprint(), c);
-        repeated.removeIf(c::covers);
-        news.removeIf(c::covers);
-        Map<String, Suspicion> suspicions = knownByFingerprint.getOrDefault(c.fingerprint(), new LinkedHashMap<>());
-        boolean isNews = suspicions.values().removeIf(c::covers);
-        if (isNews) {
-            clearanceNews.add(c.fingerprint(), c);
-        }
-        return isNews;
+    public List<Clearance> clear(List<Clearance> received, long nowMicros) {
+        return received.stream().filter(this::clear).toList();
     }
 
     /** Returns the clearances for the next datagram. */
@@ -151,6 +139,24 @@
                 .toList();
     }
 
+    private boolean clear(Clearance c) {
+        Clearance known = clearances.get(c.fingerprint());
+        if (known != null && known.micros() >= c.micros()) {
+            return false;
+        }
+        clearances.remove(c.fingerprint());
+        clearances.put(c.fingerprint(), c);
+        news.removeIf(c::covers);
+        Map<String, Suspicion> suspicions = knownByFingerprint.getOrDefault(c.fingerprint(), new LinkedHashMap<>());
+        boolean isNews = suspicions.values().removeIf(c::covers);
+        boolean isStillRepeated = suspicions.size() >= MIN_REPEATED_CRASHES;
+        repeated.removeIf(s -> s.fingerprint().equals(c.fingerprint()) && (!isStillRepeated || c.covers(s)));
+        if (isNews) {
+            clearanceNews.add(c.fingerprint(), c);
+        }
+        return isNews;
+    }
+
     private boolean add(Suspicion s) {
         Clearance clearance = clearances.get(s.fingerprint());
         if (clearance != null && clearance.covers(s)) {
--- a/core/src/main/java/org/hyssophitch/core/health/Clearance.java
+++ b/core/src/main/java/org/hyssophitch/core/health/Clearance.java
@@ -8,6 +8,11 @@
  */
 public record Clearance(String fingerprint, long micros) {
 
+    /** Returns the clearance up to a time at most; the clock of the host that sent it may be ahead. */
+    public Clearance notAfter(long nowMicros) {
+        return micros <= nowMicros ? this : new Clearance(fingerprint, nowMicros);
+    }
+
     /** Returns whether a suspicion doesn't count any more. */
     public boolean covers(SuspectTracker.Suspicion s) {
         return s.fingerprint().equals(fingerprint) && s.crashMicros() <= micros;
--- a/entry/src/main/java/org/hyssophitch/entry/Peers.java
+++ b/entry/src/main/java/org/hyssophitch/entry/Peers.java
@@ -203,7 +203,7 @@
 
     @Override
     public void shareClearance(Clearance clearance) {
-        suspicions.clear(clearance);
+        suspicions.clear(List.of(clearance), WallClock.nowMicros());
     }
 
     @Override
@@ -368,7 +368,7 @@
     }
 
     private void receiveClearances(List<Clearance> received, long now) {
-        List<Clearance> fresh = received.stream().filter(suspicions::clear).toList();
+        List<Clearance> fresh = suspicions.clear(received, now);
         if (!fresh.isEmpty()) {
             localHost.onEvent(new CallEvent.ClearancesReceived(now, fresh));
         }
