Fix: a clearance from a host whose clock is ahead covered crashes to come

Seen by reading; not played. A clearance took back crashes up to the time that its sender states, whatever that is. From a host whose clock is ahead, or a malformed datagram, it would have kept all hosts from counting a request's crashes until then.

Change: a host takes a clearance up to its own time at most, and passes it on so. SuspicionExchangeTest .clearanceOfAFutureTimeCoversNoCrashAfterItsArrival fails without it (0 new suspicions, 1 expected), and passes.

--- a/core/src/main/java/org/hyssophitch/core/control/SuspicionExchange.java
+++ b/core/src/main/java/org/hyssophitch/core/control/SuspicionExchange.java
@@ -79,7 +79,10 @@
      * @return the clearances that changed something here
      */
     public List<Clearance> clear(List<Clearance> received, long nowMicros) {
-        return received.stream().filter(this::clear).toList();
+        return received.stream()
+                .map(c -> c.notAfter(nowMicros))
+                .filter(this::clear)
+                .toList();
     }
 
     /** Returns the clearances for the next datagram. */
--- a/core/src/test/java/org/hyssophitch/core/control/SuspicionExchangeTest.java
+++ b/core/src/test/java/org/hyssophitch/core/control/SuspicionExchangeTest.java
@@ -34,6 +34,15 @@
         assertEquals(exchange.repeatedCount(), 2);
     }
 
+    /** A host whose clock is ahead kept the others from counting the crashes that were still to come. */
+    @Test
+    public void clearanceOfAFutureTimeCoversNoCrashAfterItsArrival() {
+        exchange.add(List.of(crash("a", 1), crash("b", 2)));
+        exchange.clear(List.of(new Clearance(FINGERPRINT, Long.MAX_VALUE)), 10);
+        assertEquals(exchange.add(List.of(crash("c", 11))).size(), 1);
+        assertEquals(exchange.takeClearances(8), List.of(new Clearance(FINGERPRINT, 10)));
+    }
+
     /** A host that hasn't heard of a clearance is told when it passes on what the clearance covers. */
     @Test
     public void clearedSuspicionIsAnsweredWithTheClearance() {
