Store: the wait of a watch and what its answer proves are decided in core

Cause: RelayedSource, which does input and output, decided how long a watch at the store waits and which state of the store an answer shows; neither had a test of its own.

RelayedSourceTest now holds that a current relay spares the store the calls of both kinds, not of one; RelayedKindTest that a host which waits is answered when the store confirms that nothing changed, with the relay's views.

Measured: these classes, FrozenRelaysTest, StoreRelayTest and KindWatcher's tests pass (one run).

--- a/core/src/main/java/org/hyssophitch/core/store/StoreContact.java
+++ b/core/src/main/java/org/hyssophitch/core/store/StoreContact.java
@@ -14,12 +14,13 @@
     private long failedMicros = NEVER;
 
     /**
-     * Records an answer.
-     *
-     * @param stateMicros time in microseconds whose state of the store the answer shows, or an earlier one
+     * Records the answer to a watch, and returns the time whose state of the store it shows at least: the end of its
+     * wait if there are no changes, else its begin. All times are in microseconds.
      */
-    public void onAnswered(long stateMicros) {
+    public long onWatchAnswered(long sentMicros, long waitMicros, boolean hasChanges, long nowMicros) {
+        long stateMicros = hasChanges ? sentMicros : Math.min(nowMicros, sentMicros + waitMicros);
         answeredMicros = Math.max(answeredMicros, stateMicros);
+        return stateMicros;
     }
 
     /** Records that a call failed. */
--- a/core/src/main/java/org/hyssophitch/core/store/WatchPacing.java
+++ b/core/src/main/java/org/hyssophitch/core/store/WatchPacing.java
@@ -18,6 +18,11 @@
     /** For a host that watches objects through a relay that change rarely. */
     RELAYED_RARE(4_000, 20_000);
 
+    /** Maximum wait in milliseconds of a watch at the store in place of one through a relay. */
+    private static final int MAX_SUBSTITUTE_MILLIS = 2_000;
+    /** Minimum wait in milliseconds of a relay's watch. */
+    private static final int MIN_RELAY_MILLIS = 50;
+
     private final int waitMillis;
     private final long batchDelayMicros;
 
@@ -31,6 +36,24 @@
         return waitMillis;
     }
 
+    /**
+     * Returns the wait in milliseconds of a watch at the store. That of a relay ends when its view would get too old
+     * for the other hosts, and that of a host which usually watches through a relay when it may ask a relay again.
+     *
+     * @param wantedMillis wait that the watcher wants
+     * @param ageMillis age of the host's view
+     */
+    public int storeWaitMillis(int wantedMillis, long ageMillis) {
+        return switch (this) {
+            case RELAYED, RELAYED_RARE -> Math.min(wantedMillis, MAX_SUBSTITUTE_MILLIS);
+            case RELAY ->
+                wantedMillis > waitMillis
+                        ? wantedMillis
+                        : (int) Math.max(MIN_RELAY_MILLIS, wantedMillis - Math.max(0, ageMillis));
+            case ALONE, ALONE_RARE, RELAY_RARE -> wantedMillis;
+        };
+    }
+
     /** Returns the delay in microseconds between a watch that returned changes and the next one. */
     public long batchDelayMicros() {
         return batchDelayMicros;
--- a/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
+++ b/entry/src/main/java/org/hyssophitch/entry/RelayedSource.java
@@ -15,7 +15,6 @@
 import org.hyssophitch.core.store.StoreResult;
 import org.hyssophitch.core.store.Timers;
 import org.hyssophitch.core.store.ViewLease;
-import org.hyssophitch.core.store.WatchPacing;
 import org.hyssophitch.wire.codec.RelayCodec;
 import org.tinylog.Logger;
 
@@ -43,11 +42,6 @@
     record Shared(
             RelaySelector selector, StoreContact contact, RelayCaller caller, RelayWatches watches, Timers timers) {}
 
-    /** Maximum wait in milliseconds of a watch at the store in place of one through a relay. */
-    private static final int SUBSTITUTE_WAIT_MILLIS = 2_000;
-    /** Minimum wait in milliseconds of a relay's watch. */
-    private static final int MIN_RELAY_WAIT_MILLIS = 50;
-
     private static final long NONE = Long.MIN_VALUE / 2;
     private static final String NO_RELAY = "";
 
@@ -244,39 +238,21 @@
     private void watchStore(StorePosition since, int waitMillis, Consumer<StoreResult<StoreChanges<T>>> onResult) {
         long current = watchId;
         long sentMicros = timers.nowMicros();
-        int wait = storeWaitMillis(waitMillis, sentMicros);
+        long ageMillis = TimeUnit.MICROSECONDS.toMillis(sentMicros - completeMicros());
+        int wait = selector.pacing(sentMicros).storeWaitMillis(waitMillis, ageMillis);
         waitingAtStoreMicros = sentMicros;
         store.watch(since, wait, r -> {
             observeStore(r);
             if (current == watchId && r instanceof StoreResult.Done<StoreChanges<T>> done) {
-                observeAnswer(done.value(), sentMicros, wait);
+                boolean hasChanges = !done.value().changes().isEmpty();
+                long waitMicros = TimeUnit.MILLISECONDS.toMicros(wait);
+                lease.renew(contact.onWatchAnswered(sentMicros, waitMicros, hasChanges, timers.nowMicros()));
                 leaveWatch();
             }
             onResult.accept(r);
         });
     }
 
-    /** An answer without changes shows the state at the end of the wait, any other one that at its begin or later. */
-    private void observeAnswer(StoreChanges<T> changes, long sentMicros, int waitMillis) {
-        long endMicros = Math.min(timers.nowMicros(), sentMicros + TimeUnit.MILLISECONDS.toMicros(waitMillis));
-        long stateMicros = changes.changes().isEmpty() ? endMicros : sentMicros;
-        contact.onAnswered(stateMicros);
-        lease.renew(stateMicros);
-    }
-
-    /** Returns the wait of a watch at the store; a relay's ends when its view would be too old for the other hosts. */
-    private int storeWaitMillis(int waitMillis, long nowMicros) {
-        WatchPacing pacing = selector.pacing(nowMicros);
-        if (pacing == WatchPacing.RELAYED) {
-            return Math.min(waitMillis, SUBSTITUTE_WAIT_MILLIS);
-        }
-        if (pacing == WatchPacing.RELAY && waitMillis <= WatchPacing.RELAY.waitMillis()) {
-            long ageMillis = TimeUnit.MICROSECONDS.toMillis(nowMicros - completeMicros());
-            return (int) Math.max(MIN_RELAY_WAIT_MILLIS, waitMillis - ageMillis);
-        }
-        return waitMillis;
-    }
-
     /** Tells the selector whether the store serves this host; returns whether the call failed. */
     private boolean observeStore(StoreResult<?> result) {
         boolean hasFailed = result instanceof StoreResult.Refused || result instanceof StoreResult.MayBeDone;
--- a/entry/src/test/java/org/hyssophitch/entry/RelayedKindTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/RelayedKindTest.java
@@ -11,6 +11,7 @@
 import org.hyssophitch.core.configuration.RegisteredServer;
 import org.hyssophitch.core.store.ChangeSource;
 import org.hyssophitch.core.store.KindWatcher;
+import org.hyssophitch.core.store.RelayedView;
 import org.hyssophitch.core.store.StoreChanges;
 import org.hyssophitch.core.store.StorePage;
 import org.hyssophitch.core.store.StorePosition;
@@ -21,6 +22,7 @@
 import org.hyssophitch.core.store.WatchPacing;
 import org.hyssophitch.core.store.WatchPlan;
 import org.hyssophitch.wire.codec.RelayedRegistrationCodec;
+import org.hyssophitch.wire.codec.RelayedViewCodec;
 import org.hyssophitch.wire.net.HttpReply;
 import org.testng.annotations.Test;
 
@@ -58,6 +60,35 @@
         assertEquals(reply.join().status(), 503);
     }
 
+    /** A host that waits for a change learns at once that there is none, and how current that is. */
+    @Test
+    public void hostThatWaitsIsAnsweredWhenTheStoreConfirmsThatNothingChanged() throws Exception {
+        Timers timers = new NoTimers() {
+            @Override
+            public void after(long micros, Runnable task) {
+                if (micros == 0) {
+                    task.run();
+                }
+            }
+        };
+        KindWatcher<RegisteredServer> watcher = new KindWatcher<>(
+                "servers",
+                timers,
+                new WatchPlan<>(source, () -> WatchPacing.RELAY),
+                new SplittableRandom(1),
+                new Recording());
+        List<RelayedView> views = List.of(new RelayedView("servers", new StorePosition(1, 5), -3));
+        RelayedKind<RegisteredServer> relayed =
+                new RelayedKind<>(watcher, new RelayedRegistrationCodec(), () -> true, t -> views, timers);
+        watcher.start();
+        CompletableFuture<HttpReply> reply = relayed.handle(
+                        new RelayRequest.Changes("servers", new StorePosition(1, 1), 1_000))
+                .toCompletableFuture();
+        source.watch.accept(new StoreResult.Done<>(new StoreChanges<>(List.of(), new StorePosition(1, 5))));
+        assertEquals(reply.join().status(), 200);
+        assertEquals(RelayedViewCodec.decode(reply.join().body()), views);
+    }
+
     private static final class OneWatch implements ChangeSource<RegisteredServer> {
 
         private Consumer<StoreResult<StoreChanges<RegisteredServer>>> watch;
@@ -81,7 +112,7 @@
     }
 
     /** Time stands still. */
-    private static final class NoTimers implements Timers {
+    private static class NoTimers implements Timers {
 
         @Override
         public long nowMicros() {
--- a/entry/src/test/java/org/hyssophitch/entry/RelayedSourceTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/RelayedSourceTest.java
@@ -159,7 +159,8 @@
     public void storeIsNotAskedWhileTheRelayIsCurrent(Relay state) throws Exception {
         relayState = state;
         isStoreAnswering = true;
-        assertEquals(millisUntilAsked(List.of("config"), QUIET_MILLIS), QUIET_MILLIS);
+        assertEquals(millisUntilAsked(List.of("config", "servers"), QUIET_MILLIS), QUIET_MILLIS);
+        assertEquals(watched, Set.of());
     }
 
     /** Returns the time in milliseconds until the kinds are read at the store, or the given bound. */
