Fix: answers with an invalid status line reached callers

Seen by callers: a server in trouble answered with status 000, and its client got "HTTP/1.1 0 OK" with the server's signature and body as an answer. The same with 001, 20, +20, 2000, 600 and 999; 0200 and +200 came as 200; HTTP/2.0, HTTP/0.9 and http/1.1 came as HTTP/1.1; control bytes in the reason phrase were passed on; control bytes before the status line were skipped.

Cause: the decoder of server answers was the library's. It reads any integer as the status, any version, any byte of the reason phrase, any white space between them, and nothing behind it looked at these again. Only while the end of an answer was held back did the next bytes have to begin a status line.

Ruled out: a check of the decoded number alone. 0200 and +200 are decoded as 200, and a 2xx read from them may stand for a failure of the server.

Change: StrictResponseDecoder matches the bytes of a status line with RFC 9112, section 4, as they arrive, before the library's decoder gets them: version 1 with one digit behind it, a status from 100 to 599, a reason phrase without control bytes, each behind a single space. One line end before it is skipped, as it was behind an answer whose end is held back; that rule stood in BackendResponseDecoder and is now the general one. A line that doesn't match counts as any other malformed answer: connection closed, retried within attempts and budget, or 502 without a signature and without "not run".

Why it works: each answer on a connection to a server, also interim ones, answers to load probes and those of other hosts, passes through this decoder, and none of its bytes are decoded before its status line is known to be valid.

StrictResponseDecoderTest puts each byte in and before each position of a status line, whole, in pieces of 7 and of 1: nothing invalid is taken.

--- /dev/null
+++ b/core/src/main/java/org/hyssophitch/core/call/AnswerPart.java
@@ -0,0 +1,11 @@
+package org.hyssophitch.core.call;
+
+/** Parts of an HTTP response that can break the grammar of the protocol. */
+public enum AnswerPart {
+    /** The protocol's name and version. */
+    VERSION,
+    /** The status code. */
+    STATUS,
+    /** The reason phrase. */
+    REASON
+}
--- /dev/null
+++ b/entry/src/test/java/org/hyssophitch/entry/AnswerForms.java
@@ -0,0 +1,122 @@
+package org.hyssophitch.entry;
+
+import java.util.List;
+import java.util.stream.Stream;
+
+/** Answers of a backend server, each broken in one part or sound in an unusual way. Stateless. */
+final class AnswerForms {
+
+    /** Content of each answer. */
+    static final String BODY = "content-of-the-server";
+
+    private static final String ID = "{id}";
+    private static final String MARKS =
+            "Hyssophitch-Request-Id: " + ID + "\r\nHyssophitch-Response-Signature: s\r\nContent-Type: text/plain\r\n";
+    private static final String LENGTH = "Content-Length: " + BODY.length() + "\r\n";
+    private static final String CHUNK = Integer.toHexString(BODY.length()) + "\r\n" + BODY + "\r\n";
+    private static final String CHUNKS = CHUNK + "0\r\n\r\n";
+
+    /**
+     * An answer.
+     *
+     * @param text head and body with a placeholder for the id of the request
+     */
+    record Form(String name, String text) {
+
+        /** Returns the answer to a request; to a HEAD request without the body. */
+        String to(ScriptedServer.Request request) {
+            String whole = text.replace(ID, request.id());
+            boolean isToHead = request.line().startsWith("HEAD ");
+            return isToHead ? whole.substring(0, whole.indexOf("\r\n\r\n") + 4) : whole;
+        }
+
+        @Override
+        public String toString() {
+            return name;
+        }
+    }
+
+    private AnswerForms() {}
+
+    /** Returns status lines that break the grammar of RFC 9112, section 4, or state no valid status. */
+    static Stream<Form> brokenStatusLines() {
+        Stream<String> statuses = Stream.of(
+                        "000 OK",
+                        "000",
+                        "001 OK",
+                        "099 OK",
+                        "20 OK",
+                        "+20 OK",
+                        "2000 OK",
+                        "600 OK",
+                        "999 OK",
+                        "0200 OK",
+                        "+200 OK",
+                        "-200 OK",
+                        "20x OK",
+                        "abc OK",
+                        "2\u00010 OK",
+                        "",
+                        " 200 OK")
+                .map(s -> "HTTP/1.1 " + s);
+        Stream<String> versions = Stream.of(
+                        "HTTP/2.0", "HTTP/0.9", "http/1.1", "HTTP/1.12", "HTTP/1", "HTTP/1.x", "HTTP/11", "ICY", "1.1")
+                .map(v -> v + " 200 OK");
+        Stream<String> blanks =
+                Stream.of("HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK", "HTTP/1.1\u000b200 OK", "HTTP/1.1 200\u000cOK");
+        Stream<String> reasons = Stream.of("a\u0001b", "a\u0000b", "a\u007fb", "\u0001", "a\u001b ")
+                .map(r -> "HTTP/1.1 200 " + r);
+        Stream<String> prefixes =
+                Stream.of("\u0001", "\u0000", " ", "\t", "\r\n\r\n", "x").map(p -> p + "HTTP/1.1 200 OK");
+        return Stream.of(statuses, versions, blanks, reasons, prefixes)
+                .flatMap(s -> s)
+                .map(s -> new Form(s, s + "\r\n" + MARKS + LENGTH + "\r\n" + BODY));
+    }
+
+    /** Returns sound answers. */
+    static Stream<Form> sound() {
+        Stream<Form> statusLines = Stream.of(
+                        "HTTP/1.1 200 OK",
+                        "HTTP/1.1 299 Own",
+                        "HTTP/1.1 200 ",
+                        "HTTP/1.1 200",
+                        "HTTP/1.0 200 OK",
+                        "HTTP/1.1 200 caf\u00e9",
+                        "HTTP/1.1 200 a\tb  c ")
+                .map(s -> new Form(s, s + "\r\n" + MARKS + LENGTH + "\r\n" + BODY));
+        Stream<Form> fields = Stream.of(
+                        "X: a b\tc",
+                        "X: a  ",
+                        "X: a\t",
+                        "X:a",
+                        "X:",
+                        "X: caf\u00e9",
+                        "X: a: b",
+                        "!#$%&'*+-.^_`|~09azAZ: a",
+                        "X: a\r\n b",
+                        "Keep-Alive: timeout=5")
+                .map(f -> new Form(f, head(f + "\r\n" + LENGTH) + BODY));
+        Stream<Form> bodies = Stream.of(
+                framed("Transfer-Encoding: Chunked", CHUNKS),
+                chunked(CHUNK.replaceFirst("\r\n", ";a=b\r\n") + "0;c\r\n\r\n", "chunk extensions"),
+                chunked(CHUNK + "0\r\nX-Sum: 1\r\nX-Other:  a b \r\n\r\n", "trailers"));
+        return Stream.of(statusLines, fields, bodies).flatMap(s -> s);
+    }
+
+    /** Returns all broken answers. */
+    static List<Form> broken() {
+        return brokenStatusLines().toList();
+    }
+
+    private static String head(String fields) {
+        return "HTTP/1.1 200 OK\r\n" + MARKS + fields + "\r\n";
+    }
+
+    private static Form framed(String framing, String body) {
+        return new Form(framing, head(framing + "\r\n") + body);
+    }
+
+    private static Form chunked(String body, String name) {
+        return new Form(name, head("Transfer-Encoding: chunked\r\n") + body);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/hyssophitch/wire/net/MalformedResponseException.java
@@ -0,0 +1,20 @@
+package org.hyssophitch.wire.net;
+
+import org.hyssophitch.core.call.AnswerPart;
+
+/** Thrown for a response that breaks the grammar of the protocol. Has no stack trace, as any peer can cause it. */
+public final class MalformedResponseException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final AnswerPart part;
+
+    MalformedResponseException(AnswerPart part) {
+        super("malformed " + part, null, false, false);
+        this.part = part;
+    }
+
+    /** Returns the broken part of the response. */
+    public AnswerPart part() {
+        return part;
+    }
+}
