Fix: a transfer coding that isn't known made a body that wasn't the server's

Seen by callers: an answer with "Transfer-Encoding: xchunked" came as 200 with the lines of its chunks as content. Found with it: "gzip, chunked" (in one field or two) came with the compressed bytes and no word of their coding, as did "gzip" alone.

Cause: the library's decoder asks only whether chunked is among the transfer codings. Without it the body reaches to the end of the connection; with it, other codings are ignored. Transfer-Encoding is of one hop, so it isn't passed on. To a HEAD request the library even takes the field away before its rules apply.

Ruled out: relaying the body of an unknown coding under its name; a proxy that doesn't understand it can't tell where it ends (RFC 9112, 6.1 and 6.3).

Change: a whole head's Transfer-Encoding has to be chunked and nothing else, and Content-Length must not stand beside it; otherwise the answer is malformed. The decoder looks where the library asks for the first time whether the body is empty, before it takes fields away. What subclasses answered there, that a response is to a HEAD request, has a method of its own.

Why it works: a body is relayed only if its framing is a length, chunks alone, or the end of the connection with no coding.

--- a/core/src/main/java/org/hyssophitch/core/call/AnswerPart.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AnswerPart.java
@@ -10,6 +10,8 @@
     REASON,
     /** The name of a field in the head. */
     FIELD_NAME,
+    /** How the head states the end of the body. */
+    FRAMING,
     /** The fields behind the chunks of the body. */
     TRAILER
 }
--- a/entry/src/test/java/org/hyssophitch/entry/AnswerForms.java
+++ b/entry/src/test/java/org/hyssophitch/entry/AnswerForms.java
@@ -115,6 +115,31 @@
                 .map(s -> new Form(s, "HTTP/1.1 " + s + "\r\n" + LENGTH + "\r\n" + BODY));
     }
 
+    /** Returns heads that don't say in a valid way how long the body is (RFC 9112, section 6). */
+    static Stream<Form> brokenFraming() {
+        Stream<Form> lengths = Stream.of(
+                        "+21", "-21", "2 1", "0x15", "many", "", "21\u0001", "21, 22", "22\r\nContent-Length: 21")
+                .map(l -> framed("Content-Length: " + l, BODY));
+        Stream<Form> codings = Stream.of(
+                        "xchunked",
+                        "chunkedx",
+                        "gzip, chunked",
+                        "gzip",
+                        "chunked, gzip",
+                        "chunked, chunked",
+                        "chunked\r\nTransfer-Encoding: chunked",
+                        "gzip\r\nTransfer-Encoding: chunked",
+                        "\"chunked\"",
+                        "chunked;q=1",
+                        "")
+                .map(c -> framed("Transfer-Encoding: " + c, CHUNKS));
+        Stream<Form> others = Stream.of(
+                framed("Content-Length : " + BODY.length(), BODY),
+                framed("Transfer-Encoding : chunked", CHUNKS),
+                framed("Transfer-Encoding: chunked\r\nContent-Length: " + BODY.length(), CHUNKS));
+        return Stream.of(lengths, codings, others).flatMap(s -> s);
+    }
+
     /** Returns answers in chunks that break off the grammar of RFC 9112, section 7. */
     static Stream<Form> brokenChunks() {
         Stream<Form> trailers = Stream.of(
@@ -157,7 +182,7 @@
 
     /** Returns all broken answers. */
     static List<Form> broken() {
-        return Stream.of(brokenStatusLines(), brokenFields(), brokenMarks(), brokenChunks())
+        return Stream.of(brokenStatusLines(), brokenFields(), brokenMarks(), brokenFraming(), brokenChunks())
                 .flatMap(s -> s)
                 .toList();
     }
--- a/http/src/main/java/org/hyssophitch/http/BackendResponseDecoder.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendResponseDecoder.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMessage;
 import org.hyssophitch.wire.net.StrictResponseDecoder;
 
 /**
@@ -47,7 +46,7 @@
     }
 
     @Override
-    protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        return connection.isHeadInFlight() || super.isContentAlwaysEmpty(message);
+    protected boolean isResponseToHead() {
+        return connection.isHeadInFlight();
     }
 }
--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpGrammar.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpGrammar.java
@@ -1,6 +1,9 @@
 package org.hyssophitch.wire.net;
 
 import java.util.BitSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Stream;
 
 /** Rules of RFC 9110 and RFC 9112 for the parts of a response's head. Stateless. */
 final class HttpGrammar {
@@ -10,6 +13,8 @@
 
     private static final BitSet TOKEN_CHARACTERS = tokenCharacters();
 
+    private static final String CHUNKED = "chunked";
+
     private static final int DELETE = 0x7f;
 
     private HttpGrammar() {}
@@ -34,6 +39,16 @@
         return length > 0;
     }
 
+    /** Returns whether the values of the {@code Transfer-Encoding} fields state chunks and no other transfer coding. */
+    static boolean isChunked(List<String> codings) {
+        List<String> names = codings.stream()
+                .flatMap(v -> Stream.of(v.split(",")))
+                .map(n -> n.trim().toLowerCase(Locale.ROOT))
+                .filter(n -> !n.isEmpty())
+                .toList();
+        return names.equals(List.of(CHUNKED));
+    }
+
     private static boolean isTokenCharacter(byte b) {
         return b > 0 && TOKEN_CHARACTERS.get(b);
     }
--- a/wire/src/main/java/org/hyssophitch/wire/net/StrictResponseDecoder.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/StrictResponseDecoder.java
@@ -6,6 +6,9 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -16,7 +19,8 @@
 /**
  * Response decoder that fails on a response that breaks the grammar of the protocol, and names the broken part: the
  * result of such a response is a failure with a {@link MalformedResponseException}. The base class takes many of them:
- * any number for a status, a field name up to its first blank. Not thread-safe; each connection has its own.
+ * any number for a status, a field name up to its first blank, a transfer coding that it doesn't know. Not thread-safe;
+ * each connection has its own.
  */
 public class StrictResponseDecoder extends HttpResponseDecoder {
 
@@ -79,6 +83,28 @@
         }
     }
 
+    /** Called by the base class with a whole head, from which it then removes fields that don't count. */
+    @Override
+    protected final boolean isContentAlwaysEmpty(HttpMessage head) {
+        checkFraming(head.headers());
+        return isResponseToHead() || super.isContentAlwaysEmpty(head);
+    }
+
+    /** Returns whether the next response is to a HEAD request, and so has no body. */
+    protected boolean isResponseToHead() {
+        return false;
+    }
+
+    private static void checkFraming(HttpHeaders head) {
+        if (!head.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+            return;
+        }
+        boolean isChunked = HttpGrammar.isChunked(head.getAll(HttpHeaderNames.TRANSFER_ENCODING));
+        if (!isChunked || head.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            throw new MalformedResponseException(AnswerPart.FRAMING);
+        }
+    }
+
     /** The base class ends a name at its first blank, so the byte behind it is looked at. */
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
--- a/wire/src/test/java/org/hyssophitch/wire/net/StrictResponseDecoderTest.java
+++ b/wire/src/test/java/org/hyssophitch/wire/net/StrictResponseDecoderTest.java
@@ -132,6 +132,8 @@
             {"HTTP/1.1 20\r\n" + LENGTH, AnswerPart.STATUS},
             {"HTTP/1.1 200 a\u0000b\r\n" + LENGTH, AnswerPart.REASON},
             {HEAD + "Bad Name: x\r\n" + LENGTH, AnswerPart.FIELD_NAME},
+            {HEAD + CHUNKS.replace("chunked", "xchunked") + "\r\n", AnswerPart.FRAMING},
+            {HEAD + "Content-Length: 6\r\n" + CHUNKS + "\r\n", AnswerPart.FRAMING},
             {HEAD + CHUNKS + "Bad : x\r\n\r\n", AnswerPart.TRAILER},
             {"HTTP/1.1 103 Hints\r\nBad : x\r\n\r\n" + HEAD + LENGTH, AnswerPart.FIELD_NAME},
             {"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 000 OK\r\n" + LENGTH, AnswerPart.STATUS},
