Log: the line about a malformed answer names its broken part

Cause: AnswerRejected said MALFORMED and no more, so an operator couldn't tell a server that sends status 000 from one that breaks its chunks.

Change: the event has the part: version, status, reason, name or line of a field, framing, chunks or trailers. What the library's decoder finds is put down to the part that was being decoded.

--- a/core/src/main/java/org/hyssophitch/core/call/AnswerPart.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AnswerPart.java
@@ -10,8 +10,12 @@
     REASON,
     /** The name of a field in the head. */
     FIELD_NAME,
+    /** The line of a field in the head, besides its name. */
+    FIELD,
     /** How the head states the end of the body. */
     FRAMING,
+    /** The chunks of the body. */
+    BODY,
     /** The fields behind the chunks of the body. */
     TRAILER
 }
--- a/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
+++ b/core/src/main/java/org/hyssophitch/core/call/AttemptObserver.java
@@ -56,11 +56,10 @@
 
     /** Records an answer that was not taken as the whole answer to a request. */
     void onAnswerRejected(CallEvent.AnswerRejected e) {
-        state.recorder()
-                .record(
-                        e.nowMicros(),
-                        e.requestId(),
-                        new EventBody.AnswerRejected(e.server(), e.fault().name(), e.bytes(), e.earlierRequests()));
+        String part = e.part().map(AnswerPart::name).orElse("");
+        EventBody body =
+                new EventBody.AnswerRejected(e.server(), e.fault().name(), part, e.bytes(), e.earlierRequests());
+        state.recorder().record(e.nowMicros(), e.requestId(), body);
     }
 
     /** Records an answer whose body held the head of another answer. */
--- a/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
+++ b/core/src/main/java/org/hyssophitch/core/call/CallEvent.java
@@ -48,11 +48,18 @@
      *
      * @param requestId id of the request that was in flight on the connection; empty without one
      * @param server name of the server
+     * @param part the part that breaks the protocol; empty if each part is valid by itself
      * @param bytes number of bytes that were received since that request was sent
      * @param earlierRequests number of requests that the connection had carried before
      */
     record AnswerRejected(
-            long nowMicros, String requestId, String server, AnswerFault fault, long bytes, int earlierRequests)
+            long nowMicros,
+            String requestId,
+            String server,
+            AnswerFault fault,
+            Optional<AnswerPart> part,
+            long bytes,
+            int earlierRequests)
             implements CallEvent {}
 
     /**
--- a/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
+++ b/core/src/main/java/org/hyssophitch/core/timeline/EventBody.java
@@ -52,10 +52,12 @@
      * An answer of a backend server was not taken as the whole answer to a request.
      *
      * @param fault why it was not taken
+     * @param part the part that breaks the protocol; empty if each part is valid by itself
      * @param bytes number of bytes that were received since the request was sent
      * @param earlierRequests number of requests that the connection had carried before
      */
-    record AnswerRejected(String server, String fault, long bytes, int earlierRequests) implements EventBody {}
+    record AnswerRejected(String server, String fault, String part, long bytes, int earlierRequests)
+            implements EventBody {}
 
     /**
      * The body of a backend server's answer held the head of another answer.
--- a/entry/src/test/java/org/hyssophitch/entry/AnswerForms.java
+++ b/entry/src/test/java/org/hyssophitch/entry/AnswerForms.java
@@ -70,7 +70,7 @@
                 Stream.of("\u0001", "\u0000", " ", "\t", "\r\n\r\n", "x").map(p -> p + "HTTP/1.1 200 OK");
         return Stream.of(statuses, versions, blanks, reasons, prefixes)
                 .flatMap(s -> s)
-                .map(s -> new Form(s, s + "\r\n" + MARKS + LENGTH + "\r\n" + BODY));
+                .map(AnswerForms::statusLine);
     }
 
     /** Returns heads with a field line that breaks the grammar of RFC 9112, section 5. */
@@ -100,7 +100,7 @@
                         "X: a\u0000b",
                         "X: a\rb",
                         "X: a\nb")
-                .map(f -> new Form(f, head(f + "\r\n" + LENGTH) + BODY));
+                .map(AnswerForms::field);
     }
 
     /** Returns heads of other statuses whose mark or refusal has a broken name. */
@@ -160,7 +160,7 @@
                         "HTTP/1.0 200 OK",
                         "HTTP/1.1 200 caf\u00e9",
                         "HTTP/1.1 200 a\tb  c ")
-                .map(s -> new Form(s, s + "\r\n" + MARKS + LENGTH + "\r\n" + BODY));
+                .map(AnswerForms::statusLine);
         Stream<Form> fields = Stream.of(
                         "X: a b\tc",
                         "X: a  ",
@@ -172,7 +172,7 @@
                         "!#$%&'*+-.^_`|~09azAZ: a",
                         "X: a\r\n b",
                         "Keep-Alive: timeout=5")
-                .map(f -> new Form(f, head(f + "\r\n" + LENGTH) + BODY));
+                .map(AnswerForms::field);
         Stream<Form> bodies = Stream.of(
                 framed("Transfer-Encoding: Chunked", CHUNKS),
                 chunked(CHUNK.replaceFirst("\r\n", ";a=b\r\n") + "0;c\r\n\r\n", "chunk extensions"),
@@ -187,15 +187,27 @@
                 .toList();
     }
 
+    /** Returns an answer with a status line. */
+    static Form statusLine(String line) {
+        return new Form(line, line + "\r\n" + MARKS + LENGTH + "\r\n" + BODY);
+    }
+
+    /** Returns an answer with a further line in its head. */
+    static Form field(String line) {
+        return new Form(line, head(line + "\r\n" + LENGTH) + BODY);
+    }
+
     private static String head(String fields) {
         return "HTTP/1.1 200 OK\r\n" + MARKS + fields + "\r\n";
     }
 
-    private static Form framed(String framing, String body) {
+    /** Returns an answer with the lines that state the end of its body. */
+    static Form framed(String framing, String body) {
         return new Form(framing, head(framing + "\r\n") + body);
     }
 
-    private static Form chunked(String body, String name) {
+    /** Returns an answer with a body of chunks. */
+    static Form chunked(String body, String name) {
         return new Form(name, head("Transfer-Encoding: chunked\r\n") + body);
     }
 }
--- a/entry/src/test/java/org/hyssophitch/entry/DataPath.java
+++ b/entry/src/test/java/org/hyssophitch/entry/DataPath.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
@@ -33,6 +34,8 @@
 import org.hyssophitch.core.configuration.Service;
 import org.hyssophitch.core.entry.RequestRouter;
 import org.hyssophitch.core.team.Team;
+import org.hyssophitch.core.timeline.EventBody;
+import org.hyssophitch.core.timeline.EventRecorder;
 import org.hyssophitch.http.CallDispatcher;
 import org.hyssophitch.http.FrontListener;
 import org.hyssophitch.platform.PlatformHeaders;
@@ -53,10 +56,14 @@
 
     private static final int READ_TIMEOUT_MILLIS = 5_000;
 
+    /** Event about an answer to a request that wasn't taken. */
+    record Rejection(String requestId, EventBody.AnswerRejected event) {}
+
     private final EntryMetrics metrics = new EntryMetrics();
     private final EventLoopGroup group = EventLoops.create(1);
     private final EventLoop loop = (EventLoop) group.next();
     private final RequestRouter router = new RequestRouter(new SplittableRandom(1));
+    private final List<Rejection> rejections = new CopyOnWriteArrayList<>();
     private final CallDispatcher dispatcher;
     private final FrontListener front;
     private final int port;
@@ -67,10 +74,16 @@
 
     DataPath(CallerLimits limits, RandomGenerator random, ScriptedServer... servers) throws IOException {
         EventLog log = new EventLog(metrics);
+        EventRecorder recorder = (now, id, body) -> {
+            log.record(now, id, body);
+            if (body instanceof EventBody.AnswerRejected r) {
+                rejections.add(new Rejection(id, r));
+            }
+        };
         EngineSettings settings =
                 new EngineSettings("h1", "z1", 1).withFleetLimits(new FleetLimits(0.2, 1_000, 1_000_000, 10_000, 1));
         dispatcher = new CallDispatcher(
-                new CallEngine(settings, random, log),
+                new CallEngine(settings, random, recorder),
                 loop,
                 new PlatformHeaders(),
                 CallDispatcher.RESPONSE_BUFFER_BYTES,
@@ -124,6 +137,11 @@
         return EventLoops.call(loop, front::busyConnections);
     }
 
+    /** Returns the events about answers that weren't taken. */
+    List<Rejection> rejections() {
+        return rejections;
+    }
+
     /** Returns the metrics in the text format. */
     String metrics() {
         return MetricsText.of(metrics.registry());
--- a/entry/src/test/java/org/hyssophitch/entry/RejectedAnswerTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/RejectedAnswerTest.java
@@ -1,9 +1,13 @@
 package org.hyssophitch.entry;
 
+import java.util.List;
+
 import org.hyssophitch.core.call.AnswerFault;
+import org.hyssophitch.core.call.AnswerPart;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 /** Tests that each answer of a server that isn't taken as a whole answer is counted by its fault. */
@@ -87,4 +91,36 @@
             assertTrue(path.metrics().contains(expected), path.metrics());
         }
     }
+
+    @DataProvider
+    Object[][] brokenParts() {
+        return new Object[][] {
+            {AnswerPart.VERSION, AnswerForms.statusLine("HTTP/2.0 200 OK")},
+            {AnswerPart.STATUS, AnswerForms.statusLine("HTTP/1.1 000 OK")},
+            {AnswerPart.REASON, AnswerForms.statusLine("HTTP/1.1 200 \u0001")},
+            {AnswerPart.FIELD_NAME, AnswerForms.field("Bad Name: x")},
+            {AnswerPart.FIELD, AnswerForms.field("X: a\u0001b")},
+            {AnswerPart.FRAMING, AnswerForms.framed("Transfer-Encoding: xchunked", "")},
+            {AnswerPart.BODY, AnswerForms.chunked("xx\r\n", "chunk size")},
+            {AnswerPart.TRAILER, AnswerForms.chunked("0\r\nBad Name: x\r\n\r\n", "trailer")},
+        };
+    }
+
+    /** Without the part and the request's id, an operator can't tell what a server does wrong. */
+    @Test(dataProvider = "brokenParts")
+    public void recordsTheBrokenPart(AnswerPart part, AnswerForms.Form form) throws Exception {
+        ScriptedServer.Script script = (r, c) -> {
+            ScriptedServer.write(c, form.to(r));
+            return true;
+        };
+        try (ScriptedServer s = new ScriptedServer(script);
+                DataPath path = new DataPath(DataPath.LIMITS, s)) {
+            path.exchange(DataPath.post("/u/x", "u1", "body"), 1);
+            List<DataPath.Rejection> rejections = path.rejections();
+            assertEquals(rejections.size(), 1, rejections.toString());
+            assertEquals(rejections.getFirst().requestId(), "u1");
+            assertEquals(rejections.getFirst().event().fault(), AnswerFault.MALFORMED.name());
+            assertEquals(rejections.getFirst().event().part(), part.name());
+        }
+    }
 }
--- a/http/src/main/java/org/hyssophitch/http/BackendConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendConnection.java
@@ -40,6 +40,7 @@
     private static final int MAX_FOREIGN_BYTES = 262_144;
 
     private final BackendPool pool;
+    private final AnswerRejections rejections;
     private final RecentRequests recentRequests = new RecentRequests();
     private final BackendResponseDecoder decoder = new BackendResponseDecoder(this);
     private final IdleTimer idleTimer;
@@ -60,13 +61,11 @@
     private boolean isUnusable;
     private boolean isExcessive;
     private boolean isRequestWritten;
-    private boolean isRejected;
-    private long receivedBytes;
-    private int requests;
 
     BackendConnection(BackendPool pool) {
         super(false);
         this.pool = pool;
+        this.rejections = new AnswerRejections(pool);
         this.idleTimer = new IdleTimer(() -> idleTimeoutMillis, () -> channel.close());
     }
 
@@ -84,9 +83,7 @@
         exchange = newExchange;
         hasResponseHead = false;
         isRequestWritten = false;
-        isRejected = false;
-        receivedBytes = 0;
-        requests++;
+        rejections.onRequest(newExchange.requestId());
         recentRequests.add(newExchange);
         newExchange.onConnected(this);
     }
@@ -98,7 +95,7 @@
 
     /** Records that bytes arrived; those on an idle connection may begin a response that ends behind a request. */
     void onBytes(int count) {
-        receivedBytes += count;
+        rejections.onBytes(count);
         if (exchange == null && !isClosing) {
             closeFor(AnswerFault.UNSOLICITED);
         }
@@ -116,16 +113,9 @@
         isClosing = true;
     }
 
-    /** Reports that the current answer is not taken as the whole answer to a request; does so once for each request. */
+    /** Reports that the current answer is not taken as the whole answer to a request. */
     void reject(AnswerFault fault) {
-        if (!isRejected) {
-            isRejected = true;
-            pool.onAnswerRejected(
-                    exchange == null ? "" : exchange.requestId(),
-                    fault,
-                    receivedBytes,
-                    exchange == null ? requests : requests - 1);
-        }
+        rejections.report(fault);
     }
 
     /** Returns whether the end of the current answer is held back. */
@@ -200,7 +190,7 @@
         if (exchange == null && !isClosing) {
             reject(AnswerFault.UNSOLICITED);
         } else if (exchange != null && !isInputEnded && !isInputLost) {
-            reject(AnswerFault.MALFORMED);
+            rejections.reportMalformed(result.cause());
         }
     }
 
@@ -277,7 +267,7 @@
 
     /** Closes the connection to a server that keeps sending what is no part of an answer to the request. */
     private void limitForeignBytes() {
-        if (receivedBytes > MAX_FOREIGN_BYTES) {
+        if (rejections.receivedBytes() > MAX_FOREIGN_BYTES) {
             isExcessive = true;
             closeFor(AnswerFault.EXCESSIVE);
         }
@@ -343,6 +333,7 @@
     private void complete() {
         BackendExchange completed = exchange;
         exchange = null;
+        rejections.onAnswered();
         lastResponseNanos = System.nanoTime();
         if (isClosing || !isRequestWritten) {
             channel.close();
@@ -387,7 +378,7 @@
             settleEnd(isEndedThere ? EmbeddedHeadVerdict.CONTENT : verdictWithoutProof());
         }
         if (exchange != null) {
-            if (receivedBytes > 0) {
+            if (rejections.receivedBytes() > 0) {
                 reject(isInputLost ? AnswerFault.RESET : AnswerFault.CUT_OFF);
             }
             BackendExchange interrupted = exchange;
--- a/http/src/main/java/org/hyssophitch/http/BackendPool.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendPool.java
@@ -16,6 +16,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import org.hyssophitch.core.call.AnswerFault;
+import org.hyssophitch.core.call.AnswerPart;
 import org.hyssophitch.core.call.BodyFraming;
 import org.hyssophitch.core.call.CallEvent;
 import org.hyssophitch.core.call.EmbeddedHeadVerdict;
@@ -55,9 +56,10 @@
     }
 
     /** Reports an answer that was not taken as the whole answer to a request. */
-    void onAnswerRejected(String requestId, AnswerFault fault, long bytes, int earlierRequests) {
+    void onAnswerRejected(
+            String requestId, AnswerFault fault, Optional<AnswerPart> part, long bytes, int earlierRequests) {
         events.accept(new CallEvent.AnswerRejected(
-                WallClock.nowMicros(), requestId, server.name(), fault, bytes, earlierRequests));
+                WallClock.nowMicros(), requestId, server.name(), fault, part, bytes, earlierRequests));
     }
 
     /** Reports an answer whose body held the head of another answer. */
--- a/wire/src/main/java/org/hyssophitch/wire/net/MalformedResponseException.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/MalformedResponseException.java
@@ -9,7 +9,16 @@
     private final AnswerPart part;
 
     MalformedResponseException(AnswerPart part) {
-        super("malformed " + part, null, false, false);
+        this(part, null);
+    }
+
+    /**
+     * Creates an exception.
+     *
+     * @param cause what the decoder found; may be null
+     */
+    MalformedResponseException(AnswerPart part, Throwable cause) {
+        super("malformed " + part, cause, false, false);
         this.part = part;
     }
 
--- a/wire/src/main/java/org/hyssophitch/wire/net/StrictResponseDecoder.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/StrictResponseDecoder.java
@@ -67,12 +67,14 @@
 
     private HttpObject invalidResponse() {
         HttpObject invalid = createInvalidMessage();
-        invalid.setDecoderResult(DecoderResult.failure(new MalformedResponseException(statusLine.brokenPart())));
+        fail(invalid, new MalformedResponseException(statusLine.brokenPart()));
         return invalid;
     }
 
     private void onDecoded(HttpObject part) {
-        if (part instanceof HttpResponse) {
+        if (part.decoderResult().isFailure()) {
+            nameBrokenPart(part);
+        } else if (part instanceof HttpResponse) {
             isHeadDue = false;
         }
         if (part instanceof LastHttpContent) {
@@ -83,6 +85,18 @@
         }
     }
 
+    private void nameBrokenPart(HttpObject part) {
+        Throwable cause = part.decoderResult().cause();
+        if (!(cause instanceof MalformedResponseException)) {
+            AnswerPart broken = isHeadDue ? AnswerPart.FIELD : AnswerPart.BODY;
+            fail(part, new MalformedResponseException(broken, cause));
+        }
+    }
+
+    private static void fail(HttpObject part, MalformedResponseException failure) {
+        part.setDecoderResult(DecoderResult.failure(failure));
+    }
+
     /** Called by the base class with a whole head, from which it then removes fields that don't count. */
     @Override
     protected final boolean isContentAlwaysEmpty(HttpMessage head) {
--- a/wire/src/test/java/org/hyssophitch/wire/net/StrictResponseDecoderTest.java
+++ b/wire/src/test/java/org/hyssophitch/wire/net/StrictResponseDecoderTest.java
@@ -38,10 +38,10 @@
     private static final Pattern VALID_TRAILERS = Pattern.compile(FIELDS + "\\r\\n");
 
     /** What the decoder made of one response. */
-    private record Decoded(boolean hasHead, long wholeResponses, boolean hasFailed, Optional<AnswerPart> brokenPart) {
+    private record Decoded(boolean hasHead, long wholeResponses, Optional<AnswerPart> brokenPart) {
 
         private boolean isWhole() {
-            return wholeResponses > 0 && !hasFailed;
+            return wholeResponses > 0 && brokenPart.isEmpty();
         }
     }
 
@@ -59,14 +59,11 @@
         channel.finishAndReleaseAll();
         Optional<AnswerPart> broken = parts.stream()
                 .filter(p -> p.decoderResult().isFailure())
-                .flatMap(p -> p.decoderResult().cause() instanceof MalformedResponseException e
-                        ? Stream.of(e.part())
-                        : Stream.empty())
+                .map(p -> ((MalformedResponseException) p.decoderResult().cause()).part())
                 .findFirst();
         boolean hasHead = !parts.isEmpty() && parts.getFirst().decoderResult().isSuccess();
         long whole = parts.stream().filter(LastHttpContent.class::isInstance).count();
-        boolean hasFailed = parts.stream().anyMatch(p -> p.decoderResult().isFailure());
-        return new Decoded(hasHead, whole, hasFailed, broken);
+        return new Decoded(hasHead, whole, broken);
     }
 
     /** Returns a text with each byte at each position of a range: in place of the one there, and before it. */
@@ -132,8 +129,12 @@
             {"HTTP/1.1 20\r\n" + LENGTH, AnswerPart.STATUS},
             {"HTTP/1.1 200 a\u0000b\r\n" + LENGTH, AnswerPart.REASON},
             {HEAD + "Bad Name: x\r\n" + LENGTH, AnswerPart.FIELD_NAME},
+            {HEAD + "Nothing\r\n" + LENGTH, AnswerPart.FIELD},
+            {HEAD + "X: \u0001\r\n" + LENGTH, AnswerPart.FIELD},
+            {HEAD + "Content-Length: 7\r\n" + LENGTH, AnswerPart.FIELD},
             {HEAD + CHUNKS.replace("chunked", "xchunked") + "\r\n", AnswerPart.FRAMING},
             {HEAD + "Content-Length: 6\r\n" + CHUNKS + "\r\n", AnswerPart.FRAMING},
+            {HEAD + CHUNKS.replace("6\r\n", "x\r\n") + "\r\n", AnswerPart.BODY},
             {HEAD + CHUNKS + "Bad : x\r\n\r\n", AnswerPart.TRAILER},
             {"HTTP/1.1 103 Hints\r\nBad : x\r\n\r\n" + HEAD + LENGTH, AnswerPart.FIELD_NAME},
             {"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 000 OK\r\n" + LENGTH, AnswerPart.STATUS},
@@ -160,6 +161,6 @@
         String rush = HEAD + LENGTH + "HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\n" + HEAD + CHUNKS + TRAILERS + "\r\n"
                 + HEAD + LENGTH;
         Decoded decoded = decode(rush, pieceBytes);
-        assertEquals(decoded, new Decoded(true, 4, false, Optional.empty()));
+        assertEquals(decoded, new Decoded(true, 4, Optional.empty()));
     }
 }
