Fix: broken answers of the store and of other hosts were taken as answers

What was at stake: a host read its configuration, its servers and the store's epoch from answers of the same broken forms as callers got: "Epoch x: 9" was the field Epoch, status 0200 a success, and "xchunked" a body with the lines of its chunks.

Cause: wire's client for the store and for relays has a decoder of its own, with the library's rules.

Change: its decoder is StrictResponseDecoder. A response that can't be decoded since its connection has ended stays a lost connection.

Evidence: HttpClientTest.malformedResponseIsNoAnswer fails on in 11 of 11 cases (there with any failure as the expected outcome) and passes now; takesOnlyWholeResponses now asks for the kind of failure too. RepeatedStoreAnswerTest, RelayedSourceTest and FrozenRelaysTest pass (one run).

--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpClient.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpClient.java
@@ -20,13 +20,12 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -74,7 +73,9 @@
     public enum Failure {
         CONNECT_FAILED,
         CONNECTION_LOST,
-        TIMED_OUT
+        TIMED_OUT,
+        /** The response breaks the protocol. */
+        MALFORMED
     }
 
     /** Maximum size of a response body. */
@@ -87,6 +88,7 @@
     private final int connectTimeoutMillis;
     private final Consumer<Channel> initializer;
     private final Deque<Connection> idle = new ArrayDeque<>();
+    private final BoundedWarning malformed = new BoundedWarning("dropped a malformed response");
 
     /**
      * Creates a client without opening a connection.
@@ -212,17 +214,21 @@
     }
 
     /** Decodes responses, and tells what is left behind one. */
-    private static final class ResponseDecoder extends HttpResponseDecoder {
+    private static final class ResponseDecoder extends StrictResponseDecoder {
 
         private boolean isHeadRequest;
 
+        private ResponseDecoder() {
+            super(new HttpDecoderConfig());
+        }
+
         private boolean hasSurplus() {
             return actualReadableBytes() > 0;
         }
 
         @Override
-        protected boolean isContentAlwaysEmpty(HttpMessage message) {
-            return isHeadRequest || super.isContentAlwaysEmpty(message);
+        protected boolean isResponseToHead() {
+            return isHeadRequest;
         }
     }
 
@@ -251,10 +257,14 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            if (pending == null || isInputLost || response.decoderResult().isFailure()) {
+            if (pending == null || isInputLost) {
                 context.close();
                 return;
             }
+            if (response.decoderResult().isFailure()) {
+                onMalformed(response.decoderResult().cause());
+                return;
+            }
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 onInterimResponse(context, response);
                 return;
@@ -270,6 +280,15 @@
             finish(outcome);
         }
 
+        /** Closes the connection; a response that can't be decoded since the input has ended isn't malformed. */
+        private void onMalformed(Throwable cause) {
+            channel.close();
+            if (!isInputEnded) {
+                malformed.add(server + ": " + cause.getMessage());
+                finish(new Outcome.Failed(Failure.MALFORMED));
+            }
+        }
+
         /** Ignores a response before the final one; no request asks for another protocol. */
         private void onInterimResponse(ChannelHandlerContext context, FullHttpResponse response) {
             interimResponses++;
--- a/wire/src/test/java/org/hyssophitch/wire/net/HttpClientTest.java
+++ b/wire/src/test/java/org/hyssophitch/wire/net/HttpClientTest.java
@@ -72,7 +72,10 @@
         for (int i = 0; i < 3; i++) {
             serve(framing, isReset);
             HttpClient.Outcome outcome = call();
-            assertEquals(outcome instanceof HttpClient.Outcome.Answered, isWhole, outcome.toString());
+            HttpClient.Outcome lost = new HttpClient.Outcome.Failed(HttpClient.Failure.CONNECTION_LOST);
+            assertTrue(
+                    isWhole ? outcome instanceof HttpClient.Outcome.Answered : outcome.equals(lost),
+                    outcome.toString());
         }
     }
 
@@ -102,6 +105,35 @@
         }
     }
 
+    @DataProvider
+    Object[][] malformedResponses() {
+        String length = "Content-Length: " + HALF.length() + "\r\n";
+        String chunks = "\r\n" + Integer.toHexString(HALF.length()) + "\r\n" + HALF + "\r\n0\r\n";
+        return Stream.of(
+                        "HTTP/1.1 000 OK\r\n" + length + "\r\n" + HALF,
+                        "HTTP/1.1 0200 OK\r\n" + length + "\r\n" + HALF,
+                        "HTTP/2.0 200 OK\r\n" + length + "\r\n" + HALF,
+                        "HTTP/1.1 200 a\u0001b\r\n" + length + "\r\n" + HALF,
+                        "HTTP/1.1 200 OK\r\nBad Name: x\r\n" + length + "\r\n" + HALF,
+                        "HTTP/1.1 200 OK\r\nEpoch x: 9\r\n" + length + "\r\n" + HALF,
+                        "HTTP/1.1 200 OK\r\nContent-Length : " + HALF.length() + "\r\n\r\n" + HALF,
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n" + chunks + "\r\n",
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n" + chunks + "\r\n",
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks + "Bad Name: x\r\n\r\n",
+                        "HTTP/1.1 103 X\r\nBad : x\r\n\r\nHTTP/1.1 200 OK\r\n" + length + "\r\n" + HALF)
+                .map(r -> new Object[] {r})
+                .toArray(Object[][]::new);
+    }
+
+    /** Guards against a state of the store, or news of another host, that is read from a malformed response. */
+    @Test(dataProvider = "malformedResponses")
+    public void malformedResponseIsNoAnswer(String response) throws Exception {
+        serveBytes(response, false);
+        assertEquals(call(), new HttpClient.Outcome.Failed(HttpClient.Failure.MALFORMED));
+        serve("Content-Length: " + HALF.length() + "\r\n", false);
+        assertTrue(call() instanceof HttpClient.Outcome.Answered, "no answer on the next connection");
+    }
+
     /** What a server sends behind its first response. */
     private record Surplus(String bytes, int delayMillis) {}
 
@@ -202,10 +234,14 @@
     }
 
     private void serve(String before, String framing, boolean isReset) {
+        serveBytes(before + "HTTP/1.1 200 OK\r\n" + framing + "\r\n" + HALF, isReset);
+    }
+
+    /** Answers one request on one connection, and ends it a little later. */
+    private void serveBytes(String response, boolean isReset) {
         Thread.startVirtualThread(() -> {
             try (Socket s = server.accept()) {
                 s.getInputStream().read(new byte[REQUEST_BYTES]);
-                String response = before + "HTTP/1.1 200 OK\r\n" + framing + "\r\n" + HALF;
                 s.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
                 s.getOutputStream().flush();
                 Thread.sleep(PAUSE_MILLIS);
