Fix: agents, console and client took broken answers of the platform, of servers and of processes

What was at stake: our own deployment's processes read the configuration, the host list, servers' load and the state of other processes by OkHttp. A load probe answered with status 000 or +20, with "Bad Name: x" or "Nothing at all" among its fields or an unknown transfer coding reported a load; such answers of the platform held a configuration. Not seen by callers.

Cause: OkHttp takes three characters that read as a number for a status, names with blanks, any byte in values and reason phrases, and ignores transfer codings and lengths that it doesn't understand.

Ruled out: wire's own client in its place; the house style has OkHttp there.

Change: StrictResponseInterceptor, a network interceptor of all three clients, fails the call with a typed protocol exception, which OkHttp doesn't repeat, closes the connection, and logs the part and the host once a second at most. Bodies of chunks are read whole, as their trailers count too.

What it can't see: OkHttp keeps interim answers and the text of the version from interceptors ("ICY 200" counts as HTTP/1.0).

--- a/agent/src/main/java/org/hyssophitch/agent/Prober.java
+++ b/agent/src/main/java/org/hyssophitch/agent/Prober.java
@@ -15,6 +15,7 @@
 import org.hyssophitch.core.load.LoadReport;
 import org.hyssophitch.wire.concurrent.EventThread;
 import org.hyssophitch.wire.concurrent.WallClock;
+import org.hyssophitch.wire.net.StrictResponseInterceptor;
 import org.hyssophitch.wire.report.LoadHeaders;
 
 /**
@@ -32,6 +33,7 @@
 
     private final OkHttpClient client = new OkHttpClient.Builder()
             .callTimeout(TIMEOUT)
+            .addNetworkInterceptor(new StrictResponseInterceptor())
             .retryOnConnectionFailure(false)
             .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, 1, TimeUnit.SECONDS))
             .build();
--- a/cli/src/main/java/org/hyssophitch/cli/ClientContext.java
+++ b/cli/src/main/java/org/hyssophitch/cli/ClientContext.java
@@ -17,6 +17,7 @@
 import okhttp3.Request;
 import okhttp3.Response;
 import org.hyssophitch.document.DocumentStore;
+import org.hyssophitch.wire.net.StrictResponseInterceptor;
 import org.hyssophitch.wire.platform.PlatformClient;
 import org.hyssophitch.wire.report.UnwritableValueException;
 import org.hyssophitch.wire.yaml.SettingsFile;
@@ -39,8 +40,10 @@
     @AllowedRawValues(allowedValues = {"text", "json"})
     private String output = "text";
 
-    private final OkHttpClient client =
-            new OkHttpClient.Builder().callTimeout(REQUEST_TIMEOUT).build();
+    private final OkHttpClient client = new OkHttpClient.Builder()
+            .callTimeout(REQUEST_TIMEOUT)
+            .addNetworkInterceptor(new StrictResponseInterceptor())
+            .build();
     private ClientSettings settings;
 
     /** Returns whether the output format is JSON. */
--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpGrammar.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpGrammar.java
@@ -3,6 +3,7 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 /** Rules of RFC 9110 and RFC 9112 for the parts of a response's head. Stateless. */
@@ -16,9 +17,22 @@
     private static final String CHUNKED = "chunked";
 
     private static final int DELETE = 0x7f;
+    private static final int MIN_STATUS = 100;
+    private static final int MAX_STATUS = 599;
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
 
     private HttpGrammar() {}
 
+    /** Returns whether a number is a status code (RFC 9110, 15). */
+    static boolean isStatus(int code) {
+        return code >= MIN_STATUS && code <= MAX_STATUS;
+    }
+
+    /** Returns whether the values of the {@code Content-Length} fields state one length. */
+    static boolean isLength(List<String> lengths) {
+        return lengths.size() == 1 && LENGTH.matcher(lengths.getFirst()).matches();
+    }
+
     /** Returns whether a byte may stand in a reason phrase or in the value of a field. */
     static boolean isText(byte b) {
         return isText((char) (b & 0xff));
@@ -29,6 +43,16 @@
         return c >= ' ' && c != DELETE || c == '\t';
     }
 
+    /** Returns whether a text may be a reason phrase or the value of a field. */
+    static boolean isText(String text) {
+        return text.chars().allMatch(c -> isText((char) c));
+    }
+
+    /** Returns whether a text is the name of a field. */
+    static boolean isToken(String text) {
+        return !text.isEmpty() && text.chars().allMatch(TOKEN_CHARACTERS::get);
+    }
+
     /** Returns whether a part of a line is the name of a field. */
     static boolean isToken(byte[] line, int start, int length) {
         for (int i = start; i < start + length; i++) {
--- a/wire/src/main/java/org/hyssophitch/wire/platform/PlatformClient.java
+++ b/wire/src/main/java/org/hyssophitch/wire/platform/PlatformClient.java
@@ -13,6 +13,7 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.hyssophitch.core.control.ListedHost;
+import org.hyssophitch.wire.net.StrictResponseInterceptor;
 
 /**
  * Client for the platform's object API and host list. Thread-safe; calls block the calling thread.
@@ -47,6 +48,7 @@
         baseUrl = "http://" + address;
         client = new OkHttpClient.Builder()
                 .callTimeout(CALL_TIMEOUT)
+                .addNetworkInterceptor(new StrictResponseInterceptor())
                 .connectionPool(new ConnectionPool(1, 1, TimeUnit.MINUTES))
                 .build();
         watchClient = client.newBuilder()
