--- a/bench/src/main/java/org/hyssophitch/bench/command/BenchMain.java
+++ b/bench/src/main/java/org/hyssophitch/bench/command/BenchMain.java
@@ -22,6 +22,7 @@
                 HelpCommand.class,
                 PoliciesCommand.class,
                 ChoicesCommand.class,
+                AnswersCommand.class,
                 ControlCommand.class,
                 LatencyCommand.class,
                 SlopesCommand.class,
