Refactoring: refusals, attempts and verdicts on held ends leave the large classes of http

Change: RefusalVerdict judges whether a head refuses the request and whether that is proved (it stood in two fields and five conditions of BackendAttempt); CallAttempts keeps the attempts of a call; the verdict on a held end stands with the body it is about (AnswerBody).

--- a/http/src/main/java/org/hyssophitch/http/AnswerBody.java
+++ b/http/src/main/java/org/hyssophitch/http/AnswerBody.java
@@ -3,10 +3,12 @@
 import java.util.Set;
 
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import org.hyssophitch.core.call.BodyFraming;
+import org.hyssophitch.core.call.EmbeddedHeadVerdict;
 
 /** The body of an answer of a backend server: how it ends, and whether it holds the head of another answer. */
 final class AnswerBody {
@@ -67,9 +69,18 @@
         return framing == BodyFraming.LENGTH && scanner.mayHoldHead();
     }
 
-    /** Returns whether a body that has ended holds the head of an answer of the server, or ends inside one. */
-    boolean holdsHeadAtEnd() {
-        return scanner.holdsHeadAtEnd();
+    /** Returns the verdict on a body whose end is in doubt, by what the server has sent behind it. */
+    EmbeddedHeadVerdict verdictBefore(HttpObject next, BackendExchange exchange) {
+        if (next.decoderResult().isFailure()) {
+            return EmbeddedHeadVerdict.REPEATED;
+        }
+        boolean isProof = next instanceof HttpResponse head && exchange.provesEnd(head);
+        return isProof ? EmbeddedHeadVerdict.CONTENT : verdictWithoutProof();
+    }
+
+    /** Returns the verdict on a body whose end is in doubt, by what it holds itself. */
+    EmbeddedHeadVerdict verdictWithoutProof() {
+        return scanner.holdsHeadAtEnd() ? EmbeddedHeadVerdict.REPEATED : EmbeddedHeadVerdict.UNDECIDED;
     }
 
     /** Returns how a response that isn't to a HEAD request shows the end of its body. */
--- a/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendAttempt.java
@@ -51,10 +51,9 @@
     private BackendConnection connection;
     private StallDetector stallDetector = StallDetector.NONE;
     private HttpResponse head;
-    private Optional<NotRunCause> notRunCause = Optional.empty();
+    private RefusalVerdict refusal = RefusalVerdict.NO_REFUSAL;
     private long sentMicros;
     private int discardedBytes;
-    private boolean isMisleadingStatus;
     private boolean isAnswerStarted;
     private boolean isRelaying;
     private boolean isComplete;
@@ -258,27 +257,19 @@
         stallDetector.onProgress();
         head = response;
         if (action.isForward()) {
-            notRunCause = dispatcher
-                    .headerConventions()
-                    .forwardNotRunCause(response.status().code());
+            refusal = RefusalVerdict.ofEntryHost(response, dispatcher.headerConventions());
         } else {
             observeServer(response);
         }
-        if (dispatcher.responseBufferBytes() == CallDispatcher.NO_RESPONSE_BUFFERING
-                && notRunCause.isEmpty()
-                && !isMisleadingStatus) {
+        if (dispatcher.responseBufferBytes() == CallDispatcher.NO_RESPONSE_BUFFERING && !refusal.isRefusal()) {
             startAnswer();
         }
     }
 
     private void observeServer(HttpResponse response) {
-        int status = response.status().code();
-        notRunCause = dispatcher.headerConventions().notRunCause(status, response.headers());
-        boolean isOtherInstance = notRunCause.equals(Optional.of(NotRunCause.WRONG_INSTANCE));
-        ServerReports.pass(response, action.server().name(), sentMicros, isOtherInstance, dispatcher);
-        isMisleadingStatus =
-                notRunCause.isEmpty() && dispatcher.headerConventions().impliesNotRun(status);
-        if (isMisleadingStatus) {
+        refusal = RefusalVerdict.ofServer(response, dispatcher.headerConventions());
+        ServerReports.pass(response, action.server().name(), sentMicros, refusal.isOtherInstance(), dispatcher);
+        if (refusal.isUnproven()) {
             connection.reject(AnswerFault.UNTRUSTED_REFUSAL);
         }
     }
@@ -290,7 +281,7 @@
             content.release();
             return;
         }
-        if (notRunCause.isPresent() || isMisleadingStatus) {
+        if (refusal.isRefusal()) {
             discard(content);
             return;
         }
@@ -332,11 +323,11 @@
         if (isEnded) {
             return;
         }
-        if (notRunCause.isPresent()) {
-            end(new AttemptResult.NotRun(notRunCause.get()));
+        if (refusal.notRunCause().isPresent()) {
+            end(new AttemptResult.NotRun(refusal.notRunCause().get()));
             return;
         }
-        if (isMisleadingStatus) {
+        if (refusal.isUnproven()) {
             // The status alone would tell the caller that the request was not run, but the server gave no such proof.
             end(new AttemptResult.Lost(LostCause.ANSWER_BROKEN));
             return;
@@ -351,9 +342,8 @@
 
     @Override
     public void onConnectionLost(boolean hasHead) {
-        boolean isNotRun = hasHead && notRunCause.isPresent();
-        if (isNotRun) {
-            end(new AttemptResult.NotRun(notRunCause.get()));
+        if (hasHead && refusal.notRunCause().isPresent()) {
+            end(new AttemptResult.NotRun(refusal.notRunCause().get()));
         } else {
             end(new AttemptResult.Lost(hasHead ? LostCause.ANSWER_BROKEN : LostCause.CONNECTION_LOST));
         }
--- a/http/src/main/java/org/hyssophitch/http/BackendConnection.java
+++ b/http/src/main/java/org/hyssophitch/http/BackendConnection.java
@@ -284,7 +284,7 @@
      * makes the server show the end: what arrives before the response to it belongs to the answer.
      */
     private void holdEnd(HttpContent end, HttpRequest confirmation) {
-        Runnable onTimeout = () -> settleEnd(verdictWithoutProof());
+        Runnable onTimeout = () -> settleEnd(body.verdictWithoutProof());
         heldEnd = new HeldEnd(end, channel.eventLoop(), exchange.onEndHeld(), onTimeout);
         channel.config().setAutoRead(true);
         if (isRequestWritten && !isInputEnded && body.isConnectionKept()) {
@@ -293,23 +293,11 @@
     }
 
     private void onMessageBehindEnd(HttpObject message) {
-        EmbeddedHeadVerdict verdict = verdictBefore(message);
+        EmbeddedHeadVerdict verdict = body.verdictBefore(message, exchange);
         ReferenceCountUtil.release(message);
         settleEnd(verdict);
     }
 
-    private EmbeddedHeadVerdict verdictBefore(HttpObject next) {
-        if (next.decoderResult().isFailure()) {
-            return EmbeddedHeadVerdict.REPEATED;
-        }
-        boolean isProof = next instanceof HttpResponse head && exchange.provesEnd(head);
-        return isProof ? EmbeddedHeadVerdict.CONTENT : verdictWithoutProof();
-    }
-
-    private EmbeddedHeadVerdict verdictWithoutProof() {
-        return body.holdsHeadAtEnd() ? EmbeddedHeadVerdict.REPEATED : EmbeddedHeadVerdict.UNDECIDED;
-    }
-
     /** Relays the end that was held back, or ends the exchange, and closes the connection. */
     private void settleEnd(EmbeddedHeadVerdict verdict) {
         HttpContent end = heldEnd.take();
@@ -375,7 +363,7 @@
         pool.remove(this);
         if (isEndHeld()) {
             boolean isEndedThere = isInputEnded && !decoder.hasBytesBehindEnd();
-            settleEnd(isEndedThere ? EmbeddedHeadVerdict.CONTENT : verdictWithoutProof());
+            settleEnd(isEndedThere ? EmbeddedHeadVerdict.CONTENT : body.verdictWithoutProof());
         }
         if (exchange != null) {
             if (rejections.receivedBytes() > 0) {
--- a/http/src/main/java/org/hyssophitch/http/CallerExchange.java
+++ b/http/src/main/java/org/hyssophitch/http/CallerExchange.java
@@ -1,7 +1,5 @@
 package org.hyssophitch.http;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
@@ -40,11 +38,10 @@
     private final long callId;
     private final long arrivedMicros = WallClock.nowMicros();
     private final RequestBody body;
-    private final Map<Integer, BackendAttempt> attempts = new HashMap<>();
+    private final CallAttempts attempts = new CallAttempts();
     private final ResponseOutput output = new ResponseOutput();
     private RequestRules.Verdict.Accepted accepted;
     private BackendAttempt relayed;
-    private int attemptsStarted;
     private int status;
     private boolean isDispatched;
     private boolean isAnswered;
@@ -150,25 +147,16 @@
     }
 
     void startAttempt(CallAction.StartAttempt action, BackendPools pools) {
-        BackendAttempt attempt = new BackendAttempt(this, action, dispatcher);
-        attempts.put(action.attempt(), attempt);
-        attemptsStarted++;
-        attempt.start(pools);
+        attempts.start(action.attempt(), new BackendAttempt(this, action, dispatcher), pools);
     }
 
     void cancelAttempt(int number) {
-        BackendAttempt attempt = attempts.remove(number);
-        if (attempt != null) {
-            attempt.cancel();
-        }
+        attempts.cancel(number);
     }
 
     /** Ends an attempt that can't be started or whose request can't be written. */
     void failAttempt(int number) {
-        BackendAttempt attempt = attempts.get(number);
-        if (attempt != null) {
-            attempt.fail();
-        }
+        attempts.fail(number);
     }
 
     void sendBody(BackendAttempt attempt) {
@@ -354,7 +342,7 @@
 
     /** Returns the number of attempts that were started. */
     int attemptsStarted() {
-        return attemptsStarted;
+        return attempts.started();
     }
 
     /** Returns how far a request without a wholly written response has come. */
@@ -386,7 +374,7 @@
         isOutputComplete = true;
         connection.stop().ifPresent(x -> x.release(this));
         body.release();
-        attempts.values().stream().filter(a -> a != relayed).forEach(BackendAttempt::cancel);
+        attempts.cancelAllBut(relayed);
         dispatcher.unregister(this);
         connection.onAnswered(this, reason, status, WallClock.nowMicros() - arrivedMicros);
         if (hasCallerLeft) {
