--- a/wire/src/main/java/org/hyssophitch/wire/net/HttpGrammar.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/HttpGrammar.java
@@ -1,22 +1,23 @@
 package org.hyssophitch.wire.net;
 
-import java.util.BitSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /** Rules of RFC 9110 and RFC 9112 for the parts of a response's head. Stateless. */
 final class HttpGrammar {
 
+    private static final int DELETE = 0x7f;
     /** Characters of a token besides letters and digits (RFC 9110, 5.6.2). */
     private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
 
-    private static final BitSet TOKEN_CHARACTERS = tokenCharacters();
+    /** Whether an ASCII character may stand in a token. */
+    private static final boolean[] TOKEN_CHARACTERS = tokenCharacters();
 
     private static final String CHUNKED = "chunked";
 
-    private static final int DELETE = 0x7f;
     private static final int MIN_STATUS = 100;
     private static final int MAX_STATUS = 599;
     private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
@@ -50,13 +51,13 @@
 
     /** Returns whether a text is the name of a field. */
     static boolean isToken(String text) {
-        return !text.isEmpty() && text.chars().allMatch(TOKEN_CHARACTERS::get);
+        return !text.isEmpty() && text.chars().allMatch(HttpGrammar::isTokenCharacter);
     }
 
     /** Returns whether a part of a line is the name of a field. */
     static boolean isToken(byte[] line, int start, int length) {
         for (int i = start; i < start + length; i++) {
-            if (!isTokenCharacter(line[i])) {
+            if (!isTokenCharacter(line[i] & 0xff)) {
                 return false;
             }
         }
@@ -73,16 +74,15 @@
         return names.equals(List.of(CHUNKED));
     }
 
-    private static boolean isTokenCharacter(byte b) {
-        return b > 0 && TOKEN_CHARACTERS.get(b);
+    private static boolean isTokenCharacter(int c) {
+        return c < TOKEN_CHARACTERS.length && TOKEN_CHARACTERS[c];
     }
 
-    private static BitSet tokenCharacters() {
-        BitSet all = new BitSet();
-        all.set('0', '9' + 1);
-        all.set('A', 'Z' + 1);
-        all.set('a', 'z' + 1);
-        TOKEN_PUNCTUATION.chars().forEach(all::set);
+    private static boolean[] tokenCharacters() {
+        boolean[] all = new boolean[DELETE];
+        IntStream.range(0, DELETE)
+                .filter(c -> Character.isLetterOrDigit(c) || TOKEN_PUNCTUATION.indexOf(c) >= 0)
+                .forEach(c -> all[c] = true);
         return all;
     }
 }
--- a/wire/src/main/java/org/hyssophitch/wire/net/StrictResponseDecoder.java
+++ b/wire/src/main/java/org/hyssophitch/wire/net/StrictResponseDecoder.java
@@ -31,6 +31,7 @@
     /** Number of readable bytes that the matcher has seen. */
     private int matchedBytes;
 
+    /** Creates a decoder for one connection with the limits of a configuration. */
     public StrictResponseDecoder(HttpDecoderConfig config) {
         super(config);
         maxStatusLineBytes = config.getMaxInitialLineLength();
