Tests: our own proxy with broken heads; the changes behind a link stand once

Cause: our own proxy, whose servers have other marks, wasn't played with broken heads. BrokenStoreAnswerTest repeated the changes of RepeatedStoreAnswerTest.

Change: ProxyTest.answerWithABrokenHeadLeavesTheOutcomeUnknown; EntryProgramFixture.awaitChanges for both store tests.

--- a/entry/src/test/java/org/hyssophitch/entry/BrokenStoreAnswerTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/BrokenStoreAnswerTest.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import org.hyssophitch.core.entry.EntrySettings;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -26,8 +25,6 @@
     /** Every second answer has a broken head. */
     @Test(dataProvider = "breaks")
     public void hostLearnsEachChange(String sound, String broken) throws Exception {
-        configure(1, "svc");
-        register("i-1", first, "svc", "ready");
         AtomicInteger answers = new AtomicInteger();
         StoreLink.AnswerWriter writer = (h, b) -> {
             String text = new String(b, StandardCharsets.ISO_8859_1);
@@ -35,18 +32,6 @@
             String written = isBroken ? text.replaceFirst(sound, broken) : text;
             h.write(written.getBytes(StandardCharsets.ISO_8859_1));
         };
-        try (StoreLink link = new StoreLink(storePort, writer)) {
-            storePort = link.port();
-            EntrySettings behindLink = settings("host-2");
-            start(behindLink);
-            await(() -> request(behindLink, "/s/x").endsWith("first"));
-            for (int i = 1; i <= CHANGES; i++) {
-                boolean isFirst = i % 2 == 0;
-                store.remove("servers", "i-" + i);
-                register("i-" + (i + 1), isFirst ? first : second, "svc", "ready");
-                configure(i + 1, "svc");
-                await(() -> request(behindLink, "/s/x").endsWith(isFirst ? "first" : "second"));
-            }
-        }
+        awaitChanges(CHANGES, writer);
     }
 }
--- a/entry/src/test/java/org/hyssophitch/entry/EntryProgramFixture.java
+++ b/entry/src/test/java/org/hyssophitch/entry/EntryProgramFixture.java
@@ -115,6 +115,25 @@
                         .formatted(server.port(), service, state, sequence));
     }
 
+    /** Changes servers and configuration, and awaits each change on a host that reaches the store by a link. */
+    void awaitChanges(int changes, StoreLink.AnswerWriter writer) throws IOException, InterruptedException {
+        configure(1, "svc");
+        register("i-1", first, "svc", "ready");
+        try (StoreLink link = new StoreLink(storePort, writer)) {
+            storePort = link.port();
+            EntrySettings behindLink = settings("host-2");
+            start(behindLink);
+            await(() -> request(behindLink, "/s/x").endsWith("first"));
+            for (int i = 1; i <= changes; i++) {
+                boolean isFirst = i % 2 == 0;
+                store.remove("servers", "i-" + i);
+                register("i-" + (i + 1), isFirst ? first : second, "svc", "ready");
+                configure(i + 1, "svc");
+                await(() -> request(behindLink, "/s/x").endsWith(isFirst ? "first" : "second"));
+            }
+        }
+    }
+
     static void await(BooleanSupplier condition) throws InterruptedException {
         await(condition, 8_000);
     }
--- a/entry/src/test/java/org/hyssophitch/entry/RepeatedStoreAnswerTest.java
+++ b/entry/src/test/java/org/hyssophitch/entry/RepeatedStoreAnswerTest.java
@@ -6,7 +6,6 @@
 import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import org.hyssophitch.core.entry.EntrySettings;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -34,8 +33,6 @@
     /** Every second answer is given twice. */
     @Test(dataProvider = "forms")
     public void hostLearnsEachChangeOfAStoreThatAnswersTwice(Form form) throws Exception {
-        configure(1, "svc");
-        register("i-1", first, "svc", "ready");
         AtomicInteger answers = new AtomicInteger();
         StoreLink.AnswerWriter writer = (h, b) -> {
             if (answers.incrementAndGet() % 2 == 0) {
@@ -44,19 +41,7 @@
                 h.write(b);
             }
         };
-        try (StoreLink link = new StoreLink(storePort, writer)) {
-            storePort = link.port();
-            EntrySettings behindLink = settings("host-2");
-            start(behindLink);
-            await(() -> request(behindLink, "/s/x").endsWith("first"));
-            for (int i = 1; i <= CHANGES; i++) {
-                boolean isFirst = i % 2 == 0;
-                store.remove("servers", "i-" + i);
-                register("i-" + (i + 1), isFirst ? first : second, "svc", "ready");
-                configure(i + 1, "svc");
-                await(() -> request(behindLink, "/s/x").endsWith(isFirst ? "first" : "second"));
-            }
-        }
+        awaitChanges(CHANGES, writer);
     }
 
     private static void writeTwice(Form form, OutputStream host, byte[] answer)
--- a/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
+++ b/proxy/src/test/java/org/hyssophitch/proxy/ProxyTest.java
@@ -59,6 +59,27 @@
         });
     }
 
+    @DataProvider
+    public Object[][] brokenHeads() {
+        return new Object[][] {
+            {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok"},
+            {"HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 2\r\n\r\nok"},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+            {"HTTP/1.1 503 X\r\nHyssophitch-Outcome : not-run\r\nContent-Length: 0\r\n\r\n"}
+        };
+    }
+
+    /** What a head states counts only if the whole head is valid. */
+    @Test(dataProvider = "brokenHeads")
+    public void answerWithABrokenHeadLeavesTheOutcomeUnknown(String response) throws IOException {
+        server.respondWith(response, RawServer.ResponseMode.KEEP_OPEN);
+        try (Response r = send(post("/services/s1/booking", requestTicket()))) {
+            assertEquals(r.code(), 502);
+            assertEquals(r.header("Hyssophitch-Outcome"), "unknown");
+        }
+        assertEquals(server.requestLines().size(), 1);
+    }
+
     /** The HTTP client must not retry a request itself, even if the server responds with {@code Retry-After: 0}. */
     @Test
     public void nonIdempotentRequestIsNotRetriedOnRetryAfter() throws IOException {
