--- a/review/stand-ins-3/Lab.java
+++ b/review/stand-ins-3/Lab.java
@@ -194,10 +194,14 @@
     }
 
     void configure(int version, List<String> rules, List<String> clusters) {
+        configure(version, rules, clusters, "");
+    }
+
+    void configure(int version, List<String> rules, List<String> clusters, String more) {
         store.put("config", "main", "{\"version\":\"r" + version + "\",\"limits\":{\"max_header_bytes\":16384,"
                 + "\"max_body_bytes\":67108864,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
                 + "\"listeners\":[{\"host\":\"a.example\",\"rules\":[" + String.join(",", rules) + "]}],"
-                + "\"clusters\":[" + String.join(",", clusters) + "]}");
+                + "\"clusters\":[" + String.join(",", clusters) + "]" + more + "}");
         note("configuration r%d is acknowledged", version);
     }
 
