--- a/review/stand-ins-3/Lab.java
+++ b/review/stand-ins-3/Lab.java
@@ -99,6 +99,7 @@
             this.ready = freePort(host);
             this.directoryPort = freePort(host);
             int peers = freePort(host);
+            String contracts = extraBounds.contains("quota") ? ",\"tenants\",\"quota\"" : "";
             this.settings = directory.resolve(name + ".json");
             Files.writeString(settings, """
                     {"node":"%1$s","role":"entry","machine_class":"front","serves":["front","directory"],
@@ -107,7 +108,7 @@
                     "internal_ports":[%7$d,%7$d],"seeds":[],"first_start":true,"counts_as_loss":false,
                     "limits":{"cpu_share":0.6,"cores":1,"memory_mb":430,"file_descriptors":4100,"link_mbps":1000.0,"disk_mb":0},
                     "data_directory":null,"discovery":"platform","entry":"directory","heartbeat_interval_ms":1500,
-                    "contracts":["base","drain","config","cost","retry","recover","health","platform"],
+                    "contracts":["base","drain","config","cost","retry","recover","health"%10$s,"platform"],
                     "fault_tolerance":{"machines":1,"zones":0,"regions":0},
                     "bounds":{"seed_lag_s":3,"reuse_after_s":2,"stability_window_ms":3000,"ack_timeout_ms":4000,
                     "catch_up_s":4,"drain_period_ms":2000,"grace_period_s":6,"loss_slack_ms":200,"config_apply_ms":2000,
@@ -115,7 +116,7 @@
                     "budget_slack":56,"recovery_s":15,"ttl_max_s":5,"probes_per_s":60%8$s},
                     "platform":{"address":"%9$s","form":"objects","writes_per_s":400,"reads_per_s":2000,"history_s":20,
                     "value_bytes":1048576,"min_ttl_ms":1000}}
-                    """.formatted(name, host, zone, front, ready, directoryPort, peers, extraBounds, store.address()));
+                    """.formatted(name, host, zone, front, ready, directoryPort, peers, extraBounds, store.address(), contracts));
             entries.add(this);
         }
 
